--- a/cmd/hickoryrock/main.go
+++ b/cmd/hickoryrock/main.go
@@ -10,6 +10,7 @@
 	_ "time/tzdata" // The VMs may have no time zones of their own.
 
 	"hickoryrock/internal/caller/client"
+	"hickoryrock/internal/node/edge"
 	"hickoryrock/internal/node/router"
 	"hickoryrock/internal/operator/command"
 	"hickoryrock/internal/platform/objects"
@@ -17,7 +18,7 @@
 )
 
 func main() {
-	os.Exit(run(slices.Concat(router.Commands(), command.Commands(), client.Commands(), evening.Commands())))
+	os.Exit(run(slices.Concat(edge.Commands(), router.Commands(), command.Commands(), client.Commands(), evening.Commands())))
 }
 
 // run gives the process's surroundings to the command that its arguments name.
--- /dev/null
+++ b/internal/fleet/follow/follow.go
@@ -0,0 +1,311 @@
+// Package follow keeps a router's view of the fleet up to date from the
+// platform's store, and from other routers when the store turns it away.
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/platform/objects"
+	"hickoryrock/platform"
+)
+
+const (
+	// watchWait is how long a watch waits: a watch that has silently gone deaf
+	// must end well before a change has to be in force, two seconds at the least.
+	watchWait = 700 * time.Millisecond
+	// retryFirst and retryMost are the waiting times after failed calls.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// outage is the time without the store after which entries may have lapsed.
+	outage = 1500 * time.Millisecond
+	// lapseGrace is how long entries that lapsed during an outage have to come
+	// back: the platform states about two seconds.
+	lapseGrace = 2200 * time.Millisecond
+	// sweepEvery is how often entries that did not come back are dropped.
+	sweepEvery = 200 * time.Millisecond
+)
+
+type (
+	// Follower holds the newest view.
+	Follower struct {
+		store *platform.Store
+		log   zerolog.Logger
+		view  atomic.Pointer[state.View]
+		// changed is called with each new view.
+		changed func(*state.View)
+
+		mu            sync.Mutex
+		configuration []byte
+		entries       map[string]entry
+		revision      uint64
+		// lapsed holds until when entries that went missing may come back.
+		lapsed map[string]time.Time
+
+		configurations source
+		targets        source
+	}
+
+	// source is the state of one watch.
+	source struct {
+		kind     string
+		heard    atomic.Int64
+		regained time.Time
+		lost     bool
+	}
+
+	entry struct {
+		raw    []byte
+		target *state.Target
+	}
+
+	// Snapshot is what a router has read from the store, as the store holds it.
+	Snapshot struct {
+		Configuration []byte
+		Revision      uint64
+		Targets       [][]byte
+	}
+)
+
+// New returns a follower that calls changed with each new view.
+func New(store *platform.Store, log zerolog.Logger, changed func(*state.View)) *Follower {
+	f := &Follower{
+		store: store, log: log, changed: changed,
+		entries: make(map[string]entry), lapsed: make(map[string]time.Time),
+	}
+	f.configurations.kind = platform.KindConfigurations
+	f.targets.kind = platform.KindTargets
+	f.view.Store(&state.View{Targets: state.NewTargets(0, nil)})
+	return f
+}
+
+// View returns the newest view.
+func (f *Follower) View() *state.View { return f.view.Load() }
+
+// StoreAge returns the time since the store last answered about configurations and targets.
+func (f *Follower) StoreAge() time.Duration {
+	return time.Since(time.Unix(0, min(f.configurations.heard.Load(), f.targets.heard.Load())))
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { f.follow(ctx, &f.configurations, f.applyConfigurations) })
+	group.Go(func() { f.follow(ctx, &f.targets, f.applyTargets) })
+	group.Go(func() { f.sweep(ctx) })
+	group.Wait()
+}
+
+// follow lists a kind and then watches it; full is set for the pages of a list.
+func (f *Follower) follow(ctx context.Context, s *source, apply func(page platform.Page, full bool) bool) {
+	var revision uint64
+	backoff := objects.Backoff{Base: retryFirst, Max: retryMost}
+	failures := 0
+	for ctx.Err() == nil {
+		var page platform.Page
+		var err error
+		full := revision == 0
+		if full {
+			page, err = f.store.List(ctx, s.kind)
+		} else {
+			page, err = f.store.Watch(ctx, s.kind, revision, watchWait)
+		}
+		if errors.Is(err, objects.ErrTooOld) {
+			f.log.Info().Str("kind", s.kind).Uint64("revision", revision).Msg("history is gone, listing again")
+			revision = 0
+			continue
+		}
+		if err != nil {
+			failures++
+			f.failed(s, err)
+			_ = objects.Sleep(ctx, backoff.Delay(failures))
+			continue
+		}
+		failures = 0
+		f.succeeded(s)
+		if apply(page, full) {
+			revision = max(revision, page.Revision)
+		} else {
+			_ = objects.Sleep(ctx, retryFirst) // An old read: ask again.
+		}
+	}
+}
+
+func (f *Follower) failed(s *source, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	silence := time.Since(time.Unix(0, s.heard.Load()))
+	if !s.lost && silence > outage {
+		s.lost = true
+		f.log.Warn().Str("kind", s.kind).Dur("silence-ms", silence).Err(err).Msg("store lost")
+	}
+}
+
+func (f *Follower) succeeded(s *source) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := time.Unix(0, s.heard.Swap(now.UnixNano()))
+	if now.Sub(last) > outage+watchWait {
+		s.regained = now
+		f.log.Info().Str("kind", s.kind).Msg("store reached")
+	}
+	s.lost = false
+}
+
+func (f *Follower) applyConfigurations(page platform.Page, _ bool) bool {
+	for _, o := range page.Objects {
+		if o.Name == platform.CurrentConfiguration && !o.Deleted {
+			f.TakeConfiguration(o.Spec, "store")
+		}
+	}
+	return true
+}
+
+// TakeConfiguration takes in a configuration as the store holds it unless it is older than the one in force.
+func (f *Follower) TakeConfiguration(spec []byte, from string) {
+	configuration, err := platform.DecodeConfiguration(spec)
+	if err != nil {
+		f.log.Error().Err(err).Str("from", from).Msg("configuration refused")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current := f.View()
+	if current.Configuration != nil && configuration.Version <= current.Configuration.Version {
+		return
+	}
+	f.configuration = spec
+	f.publish(&state.View{Configuration: configuration, Targets: current.Targets})
+	metrics.GetOrCreateCounter(`hickoryrock_configurations_total{from="` + from + `"}`).Inc()
+	f.log.Info().Int64("configuration", configuration.Version).Int("routes", len(configuration.Routes)).
+		Str("from", from).Msg("configuration in force")
+}
+
+func (f *Follower) applyTargets(page platform.Page, full bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if full && page.Revision < f.revision {
+		return false
+	}
+	f.take(page, full, time.Since(f.targets.regained) < lapseGrace)
+	return true
+}
+
+// TakeTargets takes in the targets that another router has read, unless they are older.
+func (f *Follower) TakeTargets(revision uint64, raw [][]byte, from string) {
+	page := platform.Page{Revision: revision}
+	for _, r := range raw {
+		page.Objects = append(page.Objects, platform.DecodeRaw(r))
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision <= f.revision {
+		return
+	}
+	f.take(page, true, false)
+	f.log.Info().Uint64("targets-revision", revision).Str("from", from).Msg("targets taken from another router")
+}
+
+// take changes the entries; with grace, those that went missing stay for a while.
+func (f *Follower) take(page platform.Page, full, grace bool) {
+	now := time.Now()
+	listed := make(map[string]bool, len(page.Objects))
+	dirty := false
+	for _, o := range page.Objects {
+		if o.Deleted {
+			dirty = f.remove(o.Name, grace, now) || dirty
+			continue
+		}
+		listed[o.Name] = true
+		target, err := platform.DecodeTarget(o)
+		if err != nil {
+			f.log.Info().Err(err).Msg("target entry skipped")
+			target = nil
+		}
+		delete(f.lapsed, o.Name)
+		f.entries[o.Name] = entry{raw: o.Raw, target: target}
+		dirty = true
+	}
+	if full {
+		for name := range f.entries {
+			if !listed[name] {
+				dirty = f.remove(name, grace, now) || dirty
+			}
+		}
+	}
+	f.revision = max(f.revision, page.Revision)
+	if dirty || f.View().Targets.Revision != f.revision {
+		f.publishTargets()
+	}
+}
+
+func (f *Follower) remove(name string, grace bool, now time.Time) bool {
+	if _, ok := f.entries[name]; !ok {
+		return false
+	}
+	if grace {
+		if _, ok := f.lapsed[name]; !ok {
+			f.lapsed[name] = now.Add(lapseGrace)
+		}
+		return false
+	}
+	delete(f.lapsed, name)
+	delete(f.entries, name)
+	f.log.Info().Str("target", name).Msg("target gone")
+	return true
+}
+
+// sweep drops the entries that did not come back after an outage.
+func (f *Follower) sweep(ctx context.Context) {
+	for objects.Sleep(ctx, sweepEvery) == nil {
+		f.mu.Lock()
+		now := time.Now()
+		dirty := false
+		for name, until := range f.lapsed {
+			if now.After(until) {
+				dirty = f.remove(name, false, now) || dirty
+			}
+		}
+		if dirty {
+			f.publishTargets()
+		}
+		f.mu.Unlock()
+	}
+}
+
+func (f *Follower) publishTargets() {
+	targets := make([]*state.Target, 0, len(f.entries))
+	for _, e := range f.entries {
+		if e.target != nil {
+			t := *e.target
+			targets = append(targets, &t)
+		}
+	}
+	f.publish(&state.View{
+		Configuration: f.View().Configuration, Targets: state.NewTargets(f.revision, targets),
+	})
+}
+
+func (f *Follower) publish(v *state.View) {
+	f.view.Store(v)
+	f.changed(v)
+}
+
+// Snapshot returns what other routers may take from this one.
+func (f *Follower) Snapshot() Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := Snapshot{Configuration: f.configuration, Revision: f.revision}
+	for _, e := range f.entries {
+		s.Targets = append(s.Targets, e.raw)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/fleet/forward/forward.go
@@ -0,0 +1,286 @@
+// Package forward takes a caller's call to a target and the answer back: it
+// finds the route, chooses targets, and decides what follows a failure.
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"hickoryrock/internal/caller/ingress"
+	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/policy/affinity"
+	"hickoryrock/internal/policy/retries"
+	"hickoryrock/internal/policy/standing"
+	"hickoryrock/internal/target/exchange"
+	"hickoryrock/internal/wire/http1"
+	"hickoryrock/platform"
+)
+
+const (
+	// retryAfterBase and retryAfterSpread say when a refused caller should come
+	// back: soon, since callers wait for a third of their time at most, and spread.
+	retryAfterBase   = 100 * time.Millisecond
+	retryAfterSpread = 200 * time.Millisecond
+	// defaultTimeout holds for routes and callers that state none.
+	defaultTimeout = 30 * time.Second
+	// wholeAnswerBytes is the largest answer that is held until it is complete.
+	wholeAnswerBytes = 1 << 20
+)
+
+var (
+	errTimeout = errors.New("the call's time is over")
+	errSilent  = errors.New("the target has gone silent")
+)
+
+type (
+	// Parts are what a handler works with.
+	Parts struct {
+		View    func() *state.View
+		Pool    *exchange.Pool
+		Book    *standing.Book
+		Map     *affinity.Map
+		Budgets *retries.Budgets
+		// FailureDomain is the router's own.
+		FailureDomain string
+		// LoadFactor bounds a target's calls as a multiple of the mean.
+		LoadFactor float64
+		Log        zerolog.Logger
+	}
+
+	// Handler serves calls.
+	Handler struct {
+		Parts
+	}
+
+	// call is one call on its way.
+	call struct {
+		h         *Handler
+		request   *http1.Request
+		body      []byte
+		answer    *ingress.Answer
+		info      platform.Call
+		view      *state.View
+		route     *state.Route
+		workspace state.Workspace
+		service   string
+		start     time.Time
+		deadline  time.Time
+
+		progress Progress
+		tried    map[uint64]bool
+		events   events
+		// failure is the target's own answer that is passed on when nothing better comes.
+		failure *wholeAnswer
+		reason  string
+		targets []string
+		choice  affinity.Choice
+		status  int
+	}
+
+	wholeAnswer struct {
+		head *http1.Response
+		body []byte
+	}
+)
+
+var _ ingress.Handler = (*Handler)(nil)
+
+// New returns a handler.
+func New(p Parts) *Handler {
+	return &Handler{Parts: p}
+}
+
+// ServeCall implements ingress.Handler.
+func (h *Handler) ServeCall(ctx context.Context, a *ingress.Answer, r *http1.Request, body []byte) {
+	c := &call{
+		h: h, request: r, body: body, answer: a, info: platform.DecodeCall(r.Fields),
+		view: h.View(), start: time.Now(), tried: make(map[uint64]bool),
+	}
+	c.serve(ctx)
+	c.record()
+}
+
+func (c *call) serve(ctx context.Context) {
+	if !c.admit() {
+		return
+	}
+	limit := defaultTimeout
+	if c.route.Timeout > 0 {
+		limit = c.route.Timeout
+	}
+	if c.info.Deadline > 0 {
+		limit = min(limit, c.info.Deadline)
+	}
+	c.deadline = c.start.Add(limit)
+	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errTimeout)
+	defer cancel()
+	now := time.Now()
+	c.h.Budgets.Request(now, c.workspace.Name, c.service)
+	for {
+		c.attempt(ctx)
+		if errors.Is(context.Cause(ctx), ingress.ErrGone) {
+			c.reason = "caller-gone"
+			c.answer.Abort()
+			return
+		}
+		c.progress.Left = time.Until(c.deadline)
+		c.progress.Begun = c.answer.Begun()
+		c.progress.HasAnswer = c.failure != nil
+		if c.act(Decide(c.route, c.progress, c.budget)) {
+			return
+		}
+	}
+}
+
+// admit finds the call's route, workspace and service, or answers why not.
+func (c *call) admit() bool {
+	configuration := c.view.Configuration
+	if configuration == nil {
+		c.refuse("no-configuration")
+		return false
+	}
+	c.route = configuration.Route(hostName(c.request.Host), c.request.Path())
+	if c.route == nil {
+		c.end(http.StatusNotFound, "no-route")
+		return false
+	}
+	if configuration.Workspaces != nil && !c.route.Public {
+		w, ok := configuration.Workspaces[c.info.Key]
+		if !ok {
+			c.end(http.StatusUnauthorized, "unknown-key")
+			return false
+		}
+		c.workspace = w
+	}
+	c.service = c.route.Service(c.shareKey())
+	return true
+}
+
+// shareKey keeps the calls that share a prompt on one service of a split route.
+func (c *call) shareKey() uint64 {
+	if parts := c.parts(); len(parts) > 1 {
+		return parts[len(parts)-2].Hash
+	}
+	return xxhash.Sum64String(c.info.ID)
+}
+
+func (c *call) parts() []affinity.Part {
+	if !c.route.Sticky {
+		return nil
+	}
+	parts := make([]affinity.Part, len(c.info.Parts))
+	for i, p := range c.info.Parts {
+		parts[i] = affinity.Part(p)
+	}
+	return parts
+}
+
+// budget takes from the retry budget, except for attempts that no target has seen.
+func (c *call) budget() bool {
+	if c.reason == reasonNoTarget {
+		return false
+	}
+	if c.reason == "connection-refused" || c.reason == "no-connection" {
+		return true
+	}
+	verdict := c.h.Budgets.Retry(time.Now(), c.workspace.Name, c.service)
+	if verdict != retries.Allowed {
+		metrics.GetOrCreateCounter(`hickoryrock_retries_denied_total{reason="budget-spent"}`).Inc()
+		return false
+	}
+	metrics.GetOrCreateCounter(`hickoryrock_retries_total{reason="` + c.reason + `"}`).Inc()
+	return true
+}
+
+// act carries out a decision and reports whether the call has ended.
+func (c *call) act(a Action) bool {
+	switch a {
+	case Again:
+		c.failure = nil
+		return false
+	case PassOn:
+		if c.failure != nil {
+			c.status = c.failure.head.Status
+			c.answer.Whole(c.status, c.failure.head.Reason, passFields(c.failure.head), c.failure.body)
+		}
+	case Refuse:
+		c.refuse(c.reason)
+	case Fail:
+		c.end(http.StatusBadGateway, c.reason)
+	case TimedOut:
+		c.end(http.StatusGatewayTimeout, c.reason)
+	case Abort:
+		c.answer.Abort()
+	}
+	return true
+}
+
+// refuse answers a call that has not run and will not run.
+func (c *call) refuse(reason string) {
+	after := retryAfterBase + rand.N(retryAfterSpread)
+	c.end(http.StatusServiceUnavailable, reason,
+		http1.NewField("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64)))
+}
+
+// end answers with a status of the router's own.
+func (c *call) end(status int, reason string, fields ...http1.Field) {
+	c.reason, c.status = reason, status
+	if c.info.ID != "" {
+		fields = append(fields, platform.CallField(c.info.ID))
+	}
+	c.answer.Whole(status, http.StatusText(status), fields, nil)
+}
+
+// record counts the call and writes its line in the log.
+func (c *call) record() {
+	took := time.Since(c.start)
+	route, configuration := "", int64(0)
+	if c.route != nil {
+		route = c.route.Name
+	}
+	if c.view.Configuration != nil {
+		configuration = c.view.Configuration.Version
+	}
+	reason := c.reason
+	if c.status/100 == 2 && c.progress.Fate == Answered {
+		reason = "done"
+	}
+	metrics.GetOrCreateCounter(`hickoryrock_calls_total{reason="` + reason + `",status="` +
+		strconv.Itoa(c.status) + `"}`).Inc()
+	metrics.GetOrCreateHistogram(`hickoryrock_call_duration_seconds{service="` + c.service + `"}`).
+		Update(took.Seconds())
+	c.h.Log.Info().Str("call", c.info.ID).Str("route", route).Str("service", c.service).
+		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
+		Uint64("targets-revision", c.view.Targets.Revision).Strs("targets", c.targets).
+		Str("placement", string(c.choice.Reason)).Int("unread", c.choice.Unread).Int("reread", c.choice.Reread).
+		Int("sends", c.progress.Sends).Int("runs", c.progress.Runs).
+		Int("status", c.status).Str("reason", reason).Dur("took-ms", took).Msg("call")
+}
+
+// passFields returns the headers of a target's answer for the caller.
+func passFields(head *http1.Response) []http1.Field {
+	out := make([]http1.Field, 0, len(head.Fields))
+	for _, f := range head.Fields {
+		if !head.OfConnection(f.Lower) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+func hostName(host string) string {
+	for i := len(host) - 1; i >= 0; i-- {
+		if host[i] == ':' {
+			return host[:i]
+		}
+	}
+	return host
+}
--- /dev/null
+++ b/internal/policy/affinity/affinity.go
@@ -0,0 +1,329 @@
+// Package affinity decides which target gets a call: the one whose cache holds
+// the prompt's shared parts, unless it has too much to do. It has no clock.
+package affinity
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// rereadWeight is the cost of a token that is read again although another
+	// target holds it, in tokens of waiting.
+	rereadWeight = 3
+	// callTokens is the cost of one call in flight, in tokens of waiting: it
+	// lengthens each step of the engine a little.
+	callTokens = 40
+	// distanceTokens is the cost of a target in another failure domain.
+	distanceTokens = 200
+	// boundShare keeps below the bound on a target's calls: other routers'
+	// calls are known only with a delay.
+	boundShare = 0.75
+	// boundSlack is the number of calls by which a target may always exceed the mean.
+	boundSlack = 2
+	// holdingAge is how long a part is taken to be cached after its last use.
+	holdingAge = 45 * time.Second
+	// announceEvery is how often a use of a held part is told to the others.
+	announceEvery = 5 * time.Second
+)
+
+const (
+	// ReasonHeld means that the target holds all shared parts.
+	ReasonHeld Reason = "held"
+	// ReasonNew means that no target holds the deepest shared part.
+	ReasonNew Reason = "new"
+	// ReasonMoved means that a target that holds less was cheaper.
+	ReasonMoved Reason = "moved"
+	// ReasonLeast means that the call has no shared parts and went to the least loaded target.
+	ReasonLeast Reason = "least"
+)
+
+type (
+	// Reason says why a target was chosen.
+	Reason string
+
+	// Part is a part of a prompt.
+	Part struct {
+		Hash   uint64
+		Tokens int
+	}
+
+	// Candidate is a target that may get the call.
+	Candidate struct {
+		Target uint64
+		// Calls and Unread are over all routers; Unread counts prompt tokens.
+		Calls  int
+		Unread int
+		// Aside candidates are taken only when there is no other.
+		Aside bool
+		// Tried candidates have had the call already and are never chosen.
+		Tried bool
+		// Near candidates are in the router's own failure domain.
+		Near bool
+	}
+
+	// Request is what a choice goes by.
+	Request struct {
+		// Parts are the prompt's parts in order; the last is the call's own.
+		Parts []Part
+		// Seed breaks ties between equal targets for calls without parts.
+		Seed uint64
+		// Factor bounds a target's calls as a multiple of the mean.
+		Factor float64
+	}
+
+	// Choice is the decision and what it went by.
+	Choice struct {
+		// Index is into the candidates; -1 when there is none.
+		Index  int
+		Reason Reason
+		// Unread is the number of tokens that the target has to read.
+		Unread int
+		// Reread is the number of them that another target holds.
+		Reread int
+	}
+
+	// Holding says that a target holds a part.
+	Holding struct {
+		Part   uint64
+		Target uint64
+	}
+
+	// Map is a router's belief of which targets hold which parts.
+	Map struct {
+		mu    sync.Mutex
+		parts map[uint64][]holder
+		news  []Holding
+	}
+
+	holder struct {
+		target    uint64
+		used      time.Time
+		announced time.Time
+	}
+)
+
+// NewMap returns an empty map.
+func NewMap() *Map {
+	return &Map{parts: make(map[uint64][]holder)}
+}
+
+// Choose picks a candidate for a request and, for prompts, notes that it will hold the parts.
+func (m *Map) Choose(r Request, candidates []Candidate, now time.Time) Choice {
+	allowed := within(r.Factor, candidates)
+	if len(r.Parts) == 0 {
+		return least(r, candidates, allowed)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	shared := r.Parts[:len(r.Parts)-1]
+	if len(shared) == 0 {
+		shared = r.Parts
+	}
+	held := make([][]bool, len(shared))
+	anywhere := make([]bool, len(shared))
+	for i, p := range shared {
+		held[i] = m.heldBy(p.Hash, candidates, now)
+		for _, h := range held[i] {
+			anywhere[i] = anywhere[i] || h
+		}
+	}
+	deepest := shared[len(shared)-1].Hash
+	best := Choice{Index: -1}
+	var bestCost float64
+	var bestRank uint64
+	for i, c := range candidates {
+		if !allowed[i] {
+			continue
+		}
+		unread, reread := cost(r.Parts, shared, held, anywhere, i)
+		total := float64(c.Unread+unread) + rereadWeight*float64(reread) + callTokens*float64(c.Calls)
+		if !c.Near {
+			total += distanceTokens
+		}
+		// Equal costs go by rendezvous hashing, which routers share without talking.
+		rank := mix(deepest ^ c.Target)
+		if best.Index < 0 || total < bestCost || (total == bestCost && rank > bestRank) {
+			best = Choice{Index: i, Unread: unread, Reread: reread}
+			bestCost, bestRank = total, rank
+		}
+	}
+	if best.Index < 0 {
+		return best
+	}
+	switch {
+	case held[len(shared)-1][best.Index]:
+		best.Reason = ReasonHeld
+	case anywhere[len(shared)-1]:
+		best.Reason = ReasonMoved
+	default:
+		best.Reason = ReasonNew
+	}
+	for _, p := range shared {
+		m.use(p.Hash, candidates[best.Index].Target, now, true)
+	}
+	return best
+}
+
+// Learn notes what another router has told.
+func (m *Map) Learn(holdings []Holding, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range holdings {
+		m.use(h.Part, h.Target, now, false)
+	}
+}
+
+// News returns what other routers do not know yet, at most limit entries.
+func (m *Map) News(limit int) []Holding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := min(limit, len(m.news))
+	out := append([]Holding(nil), m.news[:n]...)
+	m.news = m.news[n:]
+	if len(m.news) == 0 {
+		m.news = nil
+	}
+	return out
+}
+
+// Expire forgets what was not used for long, and targets that are not listed.
+func (m *Map) Expire(listed map[uint64]bool, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for part, holders := range m.parts {
+		kept := holders[:0]
+		for _, h := range holders {
+			if listed[h.target] && now.Sub(h.used) < holdingAge {
+				kept = append(kept, h)
+			}
+		}
+		if len(kept) == 0 {
+			delete(m.parts, part)
+			continue
+		}
+		m.parts[part] = kept
+	}
+}
+
+func (m *Map) heldBy(part uint64, candidates []Candidate, now time.Time) []bool {
+	held := make([]bool, len(candidates))
+	for _, h := range m.parts[part] {
+		if now.Sub(h.used) >= holdingAge {
+			continue
+		}
+		for i, c := range candidates {
+			if c.Target == h.target {
+				held[i] = true
+			}
+		}
+	}
+	return held
+}
+
+func (m *Map) use(part, target uint64, now time.Time, own bool) {
+	holders := m.parts[part]
+	for i := range holders {
+		if holders[i].target != target {
+			continue
+		}
+		holders[i].used = now
+		if own && now.Sub(holders[i].announced) >= announceEvery {
+			holders[i].announced = now
+			m.news = append(m.news, Holding{Part: part, Target: target})
+		}
+		if !own {
+			holders[i].announced = now
+		}
+		return
+	}
+	m.parts[part] = append(holders, holder{target: target, used: now, announced: now})
+	if own {
+		m.news = append(m.news, Holding{Part: part, Target: target})
+	}
+}
+
+// cost returns the tokens that a candidate has to read, and those of them that
+// another one holds. A part is of use only when all parts before it are cached too.
+func cost(parts, shared []Part, held [][]bool, anywhere []bool, candidate int) (unread, reread int) {
+	cached := true
+	for i, p := range parts {
+		if i >= len(shared) {
+			unread += p.Tokens
+			continue
+		}
+		cached = cached && held[i][candidate]
+		if cached {
+			continue
+		}
+		unread += p.Tokens
+		if anywhere[i] {
+			reread += p.Tokens
+		}
+	}
+	return unread, reread
+}
+
+// within marks the candidates that may get a call: not aside and within the
+// bound; without any, those within the bound, then all that were not tried.
+func within(factor float64, candidates []Candidate) []bool {
+	total, n := 0, 0
+	for _, c := range candidates {
+		if !c.Aside {
+			total += c.Calls
+			n++
+		}
+	}
+	bound := float64(boundSlack)
+	if n > 0 && factor > 0 {
+		bound += boundShare * factor * float64(total) / float64(n)
+	}
+	tests := []func(Candidate) bool{
+		func(c Candidate) bool { return !c.Aside && (factor <= 0 || float64(c.Calls) < bound) },
+		func(c Candidate) bool { return !c.Aside },
+		func(Candidate) bool { return true },
+	}
+	allowed := make([]bool, len(candidates))
+	for _, test := range tests {
+		found := false
+		for i, c := range candidates {
+			allowed[i] = !c.Tried && test(c)
+			found = found || allowed[i]
+		}
+		if found {
+			break
+		}
+	}
+	return allowed
+}
+
+// least picks the allowed candidate with the fewest calls, a near one before a
+// far one that has no more than one call less.
+func least(r Request, candidates []Candidate, allowed []bool) Choice {
+	best := Choice{Index: -1, Reason: ReasonLeast}
+	var bestCost int
+	var bestRank uint64
+	for i, c := range candidates {
+		if !allowed[i] {
+			continue
+		}
+		total := 2 * c.Calls
+		if !c.Near {
+			total += 3
+		}
+		rank := mix(r.Seed ^ c.Target)
+		if best.Index < 0 || total < bestCost || (total == bestCost && rank > bestRank) {
+			best.Index, bestCost, bestRank = i, total, rank
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
