--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -26,9 +26,9 @@
 	retryMost  = 400 * time.Millisecond
 	// outage is the time without the store after which entries may have lapsed.
 	outage = 1500 * time.Millisecond
-	// lapseGrace is how long entries that lapsed during an outage have to come
-	// back: the platform states about two seconds.
-	lapseGrace = 2200 * time.Millisecond
+	// lapseGrace is how long after the store's return entries that lapsed
+	// meanwhile have to come back: the platform states about two seconds.
+	lapseGrace = 2 * time.Second
 	// sweepEvery is how often entries that did not come back are dropped.
 	sweepEvery = 200 * time.Millisecond
 )
@@ -195,7 +195,7 @@
 	if full && page.Revision < f.revision {
 		return false
 	}
-	f.take(page, full, time.Since(f.targets.regained) < lapseGrace)
+	f.take(page, full, f.targets.regained.Add(lapseGrace))
 	return true
 }
 
@@ -210,18 +210,17 @@
 	if revision <= f.revision {
 		return
 	}
-	f.take(page, true, false)
+	f.take(page, true, time.Time{})
 	f.log.Info().Uint64("targets-revision", revision).Str("from", from).Msg("targets taken from another router")
 }
 
-// take changes the entries; with grace, those that went missing stay for a while.
-func (f *Follower) take(page platform.Page, full, grace bool) {
-	now := time.Now()
+// take changes the entries; those that went missing stay until the end of the grace time.
+func (f *Follower) take(page platform.Page, full bool, grace time.Time) {
 	listed := make(map[string]bool, len(page.Objects))
 	dirty := false
 	for _, o := range page.Objects {
 		if o.Deleted {
-			dirty = f.remove(o.Name, grace, now) || dirty
+			dirty = f.remove(o.Name, grace) || dirty
 			continue
 		}
 		listed[o.Name] = true
@@ -237,7 +236,7 @@
 	if full {
 		for name := range f.entries {
 			if !listed[name] {
-				dirty = f.remove(name, grace, now) || dirty
+				dirty = f.remove(name, grace) || dirty
 			}
 		}
 	}
@@ -247,14 +246,12 @@
 	}
 }
 
-func (f *Follower) remove(name string, grace bool, now time.Time) bool {
+func (f *Follower) remove(name string, grace time.Time) bool {
 	if _, ok := f.entries[name]; !ok {
 		return false
 	}
-	if grace {
-		if _, ok := f.lapsed[name]; !ok {
-			f.lapsed[name] = now.Add(lapseGrace)
-		}
+	if time.Now().Before(grace) {
+		f.lapsed[name] = grace
 		return false
 	}
 	delete(f.lapsed, name)
@@ -271,7 +268,7 @@
 		dirty := false
 		for name, until := range f.lapsed {
 			if now.After(until) {
-				dirty = f.remove(name, false, now) || dirty
+				dirty = f.remove(name, time.Time{}) || dirty
 			}
 		}
 		if dirty {
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -29,6 +29,9 @@
 	// repeatShare of its objective is how long a repeatable call waits for an
 	// answer before it is sent to another target, which then still answers in time.
 	repeatShare = 0.5
+	// overdueLeast is the shortest time after which a call without a sign counts
+	// against its target.
+	overdueLeast = 100 * time.Millisecond
 	// watchEvery is how often a waiting attempt looks at its target's silence.
 	watchEvery = 25 * time.Millisecond
 	// readBytes is the size of one read of a stream.
@@ -48,6 +51,8 @@
 	c.progress.Sends++
 	ticket := c.h.Book.Begin(target.Hash, c.choice.Unread, time.Now())
 	defer ticket.End()
+	overdue := time.AfterFunc(max(c.route.Objective, overdueLeast), func() { ticket.Overdue(time.Now()) })
+	defer overdue.Stop()
 
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -174,18 +179,7 @@
 		c.h.Log.Warn().Str("call", c.info.ID).Str("target", target.ID).Str("reason", reason).Msg("target set aside")
 		return
 	}
-	if c.h.Book.Failed(target.Hash, c.serviceHashes(), now) {
-		c.h.Log.Warn().Str("call", c.info.ID).Str("target", target.ID).Str("reason", c.reason).Msg("target set aside")
-	}
-}
-
-func (c *call) serviceHashes() []uint64 {
-	targets := c.view.Targets.ByService[c.service]
-	hashes := make([]uint64, len(targets))
-	for i, t := range targets {
-		hashes[i] = t.Hash
-	}
-	return hashes
+	c.h.Book.Failed(target.Hash, now)
 }
 
 // relay passes a target's answer on.
@@ -224,9 +218,7 @@
 	if a.Head.Status >= 500 {
 		c.progress.Fate = FailedAtTarget
 		c.reason = "target-failed"
-		if c.h.Book.Failed(target.Hash, c.serviceHashes(), time.Now()) {
-			c.h.Log.Warn().Str("call", c.info.ID).Str("target", target.ID).Str("reason", c.reason).Msg("target set aside")
-		}
+		c.h.Book.Failed(target.Hash, time.Now())
 		return
 	}
 	c.progress.Fate = Answered
@@ -238,7 +230,7 @@
 	c.failure = nil
 	c.progress.Fate = Unknown
 	c.reason = reason
-	c.h.Book.Failed(target.Hash, c.serviceHashes(), time.Now())
+	c.h.Book.Failed(target.Hash, time.Now())
 }
 
 // notRun notes a target's proof that it has not run the call.
@@ -252,7 +244,7 @@
 		c.h.Book.Unreachable(target.Hash, now)
 		return
 	}
-	c.h.Book.Failed(target.Hash, c.serviceHashes(), now)
+	c.h.Book.Failed(target.Hash, now)
 }
 
 // drain reads an answer that is not needed so that its connection can be kept.
--- a/internal/node/edge/command.go
+++ b/internal/node/edge/command.go
@@ -31,28 +31,28 @@
 	}
 }
 
-func load(env command.Env, name string, args []string) (platform.Settings, bool) {
+func load(env command.Env, name string, args []string) (string, platform.Settings, bool) {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	flags.SetOutput(env.Stderr)
 	path := flags.String("settings", env.Getenv(platform.SettingsVariable), "the settings file")
 	if flags.Parse(args) != nil {
-		return platform.Settings{}, false
+		return "", platform.Settings{}, false
 	}
 	if *path == "" || flags.NArg() > 0 {
 		_, _ = fmt.Fprintf(env.Stderr, "usage: hickoryrock %s -settings FILE.json (or set %s)\n",
 			name, platform.SettingsVariable)
-		return platform.Settings{}, false
+		return "", platform.Settings{}, false
 	}
 	s, err := platform.LoadSettings(*path)
 	if err != nil {
 		_, _ = fmt.Fprintln(env.Stderr, err)
-		return platform.Settings{}, false
+		return "", platform.Settings{}, false
 	}
-	return s, true
+	return *path, s, true
 }
 
 func runCheck(_ context.Context, env command.Env, args []string) int {
-	if _, ok := load(env, "check-settings", args); !ok {
+	if _, _, ok := load(env, "check-settings", args); !ok {
 		return command.ExitUsage
 	}
 	_, _ = fmt.Fprintln(env.Stdout, "the settings are valid")
@@ -60,7 +60,7 @@
 }
 
 func runEdge(ctx context.Context, env command.Env, args []string) int {
-	s, ok := load(env, "edge", args)
+	path, s, ok := load(env, "edge", args)
 	if !ok {
 		return command.ExitUsage
 	}
@@ -70,7 +70,7 @@
 	defer func() { _ = writer.Close() }()
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(writer).With().Timestamp().Str("router", s.Router).Logger()
-	r, stop, err := New(s, log)
+	r, stop, err := New(path, s, log)
 	if err != nil {
 		log.Error().Err(err).Msg("router cannot start")
 		return exitFailed
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -42,6 +42,8 @@
 	registerRetry = 500 * time.Millisecond
 	// routersEvery is how often the routers' entries are read.
 	routersEvery = 10 * time.Second
+	// reloadEvery is how often the settings file is looked at; it may change without a signal.
+	reloadEvery = time.Second
 	// tidyEvery is how often what is no longer listed is forgotten.
 	tidyEvery = 2 * time.Second
 	// budgetShare of the fleet's retries is what the routers use together: each
@@ -59,6 +61,8 @@
 type (
 	// Router is one router.
 	Router struct {
+		// path is the settings file, which the platform may change at any time.
+		path     string
 		settings platform.Settings
 		log      zerolog.Logger
 		store    *platform.Store
@@ -67,6 +71,7 @@
 		book     *standing.Book
 		parts    *affinity.Map
 		server   *ingress.Server
+		bounds   atomic.Pointer[platform.Bounds]
 		leaving  atomic.Bool
 		closers  []func()
 		fronts   []net.Listener
@@ -74,8 +79,10 @@
 )
 
 // New binds the router's addresses; the returned function frees them.
-func New(s platform.Settings, log zerolog.Logger) (*Router, func(), error) {
-	r := &Router{settings: s, log: log, book: standing.NewBook(), parts: affinity.NewMap()}
+func New(path string, s platform.Settings, log zerolog.Logger) (*Router, func(), error) {
+	r := &Router{path: path, settings: s, log: log, parts: affinity.NewMap()}
+	r.bounds.Store(&s.Bounds)
+	r.book = standing.NewBook(r.targetChanged)
 	store, closeStore := platform.NewStore(s.StoreAddress)
 	r.store = store
 	r.closers = append(r.closers, closeStore)
@@ -170,11 +177,9 @@
 	group.Go(func() { r.register(background) })
 	group.Go(func() { r.tidy(background) })
 	group.Go(func() { r.pulse(background) })
-	for _, seed := range r.settings.SeedAddresses {
-		if host, _, err := net.SplitHostPort(seed); err == nil {
-			r.fleet.Meet(net.JoinHostPort(host, strconv.Itoa(r.settings.PeerPorts[0])))
-		}
-	}
+	group.Go(func() { r.recall(background) })
+	group.Go(func() { r.reload(background) })
+	r.meetSeeds(r.settings)
 	for _, l := range r.fronts {
 		go r.server.Serve(l)
 	}
@@ -192,7 +197,7 @@
 	r.leaving.Store(true)
 	r.server.Drain()
 	r.fleet.Leave()
-	grace := r.settings.Bounds.Grace
+	grace := r.bounds.Load().Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
@@ -249,7 +254,7 @@
 		return
 	}
 	ttl := lookupTTL
-	if most := r.settings.Bounds.LookupTTL; most > 0 {
+	if most := r.bounds.Load().LookupTTL; most > 0 {
 		ttl = min(ttl, most)
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -304,6 +309,22 @@
 	}
 }
 
+func (r *Router) targetChanged(c standing.Change) {
+	r.log.Warn().Str("target", r.targetName(c.Target)).Bool("aside", c.Aside).Float64("failures", c.Failures).
+		Float64("results", c.Results).Float64("common-share", c.Common).Msg("target's failures changed its standing")
+}
+
+func (r *Router) targetName(hash uint64) string {
+	for _, list := range r.follower.View().Targets.ByService {
+		for _, t := range list {
+			if t.Hash == hash {
+				return t.ID
+			}
+		}
+	}
+	return strconv.FormatUint(hash, 16)
+}
+
 // pulse notices that the process stood still.
 func (r *Router) pulse(ctx context.Context) {
 	last := time.Now()
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -48,6 +48,8 @@
 	fetchTimeout = 800 * time.Millisecond
 	// maxDatagramBytes is the size of the receive buffer.
 	maxDatagramBytes = 8 << 10
+	// hundredths is the unit of counts on the wire.
+	hundredths = 100
 )
 
 type (
@@ -57,7 +59,8 @@
 		CallerAddress string
 		PeerAddress   string
 		FailureDomain string
-		Incarnation   uint64
+		// Incarnation is when the process started, in Unix microseconds.
+		Incarnation uint64
 	}
 
 	// Known is what a router believes, for the others.
@@ -129,6 +132,7 @@
 	s := f.from.Snapshot()
 	return connect.NewResponse(&peerv1.Snapshot{
 		Configuration: s.Configuration, TargetsRevision: s.Revision, Targets: s.Targets,
+		Homes: encodeHoldings(f.parts.Holdings(time.Now())),
 	}), nil
 }
 
@@ -236,12 +240,11 @@
 	loads := f.book.Loads(time.Now())
 	for _, l := range loads[:min(len(loads), maxLoads)] {
 		b.Loads = append(b.Loads, &peerv1.TargetLoad{
-			Target: l.Target, Calls: uint32(l.Calls), UnreadTokens: uint32(max(l.Unread, 0)), SetAside: l.Aside,
+			Target: l.Target, Calls: uint32(l.Calls), UnreadTokens: uint32(max(l.Unread, 0)), Unreachable: l.Unreachable,
+			Results: uint32(l.Results * hundredths), Failures: uint32(l.Failures * hundredths),
 		})
 	}
-	for _, h := range news {
-		b.Homes = append(b.Homes, &peerv1.PromptHome{Part: h.Part, Target: h.Target})
-	}
+	b.Homes = encodeHoldings(news)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b.Leaving = f.leaving
@@ -262,6 +265,37 @@
 	}
 }
 
+func encodeHoldings(holdings []affinity.Holding) []*peerv1.PromptHome {
+	out := make([]*peerv1.PromptHome, len(holdings))
+	for i, h := range holdings {
+		out[i] = &peerv1.PromptHome{Part: h.Part, Target: h.Target}
+	}
+	return out
+}
+
+func decodeHoldings(homes []*peerv1.PromptHome) []affinity.Holding {
+	out := make([]affinity.Holding, len(homes))
+	for i, h := range homes {
+		out[i] = affinity.Holding{Part: h.GetPart(), Target: h.GetTarget()}
+	}
+	return out
+}
+
+// Elder returns a live router that started before this one, which may know
+// what targets hold; it returns empty strings when none is heard.
+func (f *Fleet) Elder() (router, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	oldest := f.self.Incarnation
+	for _, p := range f.peers {
+		if p.live && p.beacon.GetIncarnation() < oldest {
+			oldest = p.beacon.GetIncarnation()
+			router, address = p.beacon.GetRouter(), p.beacon.GetPeerAddress()
+		}
+	}
+	return router, address
+}
+
 func (f *Fleet) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
@@ -290,15 +324,13 @@
 	loads := make([]standing.Load, 0, len(b.GetLoads()))
 	for _, l := range b.GetLoads() {
 		loads = append(loads, standing.Load{
-			Target: l.GetTarget(), Calls: int(l.GetCalls()), Unread: int(l.GetUnreadTokens()), Aside: l.GetSetAside(),
+			Target: l.GetTarget(), Calls: int(l.GetCalls()), Unread: int(l.GetUnreadTokens()),
+			Unreachable: l.GetUnreachable(),
+			Results:     float64(l.GetResults()) / hundredths, Failures: float64(l.GetFailures()) / hundredths,
 		})
 	}
 	f.book.Report(b.GetRouter(), loads, f.known().Targets, now)
-	holdings := make([]affinity.Holding, 0, len(b.GetHomes()))
-	for _, h := range b.GetHomes() {
-		holdings = append(holdings, affinity.Holding{Part: h.GetPart(), Target: h.GetTarget()})
-	}
-	f.parts.Learn(holdings, now)
+	f.parts.Learn(decodeHoldings(b.GetHomes()), now)
 	f.Meet(b.GetPeerAddress())
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -353,7 +385,7 @@
 	name, address := source.beacon.GetRouter(), source.beacon.GetPeerAddress()
 	f.mu.Unlock()
 	if due {
-		go f.fetch(ctx, name, address)
+		go f.Fetch(ctx, name, address)
 	}
 }
 
@@ -367,7 +399,8 @@
 	return b.GetTargetsRevision() > known.TargetsRevision && known.StoreAge > time.Second && age < time.Second
 }
 
-func (f *Fleet) fetch(ctx context.Context, router, address string) {
+// Fetch takes over what another router has read and what it knows of caches.
+func (f *Fleet) Fetch(ctx context.Context, router, address string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	client := peerv1connect.NewFleetServiceClient(f.client, "http://"+address)
@@ -382,4 +415,5 @@
 		f.from.TakeConfiguration(reply.Msg.GetConfiguration(), "router")
 	}
 	f.from.TakeTargets(reply.Msg.GetTargetsRevision(), reply.Msg.GetTargets(), router)
+	f.parts.Learn(decodeHoldings(reply.Msg.GetHomes()), time.Now())
 }
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -174,6 +174,30 @@
 	}
 }
 
+// Found notes what a target itself says that it holds, for this router and the others.
+func (m *Map) Found(holdings []Holding, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range holdings {
+		m.use(h.Part, h.Target, now, true)
+	}
+}
+
+// Holdings returns all that is believed to be held.
+func (m *Map) Holdings(now time.Time) []Holding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []Holding
+	for part, holders := range m.parts {
+		for _, h := range holders {
+			if now.Sub(h.used) < holdingAge {
+				all = append(all, Holding{Part: part, Target: h.target})
+			}
+		}
+	}
+	return all
+}
+
 // News returns what other routers do not know yet, at most limit entries.
 func (m *Map) News(limit int) []Holding {
 	m.mu.Lock()
--- a/internal/policy/standing/standing.go
+++ b/internal/policy/standing/standing.go
@@ -18,36 +18,46 @@
 	forgiveAfter = 8 * time.Second
 	// failureHalfLife is the age at which a result counts half.
 	failureHalfLife = 2 * time.Second
-	// failuresAside and failureShare set a target aside that fails often: a
-	// single failure among many answers says little.
-	failuresAside = 1.6
-	failureShare  = 0.25
-	// outlierFactor is how many times the service's own share of failures a
-	// target must exceed: errors that all targets give are the callers'.
+	// outlierFailures and outlierShare are what a target's failures must exceed,
+	// over all routers, before it is set aside: a single failure says little.
+	outlierFailures = 1.5
+	outlierShare    = 0.25
+	// outlierFactor is how many times the others' share of failures a target
+	// must exceed: failures that all targets give are not the target's.
 	outlierFactor = 2.5
 	// peerAge is the age at which another router's loads are no longer counted.
 	peerAge = 1500 * time.Millisecond
 	// peerAsideShare is the share of targets beyond which a router that sets
 	// them aside is taken to have trouble of its own.
 	peerAsideShare = 0.4
+	// answersFor is how long a sign of a target outweighs what others cannot reach.
+	answersFor = 300 * time.Millisecond
+	// negligible results are not told to the others.
+	negligible = 0.1
 )
 
 type (
 	// Book holds the standing of all targets of a router.
 	Book struct {
+		// changed is told when a target's failures set it aside, and of its return.
+		changed func(Change)
+
 		mu      sync.Mutex
 		targets map[uint64]*entry
 		peers   map[string]peerReport
 	}
 
-	// Load is what one router has in flight at a target.
+	// Load is what one router has in flight at a target and has seen of it.
 	Load struct {
 		Target uint64
 		Calls  int
 		// Unread is the number of prompt tokens that the target has still to read.
 		Unread int
-		// Aside targets get no new calls from the router.
-		Aside bool
+		// Results and Failures are decayed counts.
+		Results  float64
+		Failures float64
+		// Unreachable targets accept no connection from the router.
+		Unreachable bool
 	}
 
 	// Summary is what is known of a target for one decision.
@@ -59,18 +69,28 @@
 		Aside bool
 	}
 
+	// Change says that a target's failures set it aside, or no longer do.
+	Change struct {
+		Target   uint64
+		Aside    bool
+		Results  float64
+		Failures float64
+		// Common is the share of failures of the other targets.
+		Common float64
+	}
+
 	// Ticket is one call in flight.
 	Ticket struct {
 		book   *Book
 		target uint64
 		unread int
+		signed bool
 		ended  bool
 	}
 
 	entry struct {
-		calls  int
-		unread int
-		// waiting is the number of calls from which nothing has come yet.
+		calls      int
+		unread     int
 		lastSign   time.Time
 		results    float64
 		failures   float64
@@ -78,6 +98,7 @@
 		asideUntil time.Time
 		asideFor   time.Duration
 		failedAt   time.Time
+		outlier    bool
 	}
 
 	peerReport struct {
@@ -88,9 +109,10 @@
 	}
 )
 
-// NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{targets: make(map[uint64]*entry), peers: make(map[string]peerReport)}
+// NewBook returns an empty book that tells changed when failures set a target
+// aside or no longer do.
+func NewBook(changed func(Change)) *Book {
+	return &Book{changed: changed, targets: make(map[uint64]*entry), peers: make(map[string]peerReport)}
 }
 
 // Begin counts a call to a target; its ticket must be ended.
@@ -115,6 +137,17 @@
 	e.lastSign = now
 	e.unread -= t.unread
 	t.unread = 0
+	t.signed = true
+}
+
+// Overdue counts a failure of the target when nothing has come from the call yet.
+func (t *Ticket) Overdue(now time.Time) {
+	t.book.mu.Lock()
+	defer t.book.mu.Unlock()
+	if t.signed || t.ended {
+		return
+	}
+	t.book.entry(t.target).count(now, 1)
 }
 
 // End counts the call's end.
@@ -135,38 +168,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entry(target)
-	e.decay(now)
-	e.results++
+	e.count(now, 0)
 	e.lastSign = now
 }
 
-// Failed counts a failure of a target among the others of its service, and
-// reports whether the target is set aside for it.
-func (b *Book) Failed(target uint64, service []uint64, now time.Time) bool {
+// Failed counts a failure of a target.
+func (b *Book) Failed(target uint64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.entry(target)
-	e.decay(now)
-	e.results++
-	e.failures++
-	var results, failures float64
-	for _, t := range service {
-		if o := b.targets[t]; o != nil && t != target {
-			o.decay(now)
-			results += o.results
-			failures += o.failures
-		}
-	}
-	common := 0.0
-	if results > 0 {
-		common = failures / results
-	}
-	share := e.failures / e.results
-	if e.failures < failuresAside || share < failureShare || share < outlierFactor*common {
-		return false
-	}
-	e.setAside(now)
-	return true
+	b.entry(target).count(now, 1)
 }
 
 // Unreachable sets a target aside to which no connection could be made.
@@ -196,21 +206,26 @@
 	}
 }
 
-// Summaries returns what is known of targets, in their order.
+// Summaries returns what is known of the targets of a service, in their order.
 func (b *Book) Summaries(targets []uint64, now time.Time) []Summary {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	out := make([]Summary, len(targets))
+	results := make([]float64, len(targets))
+	failures := make([]float64, len(targets))
 	for i, t := range targets {
 		if e := b.targets[t]; e != nil {
+			e.decay(now)
 			out[i] = Summary{Calls: e.calls, Unread: e.unread, Aside: now.Before(e.asideUntil)}
+			results[i], failures[i] = e.results, e.failures
 		}
 	}
 	for name, p := range b.peers {
-		if now.Sub(p.at) > peerAge {
+		age := now.Sub(p.at)
+		if age > peerAge {
 			delete(b.peers, name)
 			continue
 		}
+		fresh := math.Exp2(-float64(age) / float64(failureHalfLife))
 		for i, t := range targets {
 			l, ok := p.loads[t]
 			if !ok {
@@ -218,23 +233,70 @@
 			}
 			out[i].Calls += l.Calls
 			out[i].Unread += l.Unread
-			out[i].Aside = out[i].Aside || (l.Aside && !p.cut)
+			results[i] += fresh * l.Results
+			failures[i] += fresh * l.Failures
+			if l.Unreachable && !p.cut && !b.answers(t, now) {
+				out[i].Aside = true
+			}
 		}
 	}
+	changes := b.outliers(targets, out, results, failures)
+	b.mu.Unlock()
+	for _, c := range changes {
+		b.changed(c)
+	}
 	return out
 }
 
+// answers reports whether a target has lately given a sign to this router,
+// which then does not go by what others cannot reach.
+func (b *Book) answers(target uint64, now time.Time) bool {
+	e := b.targets[target]
+	return e != nil && now.Sub(e.lastSign) < answersFor
+}
+
+// outliers sets the targets aside that fail more often than the others.
+func (b *Book) outliers(targets []uint64, out []Summary, results, failures []float64) []Change {
+	var allResults, allFailures float64
+	for i := range targets {
+		allResults += results[i]
+		allFailures += failures[i]
+	}
+	var changes []Change
+	for i, t := range targets {
+		common := 0.0
+		if others := allResults - results[i]; others > 0 {
+			common = (allFailures - failures[i]) / others
+		}
+		outlier := failures[i] >= outlierFailures && failures[i] >= results[i]*max(outlierShare, outlierFactor*common)
+		out[i].Aside = out[i].Aside || outlier
+		e := b.targets[t]
+		if e == nil || e.outlier == outlier {
+			continue
+		}
+		e.outlier = outlier
+		changes = append(changes, Change{
+			Target: t, Aside: outlier, Results: results[i], Failures: failures[i], Common: common,
+		})
+	}
+	return changes
+}
+
 // Loads returns this router's own loads, for the others.
 func (b *Book) Loads(now time.Time) []Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	loads := make([]Load, 0, len(b.targets))
 	for t, e := range b.targets {
-		aside := now.Before(e.asideUntil)
-		if e.calls == 0 && !aside {
+		e.decay(now)
+		l := Load{
+			Target: t, Calls: e.calls, Unread: e.unread, Results: e.results, Failures: e.failures,
+			Unreachable: now.Before(e.asideUntil),
+		}
+		if l.Calls == 0 && l.Results < negligible && !l.Unreachable {
 			continue
 		}
-		loads = append(loads, Load{Target: t, Calls: e.calls, Unread: e.unread, Aside: aside})
+		loads = append(loads, l)
 	}
 	return loads
 }
@@ -245,7 +307,7 @@
 	aside := 0
 	for _, l := range loads {
 		p.loads[l.Target] = l
-		if l.Aside {
+		if l.Unreachable {
 			aside++
 		}
 	}
@@ -275,6 +337,13 @@
 	return e
 }
 
+// count adds a result that is a failure or not.
+func (e *entry) count(now time.Time, failures float64) {
+	e.decay(now)
+	e.results++
+	e.failures += failures
+}
+
 func (e *entry) decay(now time.Time) {
 	if since := now.Sub(e.resultsAt); since > 0 {
 		f := math.Exp2(-float64(since) / float64(failureHalfLife))
@@ -295,5 +364,4 @@
 	}
 	e.failedAt = now
 	e.asideUntil = now.Add(e.asideFor)
-	e.failures, e.results = 0, 0
 }
