--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -24,6 +24,10 @@
 	// retryFirst and retryMost are the waiting times after failed calls.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	// idlePoll is how often a router that others keep informed asks the store itself.
+	idlePoll = 5 * time.Second
+	// turnPoll is how often such a router checks whether it has to watch itself.
+	turnPoll = 150 * time.Millisecond
 	// outage is the time without the store after which entries may have lapsed.
 	outage = 1500 * time.Millisecond
 	// lapseGrace is how long after the store's return entries that lapsed
@@ -55,8 +59,12 @@
 
 	// source is the state of one watch.
 	source struct {
-		kind     string
-		heard    atomic.Int64
+		kind  string
+		heard atomic.Int64
+		// pokes tell that another router has read something newer.
+		pokes chan struct{}
+		// failing is since when calls have failed, or zero.
+		failing  time.Time
 		regained time.Time
 		lost     bool
 	}
@@ -80,8 +88,8 @@
 		store: store, log: log, changed: changed,
 		entries: make(map[string]entry), lapsed: make(map[string]time.Time),
 	}
-	f.configurations.kind = platform.KindConfigurations
-	f.targets.kind = platform.KindTargets
+	f.configurations.kind, f.configurations.pokes = platform.KindConfigurations, make(chan struct{}, 1)
+	f.targets.kind, f.targets.pokes = platform.KindTargets, make(chan struct{}, 1)
 	f.view.Store(&state.View{Targets: state.NewTargets(0, nil)})
 	return f
 }
@@ -94,17 +102,53 @@
 	return time.Since(time.Unix(0, min(f.configurations.heard.Load(), f.targets.heard.Load())))
 }
 
-// Run follows the store until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
+// Run follows the store until ctx ends. Routers for which leads returns false
+// leave the watching to others, which tell them of changes.
+func (f *Follower) Run(ctx context.Context, leads func() bool) {
 	var group sync.WaitGroup
-	group.Go(func() { f.follow(ctx, &f.configurations, f.applyConfigurations) })
-	group.Go(func() { f.follow(ctx, &f.targets, f.applyTargets) })
+	group.Go(func() { f.follow(ctx, &f.configurations, leads, f.applyConfigurations) })
+	group.Go(func() { f.follow(ctx, &f.targets, leads, f.applyTargets) })
 	group.Go(func() { f.sweep(ctx) })
 	group.Wait()
 }
 
+// Poke makes the follower ask the store for what another router has read already.
+func (f *Follower) Poke(configurations, targets bool) {
+	for source, due := range map[*source]bool{&f.configurations: configurations, &f.targets: targets} {
+		if !due {
+			continue
+		}
+		select {
+		case source.pokes <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// turn waits until the source has to be asked and returns how long the store may wait.
+func (f *Follower) turn(ctx context.Context, s *source, leads func() bool) time.Duration {
+	ticker := time.NewTicker(turnPoll)
+	defer ticker.Stop()
+	due := time.Now().Add(idlePoll)
+	for !leads() {
+		select {
+		case <-ctx.Done():
+			return 0
+		case <-s.pokes:
+			return 0
+		case now := <-ticker.C:
+			if now.After(due) {
+				return 0
+			}
+		}
+	}
+	return watchWait
+}
+
 // follow lists a kind and then watches it; full is set for the pages of a list.
-func (f *Follower) follow(ctx context.Context, s *source, apply func(page platform.Page, full bool) bool) {
+func (f *Follower) follow(
+	ctx context.Context, s *source, leads func() bool, apply func(page platform.Page, full bool) bool,
+) {
 	var revision uint64
 	backoff := objects.Backoff{Base: retryFirst, Max: retryMost}
 	failures := 0
@@ -112,10 +156,13 @@
 		var page platform.Page
 		var err error
 		full := revision == 0
-		if full {
+		switch {
+		case full:
 			page, err = f.store.List(ctx, s.kind)
-		} else {
-			page, err = f.store.Watch(ctx, s.kind, revision, watchWait)
+		case failures > 0:
+			page, err = f.store.Watch(ctx, s.kind, revision, 0)
+		default:
+			page, err = f.store.Watch(ctx, s.kind, revision, f.turn(ctx, s, leads))
 		}
 		if errors.Is(err, objects.ErrTooOld) {
 			f.log.Info().Str("kind", s.kind).Uint64("revision", revision).Msg("history is gone, listing again")
@@ -139,12 +186,15 @@
 }
 
 func (f *Follower) failed(s *source, err error) {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	silence := time.Since(time.Unix(0, s.heard.Load()))
-	if !s.lost && silence > outage {
+	if s.failing.IsZero() {
+		s.failing = now
+	}
+	if !s.lost && now.Sub(s.failing) > outage {
 		s.lost = true
-		f.log.Warn().Str("kind", s.kind).Dur("silence-ms", silence).Err(err).Msg("store lost")
+		f.log.Warn().Str("kind", s.kind).Dur("failing-ms", now.Sub(s.failing)).Err(err).Msg("store lost")
 	}
 }
 
@@ -152,12 +202,12 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	last := time.Unix(0, s.heard.Swap(now.UnixNano()))
-	if now.Sub(last) > outage+watchWait {
+	s.heard.Store(now.UnixNano())
+	if !s.failing.IsZero() && now.Sub(s.failing) > outage {
 		s.regained = now
-		f.log.Info().Str("kind", s.kind).Msg("store reached")
+		f.log.Info().Str("kind", s.kind).Dur("failing-ms", now.Sub(s.failing)).Msg("store reached again")
 	}
-	s.lost = false
+	s.failing, s.lost = time.Time{}, false
 }
 
 func (f *Follower) applyConfigurations(page platform.Page, _ bool) bool {
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -60,7 +60,10 @@
 	defer stop()
 
 	left := time.Until(c.deadline)
-	fields := platform.TargetFields(c.request, target, c.workspace.Name, c.view.Configuration.Workspaces == nil, left, c.events.last)
+	fields := platform.TargetFields(c.request, platform.Sending{
+		Target: target, Source: c.source, Workspace: c.workspace.Name,
+		WithKey: c.view.Configuration.Workspaces == nil, Left: left, Resume: c.events.last,
+	})
 	answer, failure := c.h.Pool.Do(attemptCtx, endpoint(target), exchange.Call{
 		Method: c.request.Method, Target: c.request.Target, Fields: fields, Body: c.body, Owns: c.owns,
 	})
@@ -95,27 +98,27 @@
 	}
 	limit := c.silentLimit()
 	summaries := c.h.Book.Summaries(hashes, now)
-	candidates := make([]affinity.Candidate, 0, len(targets))
-	index := make([]int, 0, len(targets))
+	candidates := make([]affinity.Candidate, len(targets))
 	for i, t := range targets {
-		if t.Leaving {
-			continue
-		}
-		candidates = append(candidates, affinity.Candidate{
+		candidates[i] = affinity.Candidate{
 			Target: t.Hash, Calls: summaries[i].Calls, Unread: summaries[i].Unread,
 			Aside: summaries[i].Aside || c.h.Book.Silent(t.Hash, now) > limit,
-			Tried: c.tried[t.Hash], Near: t.FailureDomain == c.h.FailureDomain,
-		})
-		index = append(index, i)
+			Tried: c.tried[t.Hash], Near: t.FailureDomain == c.h.FailureDomain, Leaving: t.Leaving,
+		}
 	}
 	choice := c.h.Map.Choose(affinity.Request{
 		Parts: c.parts(), Seed: xxhash.Sum64String(c.info.ID), Factor: c.h.LoadFactor,
+		Fetch: c.view.Configuration.Services[c.service].Fetch,
 	}, candidates, now)
 	if choice.Index < 0 {
 		return nil
 	}
 	c.choice = choice
-	return targets[index[choice.Index]]
+	c.source = nil
+	if choice.Source >= 0 {
+		c.source = targets[choice.Source]
+	}
+	return targets[choice.Index]
 }
 
 func (c *call) silentLimit() time.Duration {
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -82,7 +82,9 @@
 		reason  string
 		targets []string
 		choice  affinity.Choice
-		status  int
+		// source is the target whose cache the next attempt's target fetches from, or nil.
+		source *state.Target
+		status int
 	}
 
 	wholeAnswer struct {
@@ -261,6 +263,7 @@
 		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
 		Uint64("targets-revision", c.view.Targets.Revision).Strs("targets", c.targets).
 		Str("placement", string(c.choice.Reason)).Int("unread", c.choice.Unread).Int("reread", c.choice.Reread).
+		Int("fetched", c.choice.Fetched).
 		Int("sends", c.progress.Sends).Int("runs", c.progress.Runs).
 		Int("status", c.status).Str("reason", reason).Dur("took-ms", took).Msg("call")
 }
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -69,6 +69,8 @@
 		// Slots and CacheTokens describe an engine; zero for a plain service.
 		Slots       int
 		CacheTokens int
+		// Fetch is set when engines can fetch from each other's caches.
+		Fetch bool
 	}
 
 	// Limits bound what a caller may send and how long it may stay idle.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -172,7 +172,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group sync.WaitGroup
-	group.Go(func() { r.follower.Run(background) })
+	group.Go(func() { r.follower.Run(background, r.fleet.Leads) })
 	group.Go(func() { r.fleet.Run(background) })
 	group.Go(func() { r.register(background) })
 	group.Go(func() { r.tidy(background) })
@@ -237,7 +237,8 @@
 	return k
 }
 
-func (r *Router) viewChanged(*state.View) {}
+// viewChanged tells the others of a new view at once.
+func (r *Router) viewChanged(*state.View) { r.fleet.Nudge() }
 
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if r.leaving.Load() || r.follower.View().Configuration == nil {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -44,6 +44,11 @@
 	seldom = 50
 	// behindFor is how long the store may take to deliver what another router already has.
 	behindFor = 250 * time.Millisecond
+	// leaders is the number of routers that watch the store for all.
+	leaders = 2
+	// leaderAge is the age of a leader's last reply from the store beyond which
+	// others step in: its watches end sooner than that.
+	leaderAge = 900 * time.Millisecond
 	// fetchTimeout bounds the fetching of a snapshot.
 	fetchTimeout = 800 * time.Millisecond
 	// maxDatagramBytes is the size of the receive buffer.
@@ -81,7 +86,9 @@
 		from  *follow.Follower
 		log   zerolog.Logger
 
-		conn   *net.UDPConn
+		conn *net.UDPConn
+		// nudges ask for a beacon at once.
+		nudges chan struct{}
 		client *http.Client
 
 		mu      sync.Mutex
@@ -114,6 +121,7 @@
 	f := &Fleet{
 		self: self, known: known, book: book, parts: parts, from: from, log: log, conn: conn,
 		client: &http.Client{Timeout: fetchTimeout}, peers: make(map[string]*peer),
+		nudges: make(chan struct{}, 1),
 	}
 	return f, func() { _ = conn.Close() }, nil
 }
@@ -171,6 +179,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-f.nudges:
+			f.send(nil)
 		case now := <-ticker.C:
 			news := f.parts.News(maxHoldings)
 			if len(news) > 0 || now.Sub(last) >= f.interval() {
@@ -183,6 +193,30 @@
 	}
 }
 
+// Nudge sends a beacon at once, after a change of what this router knows.
+func (f *Fleet) Nudge() {
+	select {
+	case f.nudges <- struct{}{}:
+	default:
+	}
+}
+
+// Leads reports whether this router watches the store for the others: the
+// first few by name do that the store serves.
+func (f *Fleet) Leads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := 0
+	for _, p := range f.peers {
+		age := time.Duration(p.beacon.GetStoreAgeMs()) * time.Millisecond
+		if p.live && !p.beacon.GetLeaving() && p.beacon.GetRouter() < f.self.Router &&
+			age+time.Since(p.heard) < leaderAge {
+			before++
+		}
+	}
+	return before < leaders
+}
+
 // Live returns the number of routers heard from, this one included.
 func (f *Fleet) Live() int {
 	f.mu.Lock()
@@ -342,6 +376,8 @@
 		f.log.Info().Str("peer", b.GetRouter()).Uint64("incarnation", b.GetIncarnation()).Msg("router heard")
 	}
 	p.beacon, p.heard, p.live = b, now, true
+	known := f.known()
+	f.from.Poke(b.GetConfigurationVersion() > known.ConfigurationVersion, b.GetTargetsRevision() > known.TargetsRevision)
 }
 
 // notice marks the routers that have not been heard from for some beacons.
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -11,6 +11,13 @@
 	// rereadWeight is the cost of a token that is read again although another
 	// target holds it, in tokens of waiting.
 	rereadWeight = 3
+	// fetchWeight is the cost of a token that a target fetches from another one's
+	// cache: a fifth of reading it again.
+	fetchWeight = 0.6
+	// fetchShare is the time to fetch a token in times to read one.
+	fetchShare = 0.1
+	// fetchLeast is the number of tokens below which reading is simpler.
+	fetchLeast = 64
 	// callTokens is the cost of one call in flight, in tokens of waiting: it
 	// lengthens each step of the engine a little.
 	callTokens = 40
@@ -60,6 +67,8 @@
 		Tried bool
 		// Near candidates are in the router's own failure domain.
 		Near bool
+		// Leaving candidates are never chosen, but others may fetch from their caches.
+		Leaving bool
 	}
 
 	// Request is what a choice goes by.
@@ -70,6 +79,8 @@
 		Seed uint64
 		// Factor bounds a target's calls as a multiple of the mean.
 		Factor float64
+		// Fetch is set when targets can fetch from each other's caches.
+		Fetch bool
 	}
 
 	// Choice is the decision and what it went by.
@@ -81,6 +92,10 @@
 		Unread int
 		// Reread is the number of them that another target holds.
 		Reread int
+		// Source is the index of the candidate to fetch from, or -1; Fetched is
+		// the number of tokens that it holds and the chosen target does not.
+		Source  int
+		Fetched int
 	}
 
 	// Holding says that a target holds a part.
@@ -120,41 +135,36 @@
 	if len(shared) == 0 {
 		shared = r.Parts
 	}
-	held := make([][]bool, len(shared))
-	anywhere := make([]bool, len(shared))
-	for i, p := range shared {
-		held[i] = m.heldBy(p.Hash, candidates, now)
-		for _, h := range held[i] {
-			anywhere[i] = anywhere[i] || h
-		}
-	}
-	deepest := shared[len(shared)-1].Hash
-	best := Choice{Index: -1}
+	held := m.depths(shared, candidates, now)
+	sources := deepest(shared, candidates, held, r.Fetch)
+	key := shared[len(shared)-1].Hash
+	best := Choice{Index: -1, Source: -1}
 	var bestCost float64
 	var bestRank uint64
 	for i, c := range candidates {
 		if !allowed[i] {
 			continue
 		}
-		unread, reread := cost(r.Parts, shared, held, anywhere, i)
-		total := float64(c.Unread+unread) + rereadWeight*float64(reread) + callTokens*float64(c.Calls)
+		choice := sources.read(r.Parts, held[i])
+		choice.Index = i
+		total := float64(c.Unread+choice.Unread) + rereadWeight*float64(choice.Reread) +
+			(fetchShare+fetchWeight)*float64(choice.Fetched) + callTokens*float64(c.Calls)
 		if !c.Near {
 			total += distanceTokens
 		}
 		// Equal costs go by rendezvous hashing, which routers share without talking.
-		rank := mix(deepest ^ c.Target)
+		rank := mix(key ^ c.Target)
 		if best.Index < 0 || total < bestCost || (total == bestCost && rank > bestRank) {
-			best = Choice{Index: i, Unread: unread, Reread: reread}
-			bestCost, bestRank = total, rank
+			best, bestCost, bestRank = choice, total, rank
 		}
 	}
 	if best.Index < 0 {
 		return best
 	}
 	switch {
-	case held[len(shared)-1][best.Index]:
+	case held[best.Index] == len(shared):
 		best.Reason = ReasonHeld
-	case anywhere[len(shared)-1]:
+	case sources.anywhere == len(shared):
 		best.Reason = ReasonMoved
 	default:
 		best.Reason = ReasonNew
@@ -230,21 +240,76 @@
 	}
 }
 
-func (m *Map) heldBy(part uint64, candidates []Candidate, now time.Time) []bool {
-	held := make([]bool, len(candidates))
-	for _, h := range m.parts[part] {
-		if now.Sub(h.used) >= holdingAge {
-			continue
-		}
-		for i, c := range candidates {
-			if c.Target == h.target {
-				held[i] = true
+// source is the candidate that holds most of a prompt.
+type source struct {
+	index int
+	// depth is the number of leading parts that it holds.
+	depth int
+	// anywhere is that number over all candidates, fetched from or not.
+	anywhere int
+}
+
+// depths returns how many leading parts each candidate holds. A part is of use
+// only when all parts before it are cached too.
+func (m *Map) depths(shared []Part, candidates []Candidate, now time.Time) []int {
+	held := make([]int, len(candidates))
+	for depth, p := range shared {
+		for _, h := range m.parts[p.Hash] {
+			if now.Sub(h.used) >= holdingAge {
+				continue
+			}
+			for i, c := range candidates {
+				if c.Target == h.target && held[i] == depth {
+					held[i] = depth + 1
+				}
 			}
 		}
 	}
 	return held
 }
 
+// deepest returns the candidate to fetch from.
+func deepest(shared []Part, candidates []Candidate, held []int, fetch bool) source {
+	s := source{index: -1}
+	for i, c := range candidates {
+		s.anywhere = max(s.anywhere, held[i])
+		if fetch && !c.Aside && held[i] > s.depth {
+			s.index, s.depth = i, held[i]
+		}
+	}
+	if tokens(shared[:s.depth]) < fetchLeast {
+		s.index, s.depth = -1, 0
+	}
+	return s
+}
+
+// read returns what a candidate that holds some leading parts has to read and to fetch.
+func (s source) read(parts []Part, held int) Choice {
+	c := Choice{Source: -1}
+	known := held
+	if s.depth > held {
+		c.Fetched = tokens(parts[held:s.depth])
+		known = s.depth
+		c.Source = s.index
+		if c.Fetched < fetchLeast {
+			c.Source, c.Fetched, known = -1, 0, held
+		}
+	}
+	c.Unread = tokens(parts[known:])
+	if s.anywhere > known {
+		c.Reread = tokens(parts[known:s.anywhere])
+	}
+	return c
+}
+
+func tokens(parts []Part) int {
+	n := 0
+	for _, p := range parts {
+		n += p.Tokens
+	}
+	return n
+}
+
 func (m *Map) use(part, target uint64, now time.Time, own bool) {
 	holders := m.parts[part]
 	for i := range holders {
@@ -267,33 +332,12 @@
 	}
 }
 
-// cost returns the tokens that a candidate has to read, and those of them that
-// another one holds. A part is of use only when all parts before it are cached too.
-func cost(parts, shared []Part, held [][]bool, anywhere []bool, candidate int) (unread, reread int) {
-	cached := true
-	for i, p := range parts {
-		if i >= len(shared) {
-			unread += p.Tokens
-			continue
-		}
-		cached = cached && held[i][candidate]
-		if cached {
-			continue
-		}
-		unread += p.Tokens
-		if anywhere[i] {
-			reread += p.Tokens
-		}
-	}
-	return unread, reread
-}
-
 // within marks the candidates that may get a call: not aside and within the
 // bound; without any, those within the bound, then all that were not tried.
 func within(factor float64, candidates []Candidate) []bool {
 	total, n := 0, 0
 	for _, c := range candidates {
-		if !c.Aside {
+		if !c.Aside && !c.Leaving {
 			total += c.Calls
 			n++
 		}
@@ -311,7 +355,7 @@
 	for _, test := range tests {
 		found := false
 		for i, c := range candidates {
-			allowed[i] = !c.Tried && test(c)
+			allowed[i] = !c.Tried && !c.Leaving && test(c)
 			found = found || allowed[i]
 		}
 		if found {
@@ -324,7 +368,7 @@
 // least picks the allowed candidate with the fewest calls, a near one before a
 // far one that has no more than one call less.
 func least(r Request, candidates []Candidate, allowed []bool) Choice {
-	best := Choice{Index: -1, Reason: ReasonLeast}
+	best := Choice{Index: -1, Source: -1, Reason: ReasonLeast}
 	var bestCost int
 	var bestRank uint64
 	for i, c := range candidates {
