--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -61,8 +61,11 @@
 	source struct {
 		kind  string
 		heard atomic.Int64
-		// pokes tell that another router has read something newer.
-		pokes chan struct{}
+		// pokes tell that another router has read something newer, as of wanted.
+		pokes  chan struct{}
+		wanted atomic.Uint64
+		// known returns the version or revision that is in force.
+		known func() uint64
 		// failing is since when calls have failed, or zero.
 		failing  time.Time
 		regained time.Time
@@ -89,7 +92,14 @@
 		entries: make(map[string]entry), lapsed: make(map[string]time.Time),
 	}
 	f.configurations.kind, f.configurations.pokes = platform.KindConfigurations, make(chan struct{}, 1)
+	f.configurations.known = func() uint64 {
+		if c := f.View().Configuration; c != nil {
+			return uint64(c.Version)
+		}
+		return 0
+	}
 	f.targets.kind, f.targets.pokes = platform.KindTargets, make(chan struct{}, 1)
+	f.targets.known = func() uint64 { return f.View().Targets.Revision }
 	f.view.Store(&state.View{Targets: state.NewTargets(0, nil)})
 	return f
 }
@@ -113,15 +123,19 @@
 }
 
 // Poke makes the follower ask the store for what another router has read already.
-func (f *Follower) Poke(configurations, targets bool) {
-	for source, due := range map[*source]bool{&f.configurations: configurations, &f.targets: targets} {
-		if !due {
-			continue
-		}
-		select {
-		case source.pokes <- struct{}{}:
-		default:
-		}
+func (f *Follower) Poke(configurationVersion int64, targetsRevision uint64) {
+	f.configurations.poke(uint64(max(configurationVersion, 0)))
+	f.targets.poke(targetsRevision)
+}
+
+func (s *source) poke(wanted uint64) {
+	if wanted <= s.known() {
+		return
+	}
+	s.wanted.Store(wanted)
+	select {
+	case s.pokes <- struct{}{}:
+	default:
 	}
 }
 
@@ -135,7 +149,9 @@
 		case <-ctx.Done():
 			return 0
 		case <-s.pokes:
-			return 0
+			if s.wanted.Load() > s.known() {
+				return 0
+			}
 		case now := <-ticker.C:
 			if now.After(due) {
 				return 0
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -376,8 +376,7 @@
 		f.log.Info().Str("peer", b.GetRouter()).Uint64("incarnation", b.GetIncarnation()).Msg("router heard")
 	}
 	p.beacon, p.heard, p.live = b, now, true
-	known := f.known()
-	f.from.Poke(b.GetConfigurationVersion() > known.ConfigurationVersion, b.GetTargetsRevision() > known.TargetsRevision)
+	f.from.Poke(b.GetConfigurationVersion(), b.GetTargetsRevision())
 }
 
 // notice marks the routers that have not been heard from for some beacons.
