--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"hickoryrock/internal/fleet/state"
@@ -25,7 +26,7 @@
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 	// idlePoll is how often a router that others keep informed asks the store itself.
-	idlePoll = 5 * time.Second
+	idlePoll = 15 * time.Second
 	// turnPoll is how often such a router checks whether it has to watch itself.
 	turnPoll = 150 * time.Millisecond
 	// outage is the time without the store after which entries may have lapsed.
@@ -33,6 +34,8 @@
 	// lapseGrace is how long after the store's return entries that lapsed
 	// meanwhile have to come back: the platform states about two seconds.
 	lapseGrace = 2 * time.Second
+	// keptChanges is how many changes of targets are kept for other routers.
+	keptChanges = 256
 	// sweepEvery is how often entries that did not come back are dropped.
 	sweepEvery = 200 * time.Millisecond
 )
@@ -43,13 +46,17 @@
 		store *platform.Store
 		log   zerolog.Logger
 		view  atomic.Pointer[state.View]
-		// changed is called with each new view.
-		changed func(*state.View)
+		// viewed is called after each change of the view, with the change of
+		// targets that the store has told, if any.
+		viewed func(*Change)
 
 		mu            sync.Mutex
 		configuration []byte
 		entries       map[string]entry
 		revision      uint64
+		// recent holds all changes after recentFrom, oldest first.
+		recent     []Change
+		recentFrom uint64
 		// lapsed holds until when entries that went missing may come back.
 		lapsed map[string]time.Time
 
@@ -61,11 +68,8 @@
 	source struct {
 		kind  string
 		heard atomic.Int64
-		// pokes tell that another router has read something newer, as of wanted.
-		pokes  chan struct{}
-		wanted atomic.Uint64
-		// known returns the version or revision that is in force.
-		known func() uint64
+		// pokes ask for a call to the store ahead of time.
+		pokes chan struct{}
 		// failing is since when calls have failed, or zero.
 		failing  time.Time
 		regained time.Time
@@ -77,30 +81,40 @@
 		target *state.Target
 	}
 
-	// Snapshot is what a router has read from the store, as the store holds it.
+	// Change holds changes of targets after one revision of the store up to another one.
+	Change struct {
+		After    uint64
+		Revision uint64
+		// Items are in the order in which they happened.
+		Items []Item
+	}
+
+	// Item is a changed target or the name of one that is gone.
+	Item struct {
+		// Entry is as the store holds it.
+		Entry   []byte
+		Deleted string
+	}
+
+	// Snapshot is what another router may take from this one.
 	Snapshot struct {
+		// Configuration is as the store holds it; nil when the other one has it.
 		Configuration []byte
-		Revision      uint64
-		Targets       [][]byte
+		Targets       Change
+		// All is set when the change holds all targets.
+		All bool
 	}
 )
 
-// New returns a follower that calls changed with each new view.
-func New(store *platform.Store, log zerolog.Logger, changed func(*state.View)) *Follower {
+// New returns a follower that calls viewed after each change of its view.
+func New(store *platform.Store, log zerolog.Logger, viewed func(*Change)) *Follower {
 	f := &Follower{
-		store: store, log: log, changed: changed,
+		store: store, log: log, viewed: viewed,
 		entries: make(map[string]entry), lapsed: make(map[string]time.Time),
 	}
 	f.configurations.kind, f.configurations.pokes = platform.KindConfigurations, make(chan struct{}, 1)
-	f.configurations.known = func() uint64 {
-		if c := f.View().Configuration; c != nil {
-			return uint64(c.Version)
-		}
-		return 0
-	}
 	f.targets.kind, f.targets.pokes = platform.KindTargets, make(chan struct{}, 1)
-	f.targets.known = func() uint64 { return f.View().Targets.Revision }
-	f.view.Store(&state.View{Targets: state.NewTargets(0, nil)})
+	f.view.Store(&state.View{Targets: state.NewTargets(0, 0, nil)})
 	return f
 }
 
@@ -122,20 +136,14 @@
 	group.Wait()
 }
 
-// Poke makes the follower ask the store for what another router has read already.
-func (f *Follower) Poke(configurationVersion int64, targetsRevision uint64) {
-	f.configurations.poke(uint64(max(configurationVersion, 0)))
-	f.targets.poke(targetsRevision)
-}
-
-func (s *source) poke(wanted uint64) {
-	if wanted <= s.known() {
-		return
-	}
-	s.wanted.Store(wanted)
-	select {
-	case s.pokes <- struct{}{}:
-	default:
+// Poke makes the follower ask the store for what another router has read
+// already and could not hand over.
+func (f *Follower) Poke() {
+	for _, s := range []*source{&f.configurations, &f.targets} {
+		select {
+		case s.pokes <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -149,9 +157,7 @@
 		case <-ctx.Done():
 			return 0
 		case <-s.pokes:
-			if s.wanted.Load() > s.known() {
-				return 0
-			}
+			return 0
 		case now := <-ticker.C:
 			if now.After(due) {
 				return 0
@@ -249,7 +255,8 @@
 		return
 	}
 	f.configuration = spec
-	f.publish(&state.View{Configuration: configuration, Targets: current.Targets})
+	f.view.Store(&state.View{Configuration: configuration, Targets: current.Targets})
+	f.viewed(nil)
 	metrics.GetOrCreateCounter(`hickoryrock_configurations_total{from="` + from + `"}`).Inc()
 	f.log.Info().Int64("configuration", configuration.Version).Int("routes", len(configuration.Routes)).
 		Str("from", from).Msg("configuration in force")
@@ -261,27 +268,65 @@
 	if full && page.Revision < f.revision {
 		return false
 	}
-	f.take(page, full, f.targets.regained.Add(lapseGrace))
+	after := f.revision
+	if !f.take(page, full, f.targets.regained.Add(lapseGrace)) || full {
+		return true
+	}
+	change := Change{After: after, Revision: f.revision}
+	for _, o := range page.Objects {
+		if o.Deleted {
+			change.Items = append(change.Items, Item{Deleted: o.Name})
+			continue
+		}
+		change.Items = append(change.Items, Item{Entry: o.Raw})
+	}
+	f.remember(change)
+	f.viewed(&change)
 	return true
 }
 
-// TakeTargets takes in the targets that another router has read, unless they are older.
-func (f *Follower) TakeTargets(revision uint64, raw [][]byte, from string) {
-	page := platform.Page{Revision: revision}
-	for _, r := range raw {
-		page.Objects = append(page.Objects, platform.DecodeRaw(r))
+// TakeTargets takes in what another router has read of targets unless it is
+// older; all is set when the change holds all targets. It returns false when
+// changes between it and what this router knows are missing.
+func (f *Follower) TakeTargets(c Change, all bool, from string) bool {
+	page := platform.Page{Revision: c.Revision}
+	for _, item := range c.Items {
+		o := platform.Object{Name: item.Deleted, Deleted: true}
+		if item.Deleted == "" {
+			o = platform.DecodeRaw(item.Entry)
+		}
+		page.Objects = append(page.Objects, o)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision <= f.revision {
-		return
+	if c.Revision < f.revision || (c.Revision == f.revision && !all) {
+		return true
+	}
+	if !all && c.After > f.revision {
+		return false
+	}
+	f.take(page, all, time.Time{})
+	if !all {
+		f.remember(c)
+	}
+	f.log.Info().Uint64("targets-revision", c.Revision).Bool("all", all).Str("from", from).
+		Msg("targets taken from another router")
+	f.viewed(nil)
+	return true
+}
+
+// remember keeps a change for other routers.
+func (f *Follower) remember(c Change) {
+	f.recent = append(f.recent, c)
+	if len(f.recent) > keptChanges {
+		f.recentFrom = f.recent[0].Revision
+		f.recent = f.recent[1:]
 	}
-	f.take(page, true, time.Time{})
-	f.log.Info().Uint64("targets-revision", revision).Str("from", from).Msg("targets taken from another router")
 }
 
-// take changes the entries; those that went missing stay until the end of the grace time.
-func (f *Follower) take(page platform.Page, full bool, grace time.Time) {
+// take changes the entries; those that went missing stay until the end of the
+// grace time. It reports whether anything but the revision has changed.
+func (f *Follower) take(page platform.Page, full bool, grace time.Time) bool {
 	listed := make(map[string]bool, len(page.Objects))
 	dirty := false
 	for _, o := range page.Objects {
@@ -307,9 +352,13 @@
 		}
 	}
 	f.revision = max(f.revision, page.Revision)
+	if full {
+		f.recent, f.recentFrom = nil, f.revision
+	}
 	if dirty || f.View().Targets.Revision != f.revision {
 		f.publishTargets()
 	}
+	return len(page.Objects) > 0
 }
 
 func (f *Follower) remove(name string, grace time.Time) bool {
@@ -346,29 +395,43 @@
 
 func (f *Follower) publishTargets() {
 	targets := make([]*state.Target, 0, len(f.entries))
+	var digest uint64
 	for _, e := range f.entries {
+		digest ^= xxhash.Sum64(e.raw)
 		if e.target != nil {
 			t := *e.target
 			targets = append(targets, &t)
 		}
 	}
-	f.publish(&state.View{
-		Configuration: f.View().Configuration, Targets: state.NewTargets(f.revision, targets),
+	f.view.Store(&state.View{
+		Configuration: f.View().Configuration, Targets: state.NewTargets(f.revision, digest, targets),
 	})
 }
 
-func (f *Follower) publish(v *state.View) {
-	f.view.Store(v)
-	f.changed(v)
-}
-
-// Snapshot returns what other routers may take from this one.
-func (f *Follower) Snapshot() Snapshot {
+// Snapshot returns what a router may take from this one that knows a
+// configuration and the targets as of a revision.
+func (f *Follower) Snapshot(configurationVersion int64, targetsRevision uint64) Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := Snapshot{Configuration: f.configuration, Revision: f.revision}
+	var s Snapshot
+	if c := f.View().Configuration; c != nil && c.Version > configurationVersion {
+		s.Configuration = f.configuration
+	}
+	s.Targets = Change{After: targetsRevision, Revision: f.revision}
+	if targetsRevision >= f.revision {
+		return s
+	}
+	if targetsRevision >= f.recentFrom && targetsRevision > 0 {
+		for _, c := range f.recent {
+			if c.Revision > targetsRevision {
+				s.Targets.Items = append(s.Targets.Items, c.Items...)
+			}
+		}
+		return s
+	}
+	s.All = true
 	for _, e := range f.entries {
-		s.Targets = append(s.Targets, e.raw)
+		s.Targets.Items = append(s.Targets.Items, Item{Entry: e.raw})
 	}
 	return s
 }
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -106,7 +106,9 @@
 
 	// Targets are the targets of the fleet as of a revision of the store.
 	Targets struct {
-		Revision  uint64
+		Revision uint64
+		// Digest differs between sets of targets.
+		Digest    uint64
 		ByService map[string][]*Target
 	}
 
@@ -164,8 +166,8 @@
 }
 
 // NewTargets groups the targets by service, in an order that all routers share.
-func NewTargets(revision uint64, targets []*Target) *Targets {
-	t := &Targets{Revision: revision, ByService: make(map[string][]*Target)}
+func NewTargets(revision, digest uint64, targets []*Target) *Targets {
+	t := &Targets{Revision: revision, Digest: digest, ByService: make(map[string][]*Target)}
 	for _, target := range targets {
 		// A restart under the same name holds nothing of what was before.
 		target.Hash = xxhash.Sum64String(target.ID + "/" + strconv.FormatInt(target.Born, 10))
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -86,7 +86,7 @@
 	store, closeStore := platform.NewStore(s.StoreAddress)
 	r.store = store
 	r.closers = append(r.closers, closeStore)
-	r.follower = follow.New(store, log, r.viewChanged)
+	r.follower = follow.New(store, log, func(c *follow.Change) { r.fleet.Nudge(c) })
 	pool, closePool := exchange.New()
 	r.closers = append(r.closers, closePool)
 	factor := s.Bounds.LoadFactor
@@ -226,7 +226,8 @@
 func (r *Router) known() gossip.Known {
 	v := r.follower.View()
 	k := gossip.Known{
-		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision, StoreAge: r.follower.StoreAge(),
+		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision,
+		TargetsDigest: v.Targets.Digest, StoreAge: r.follower.StoreAge(),
 	}
 	if v.Configuration != nil {
 		k.ConfigurationVersion = v.Configuration.Version
@@ -237,9 +238,6 @@
 	return k
 }
 
-// viewChanged tells the others of a new view at once.
-func (r *Router) viewChanged(*state.View) { r.fleet.Nudge() }
-
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if r.leaving.Load() || r.follower.View().Configuration == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -269,7 +267,7 @@
 		PeerAddress:   net.JoinHostPort(r.settings.IP, strconv.Itoa(r.settings.PeerPorts[0])),
 		FailureDomain: r.settings.FailureDomain,
 	}
-	registered := false
+	registered, met := false, false
 	for ctx.Err() == nil {
 		wait := routersEvery
 		if !registered {
@@ -280,7 +278,13 @@
 				wait = registerRetry
 			}
 		}
+		if met && !r.fleet.Leads() {
+			// New routers make themselves known to those that they find listed.
+			_ = objects.Sleep(ctx, wait)
+			continue
+		}
 		page, err := r.store.List(ctx, platform.KindRouters)
+		met = err == nil
 		if err != nil {
 			wait = registerRetry
 		}
--- a/internal/node/edge/recall.go
+++ b/internal/node/edge/recall.go
@@ -37,9 +37,9 @@
 		return
 	}
 	if name, address := r.fleet.Elder(); address != "" {
-		r.fleet.Fetch(ctx, name, address)
+		r.fleet.FetchCaches(ctx, name, address)
 		if objects.Sleep(ctx, recallAgain) == nil {
-			r.fleet.Fetch(ctx, name, address)
+			r.fleet.FetchCaches(ctx, name, address)
 		}
 		r.log.Info().Str("peer", name).Msg("caches recalled from a router")
 		return
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,15 +22,20 @@
 	peerv1 "hickoryrock/api/peer/v1"
 	"hickoryrock/api/peer/v1/peerv1connect"
 	"hickoryrock/internal/fleet/follow"
+	"hickoryrock/internal/platform/objects"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/standing"
 )
 
 const (
-	// beaconEvery is how often a router of a small fleet tells of itself; larger
-	// fleets send less often, so that a router's traffic stays the same.
+	// beaconEvery is how often a router tells of itself, for each mediumFleet of
+	// routers: a router's traffic grows less than the fleet.
 	beaconEvery = 100 * time.Millisecond
-	smallFleet  = 10
+	mediumFleet = 30
+	// smallFleet is the size up to which each beacon says who sends it; in larger
+	// fleets every namedBeacons-th does.
+	smallFleet   = 10
+	namedBeacons = 4
 	// newsEvery is how often news of held prompts are sent ahead of the next beacon.
 	newsEvery = 10 * time.Millisecond
 	// maxHoldings and maxLoads keep a datagram within 1,400 bytes.
@@ -42,6 +48,15 @@
 	forgetAfter = 30 * time.Second
 	// seldom is the share of beacons that a forgotten router still gets.
 	seldom = 50
+	// maxNudges is how many changes may wait to be told; receivers fetch what is lost.
+	maxNudges = 64
+	// maxChangeBytes is the size of a change that still fits into a datagram.
+	maxChangeBytes = 1100
+	// fetchSpread keeps the routers of a large fleet from fetching all at once, so
+	// that most can fetch from one nearby.
+	fetchSpread = 60 * time.Millisecond
+	// fetchPause is the time between two tries to fetch.
+	fetchPause = 100 * time.Millisecond
 	// behindFor is how long the store may take to deliver what another router already has.
 	behindFor = 250 * time.Millisecond
 	// leaders is the number of routers that watch the store for all.
@@ -73,6 +88,7 @@
 		Serving              bool
 		ConfigurationVersion int64
 		TargetsRevision      uint64
+		TargetsDigest        uint64
 		StoreAge             time.Duration
 		Targets              int
 	}
@@ -87,14 +103,17 @@
 		log   zerolog.Logger
 
 		conn *net.UDPConn
-		// nudges ask for a beacon at once.
-		nudges chan struct{}
+		// nudges ask for a beacon at once, with a change of targets if there is one.
+		nudges chan *follow.Change
+		// wakes tell that another router knows more.
+		wakes  chan struct{}
 		client *http.Client
 
-		mu      sync.Mutex
-		peers   map[string]*peer
+		mu    sync.Mutex
+		peers map[string]*peer
+		// sent counts the regular beacons.
+		sent    int
 		leaving bool
-		behind  time.Time
 	}
 
 	peer struct {
@@ -121,7 +140,7 @@
 	f := &Fleet{
 		self: self, known: known, book: book, parts: parts, from: from, log: log, conn: conn,
 		client: &http.Client{Timeout: fetchTimeout}, peers: make(map[string]*peer),
-		nudges: make(chan struct{}, 1),
+		nudges: make(chan *follow.Change, maxNudges), wakes: make(chan struct{}, 1),
 	}
 	return f, func() { _ = conn.Close() }, nil
 }
@@ -135,13 +154,19 @@
 
 // GetSnapshot implements peerv1connect.FleetServiceHandler.
 func (f *Fleet) GetSnapshot(
-	context.Context, *connect.Request[peerv1.GetSnapshotRequest],
+	_ context.Context, r *connect.Request[peerv1.GetSnapshotRequest],
 ) (*connect.Response[peerv1.Snapshot], error) {
-	s := f.from.Snapshot()
-	return connect.NewResponse(&peerv1.Snapshot{
-		Configuration: s.Configuration, TargetsRevision: s.Revision, Targets: s.Targets,
-		Homes: encodeHoldings(f.parts.Holdings(time.Now())),
-	}), nil
+	s := f.from.Snapshot(r.Msg.GetConfigurationVersion(), r.Msg.GetTargetsRevision())
+	reply := &peerv1.Snapshot{Configuration: s.Configuration, AllTargets: s.All, Targets: &peerv1.TargetsChange{
+		AfterRevision: s.Targets.After, Revision: s.Targets.Revision,
+	}}
+	for _, item := range s.Targets.Items {
+		reply.Targets.Items = append(reply.Targets.Items, &peerv1.TargetItem{Entry: item.Entry, Deleted: item.Deleted})
+	}
+	if r.Msg.GetHomes() {
+		reply.Homes = encodeHoldings(f.parts.Holdings(time.Now()))
+	}
+	return connect.NewResponse(reply), nil
 }
 
 // Meet adds a router that may live.
@@ -166,12 +191,13 @@
 	f.mu.Lock()
 	f.leaving = true
 	f.mu.Unlock()
-	f.send(nil)
+	f.send(nil, nil)
 }
 
 // Run sends and receives beacons until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
 	go f.receive()
+	go f.catchUp(ctx)
 	last := time.Time{}
 	ticker := time.NewTicker(newsEvery)
 	defer ticker.Stop()
@@ -179,25 +205,28 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.nudges:
-			f.send(nil)
+		case change := <-f.nudges:
+			f.send(nil, change)
 		case now := <-ticker.C:
 			news := f.parts.News(maxHoldings)
-			if len(news) > 0 || now.Sub(last) >= f.interval() {
+			if len(news) > 0 {
+				f.send(news, nil)
+			}
+			if now.Sub(last) >= f.interval() {
 				last = now
-				f.send(news)
+				f.send(nil, nil)
 				f.notice(now)
-				f.catchUp(ctx, now)
 			}
 		}
 	}
 }
 
 // Nudge sends a beacon at once, after a change of what this router knows.
-func (f *Fleet) Nudge() {
+func (f *Fleet) Nudge(change *follow.Change) {
 	select {
-	case f.nudges <- struct{}{}:
+	case f.nudges <- change:
 	default:
+		metrics.GetOrCreateCounter(`hickoryrock_nudges_dropped_total`).Inc()
 	}
 }
 
@@ -208,9 +237,8 @@
 	defer f.mu.Unlock()
 	before := 0
 	for _, p := range f.peers {
-		age := time.Duration(p.beacon.GetStoreAgeMs()) * time.Millisecond
 		if p.live && !p.beacon.GetLeaving() && p.beacon.GetRouter() < f.self.Router &&
-			age+time.Since(p.heard) < leaderAge {
+			storeAge(p.beacon)+time.Since(p.heard) < leaderAge+f.intervalOf(len(f.peers)) {
 			before++
 		}
 	}
@@ -260,25 +288,27 @@
 func (f *Fleet) interval() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return beaconEvery * time.Duration(max(1, (len(f.peers)+smallFleet)/smallFleet))
+	return f.intervalOf(len(f.peers))
 }
 
-func (f *Fleet) send(news []affinity.Holding) {
+func (f *Fleet) intervalOf(peers int) time.Duration {
+	return beaconEvery * time.Duration(1+peers/mediumFleet)
+}
+
+func (f *Fleet) send(news []affinity.Holding, change *follow.Change) {
 	known := f.known()
 	b := &peerv1.Beacon{
-		Router: f.self.Router, Incarnation: f.self.Incarnation, CallerAddress: f.self.CallerAddress,
-		PeerAddress: f.self.PeerAddress, FailureDomain: f.self.FailureDomain,
-		Serving: known.Serving, ConfigurationVersion: known.ConfigurationVersion,
-		TargetsRevision: known.TargetsRevision, StoreAgeMs: uint32(min(known.StoreAge, time.Hour).Milliseconds()),
-	}
-	loads := f.book.Loads(time.Now())
-	for _, l := range loads[:min(len(loads), maxLoads)] {
-		b.Loads = append(b.Loads, &peerv1.TargetLoad{
-			Target: l.Target, Calls: uint32(l.Calls), UnreadTokens: uint32(max(l.Unread, 0)), Unreachable: l.Unreachable,
-			Results: uint32(l.Results * hundredths), Failures: uint32(l.Failures * hundredths),
-		})
+		Incarnation: f.self.Incarnation, Serving: known.Serving, ConfigurationVersion: known.ConfigurationVersion,
+		TargetsRevision: known.TargetsRevision, TargetsDigest: known.TargetsDigest, Change: encodeChange(change),
+		StoreAgeMs: uint32(min(known.StoreAge, time.Hour).Milliseconds()), Homes: encodeHoldings(news),
+	}
+	if b.Change == nil && len(news) == 0 {
+		b.HasLoads, b.Loads = true, encodeLoads(f.book.Loads(time.Now()))
+		if f.named() {
+			b.Router, b.CallerAddress, b.PeerAddress = f.self.Router, f.self.CallerAddress, f.self.PeerAddress
+			b.FailureDomain = f.self.FailureDomain
+		}
 	}
-	b.Homes = encodeHoldings(news)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b.Leaving = f.leaving
@@ -299,6 +329,50 @@
 	}
 }
 
+// named reports whether the next beacon says who sends it, and counts it.
+func (f *Fleet) named() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent++
+	return len(f.peers) <= smallFleet || f.sent%namedBeacons == 1
+}
+
+func encodeLoads(loads []standing.Load) []*peerv1.TargetLoad {
+	out := make([]*peerv1.TargetLoad, 0, min(len(loads), maxLoads))
+	for _, l := range loads[:min(len(loads), maxLoads)] {
+		out = append(out, &peerv1.TargetLoad{
+			Target: l.Target, Calls: uint32(l.Calls), UnreadTokens: uint32(max(l.Unread, 0)), Unreachable: l.Unreachable,
+			Results: uint32(l.Results * hundredths), Failures: uint32(l.Failures * hundredths),
+		})
+	}
+	return out
+}
+
+// encodeChange returns nil for a change that does not fit into a datagram.
+func encodeChange(change *follow.Change) *peerv1.TargetsChange {
+	if change == nil {
+		return nil
+	}
+	out := &peerv1.TargetsChange{AfterRevision: change.After, Revision: change.Revision}
+	size := 0
+	for _, item := range change.Items {
+		out.Items = append(out.Items, &peerv1.TargetItem{Entry: item.Entry, Deleted: item.Deleted})
+		size += len(item.Entry) + len(item.Deleted)
+	}
+	if size > maxChangeBytes {
+		return nil
+	}
+	return out
+}
+
+func decodeChange(c *peerv1.TargetsChange) follow.Change {
+	out := follow.Change{After: c.GetAfterRevision(), Revision: c.GetRevision()}
+	for _, item := range c.GetItems() {
+		out.Items = append(out.Items, follow.Item{Entry: item.GetEntry(), Deleted: item.GetDeleted()})
+	}
+	return out
+}
+
 func encodeHoldings(holdings []affinity.Holding) []*peerv1.PromptHome {
 	out := make([]*peerv1.PromptHome, len(holdings))
 	for i, h := range holdings {
@@ -333,7 +407,7 @@
 func (f *Fleet) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := f.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := f.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if eris.Is(err, net.ErrClosed) {
 				return
@@ -346,10 +420,29 @@
 			f.log.Warn().Err(err).Msg("beacon cannot be decoded")
 			continue
 		}
-		f.take(b)
+		if b = f.complete(b, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()); b != nil {
+			f.take(b)
+		}
 	}
 }
 
+// complete adds to a light beacon what the sender's last full one said, and
+// returns nil when there was none.
+func (f *Fleet) complete(b *peerv1.Beacon, from string) *peerv1.Beacon {
+	if b.GetRouter() != "" {
+		return b
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[from]
+	if p == nil || p.beacon == nil || p.beacon.GetIncarnation() != b.GetIncarnation() {
+		return nil
+	}
+	b.CallerAddress, b.PeerAddress = p.beacon.GetCallerAddress(), p.beacon.GetPeerAddress()
+	b.FailureDomain, b.Router = p.beacon.GetFailureDomain(), p.beacon.GetRouter()
+	return b
+}
+
 func (f *Fleet) take(b *peerv1.Beacon) {
 	now := time.Now()
 	if b.GetRouter() == f.self.Router {
@@ -363,20 +456,38 @@
 			Results:     float64(l.GetResults()) / hundredths, Failures: float64(l.GetFailures()) / hundredths,
 		})
 	}
-	f.book.Report(b.GetRouter(), loads, f.known().Targets, now)
+	if b.GetHasLoads() {
+		f.book.Report(b.GetRouter(), loads, f.known().Targets, now)
+	}
 	f.parts.Learn(decodeHoldings(b.GetHomes()), now)
 	f.Meet(b.GetPeerAddress())
+	if !f.heard(b, now) {
+		return
+	}
+	if b.GetChange() != nil {
+		f.from.TakeTargets(decodeChange(b.GetChange()), false, b.GetRouter())
+	}
+	if f.ahead(b, f.known()) {
+		select {
+		case f.wakes <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// heard notes a beacon and reports whether its sender is the newest process at its address.
+func (f *Fleet) heard(b *peerv1.Beacon, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.peers[b.GetPeerAddress()]
 	if p == nil || (p.beacon != nil && b.GetIncarnation() < p.beacon.GetIncarnation()) {
-		return
+		return false
 	}
 	if !p.live {
 		f.log.Info().Str("peer", b.GetRouter()).Uint64("incarnation", b.GetIncarnation()).Msg("router heard")
 	}
 	p.beacon, p.heard, p.live = b, now, true
-	f.from.Poke(b.GetConfigurationVersion(), b.GetTargetsRevision())
+	return true
 }
 
 // notice marks the routers that have not been heard from for some beacons.
@@ -392,63 +503,124 @@
 	}
 }
 
-// catchUp fetches what another router knows when the store does not deliver it.
-func (f *Fleet) catchUp(ctx context.Context, now time.Time) {
-	known := f.known()
+// ahead reports whether another router has a newer configuration, or knows
+// targets that this one does not.
+func (f *Fleet) ahead(b *peerv1.Beacon, known Known) bool {
+	if b.GetConfigurationVersion() > known.ConfigurationVersion || b.GetTargetsRevision() > known.TargetsRevision {
+		return true
+	}
+	return b.GetTargetsRevision() == known.TargetsRevision && b.GetTargetsDigest() != known.TargetsDigest &&
+		storeAge(b) < min(leaderAge, known.StoreAge)
+}
+
+func storeAge(b *peerv1.Beacon) time.Duration {
+	return time.Duration(b.GetStoreAgeMs()) * time.Millisecond
+}
+
+// catchUp fetches what other routers know and this one does not. A router that
+// watches the store itself first gives the store some time.
+func (f *Fleet) catchUp(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.wakes:
+		}
+		wait := time.Duration(0)
+		switch {
+		case f.Leads():
+			wait = behindFor
+		case f.Live() > smallFleet:
+			wait = rand.N(fetchSpread)
+		}
+		if objects.Sleep(ctx, wait) != nil {
+			return
+		}
+		known := f.known()
+		router, address := f.source(known)
+		if address == "" {
+			continue
+		}
+		if !f.Fetch(ctx, router, address) {
+			f.from.Poke()
+		}
+		if objects.Sleep(ctx, fetchPause) != nil {
+			return
+		}
+	}
+}
+
+// source returns a router that is ahead of this one, one nearby if possible.
+func (f *Fleet) source(known Known) (router, address string) {
 	f.mu.Lock()
-	var source *peer
+	defer f.mu.Unlock()
+	var near, far []*peer
 	for _, p := range f.peers {
 		if !p.live || !f.ahead(p.beacon, known) {
 			continue
 		}
-		if source == nil || p.beacon.GetTargetsRevision() > source.beacon.GetTargetsRevision() {
-			source = p
+		if p.beacon.GetFailureDomain() == f.self.FailureDomain {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
 		}
 	}
-	if source == nil {
-		f.behind = time.Time{}
-		f.mu.Unlock()
-		return
+	if len(near) == 0 {
+		near = far
 	}
-	if f.behind.IsZero() {
-		f.behind = now
+	if len(near) == 0 {
+		return "", ""
 	}
-	due := now.Sub(f.behind) > behindFor
-	if due {
-		f.behind = now
+	b := near[rand.IntN(len(near))].beacon
+	return b.GetRouter(), b.GetPeerAddress()
+}
+
+// Fetch takes over what another router has read, and reports whether it could.
+func (f *Fleet) Fetch(ctx context.Context, router, address string) bool {
+	known := f.known()
+	request := &peerv1.GetSnapshotRequest{
+		ConfigurationVersion: known.ConfigurationVersion, TargetsRevision: known.TargetsRevision,
+	}
+	f.mu.Lock()
+	if p := f.peers[address]; p != nil && p.beacon.GetTargetsRevision() == known.TargetsRevision &&
+		p.beacon.GetTargetsDigest() != known.TargetsDigest {
+		request.TargetsRevision = 0
 	}
-	name, address := source.beacon.GetRouter(), source.beacon.GetPeerAddress()
 	f.mu.Unlock()
-	if due {
-		go f.Fetch(ctx, name, address)
+	reply, ok := f.snapshot(ctx, router, address, request)
+	if !ok {
+		return false
+	}
+	if len(reply.GetConfiguration()) > 0 {
+		f.from.TakeConfiguration(reply.GetConfiguration(), "router")
 	}
+	return f.from.TakeTargets(decodeChange(reply.GetTargets()), reply.GetAllTargets(), router)
 }
 
-// ahead reports whether another router has a newer configuration, or newer
-// targets while this one does not hear from the store.
-func (f *Fleet) ahead(b *peerv1.Beacon, known Known) bool {
-	if b.GetConfigurationVersion() > known.ConfigurationVersion {
-		return true
+// FetchCaches takes over what another router believes of the targets' caches.
+func (f *Fleet) FetchCaches(ctx context.Context, router, address string) bool {
+	known := f.known()
+	reply, ok := f.snapshot(ctx, router, address, &peerv1.GetSnapshotRequest{
+		ConfigurationVersion: known.ConfigurationVersion, TargetsRevision: known.TargetsRevision, Homes: true,
+	})
+	if ok {
+		f.parts.Learn(decodeHoldings(reply.GetHomes()), time.Now())
 	}
-	age := time.Duration(b.GetStoreAgeMs()) * time.Millisecond
-	return b.GetTargetsRevision() > known.TargetsRevision && known.StoreAge > time.Second && age < time.Second
+	return ok
 }
 
-// Fetch takes over what another router has read and what it knows of caches.
-func (f *Fleet) Fetch(ctx context.Context, router, address string) {
+func (f *Fleet) snapshot(
+	ctx context.Context, router, address string, request *peerv1.GetSnapshotRequest,
+) (*peerv1.Snapshot, bool) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	client := peerv1connect.NewFleetServiceClient(f.client, "http://"+address)
-	reply, err := client.GetSnapshot(ctx, connect.NewRequest(&peerv1.GetSnapshotRequest{}))
+	reply, err := client.GetSnapshot(ctx, connect.NewRequest(request))
 	if err != nil {
 		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="failed"}`).Inc()
 		f.log.Warn().Err(err).Str("peer", router).Msg("snapshot could not be fetched")
-		return
+		return nil, false
 	}
 	metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="taken"}`).Inc()
-	if len(reply.Msg.GetConfiguration()) > 0 {
-		f.from.TakeConfiguration(reply.Msg.GetConfiguration(), "router")
-	}
-	f.from.TakeTargets(reply.Msg.GetTargetsRevision(), reply.Msg.GetTargets(), router)
-	f.parts.Learn(decodeHoldings(reply.Msg.GetHomes()), time.Now())
+	return reply.Msg, true
 }
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -23,6 +23,10 @@
 	callTokens = 40
 	// distanceTokens is the cost of a target in another failure domain.
 	distanceTokens = 200
+	// firstChoices is the number of targets, by rendezvous hashing, among which a
+	// prompt without a home chooses: many routers that know loads late would
+	// otherwise all choose the same one.
+	firstChoices = 4
 	// boundShare keeps below the bound on a target's calls: other routers'
 	// calls are known only with a delay.
 	boundShare = 0.75
@@ -138,11 +142,12 @@
 	held := m.depths(shared, candidates, now)
 	sources := deepest(shared, candidates, held, r.Fetch)
 	key := shared[len(shared)-1].Hash
+	eligible := first(key, candidates, allowed, held)
 	best := Choice{Index: -1, Source: -1}
 	var bestCost float64
 	var bestRank uint64
 	for i, c := range candidates {
-		if !allowed[i] {
+		if !eligible[i] {
 			continue
 		}
 		choice := sources.read(r.Parts, held[i])
@@ -268,6 +273,27 @@
 	return held
 }
 
+// first marks the allowed candidates that hold a part of the prompt and those
+// that come first by rendezvous hashing.
+func first(key uint64, candidates []Candidate, allowed []bool, held []int) []bool {
+	eligible := make([]bool, len(candidates))
+	for range firstChoices {
+		best, bestRank := -1, uint64(0)
+		for i, c := range candidates {
+			if rank := mix(key ^ c.Target); allowed[i] && !eligible[i] && (best < 0 || rank > bestRank) {
+				best, bestRank = i, rank
+			}
+		}
+		if best >= 0 {
+			eligible[best] = true
+		}
+	}
+	for i := range candidates {
+		eligible[i] = eligible[i] || (allowed[i] && held[i] > 0)
+	}
+	return eligible
+}
+
 // deepest returns the candidate to fetch from.
 func deepest(shared []Part, candidates []Candidate, held []int, fetch bool) source {
 	s := source{index: -1}
--- a/internal/policy/standing/standing.go
+++ b/internal/policy/standing/standing.go
@@ -32,7 +32,7 @@
 	peerAsideShare = 0.4
 	// answersFor is how long a sign of a target outweighs what others cannot reach.
 	answersFor = 300 * time.Millisecond
-	// negligible results are not told to the others.
+	// negligible failures are not told to the others.
 	negligible = 0.1
 )
 
@@ -293,7 +293,7 @@
 			Target: t, Calls: e.calls, Unread: e.unread, Results: e.results, Failures: e.failures,
 			Unreachable: now.Before(e.asideUntil),
 		}
-		if l.Calls == 0 && l.Results < negligible && !l.Unreachable {
+		if l.Calls == 0 && l.Failures < negligible && !l.Unreachable {
 			continue
 		}
 		loads = append(loads, l)
