--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -376,7 +376,7 @@
 func encodeHoldings(holdings []affinity.Holding) []*peerv1.PromptHome {
 	out := make([]*peerv1.PromptHome, len(holdings))
 	for i, h := range holdings {
-		out[i] = &peerv1.PromptHome{Part: h.Part, Target: h.Target}
+		out[i] = &peerv1.PromptHome{Part: h.Part, Target: h.Target, UnreadTokens: uint32(h.Unread)}
 	}
 	return out
 }
@@ -384,7 +384,7 @@
 func decodeHoldings(homes []*peerv1.PromptHome) []affinity.Holding {
 	out := make([]affinity.Holding, len(homes))
 	for i, h := range homes {
-		out[i] = affinity.Holding{Part: h.GetPart(), Target: h.GetTarget()}
+		out[i] = affinity.Holding{Part: h.GetPart(), Target: h.GetTarget(), Unread: int(h.GetUnreadTokens())}
 	}
 	return out
 }
@@ -459,7 +459,13 @@
 	if b.GetHasLoads() {
 		f.book.Report(b.GetRouter(), loads, f.known().Targets, now)
 	}
-	f.parts.Learn(decodeHoldings(b.GetHomes()), now)
+	holdings := decodeHoldings(b.GetHomes())
+	f.parts.Learn(holdings, now)
+	for _, h := range holdings {
+		if h.Unread > 0 {
+			f.book.Expect(b.GetRouter(), h.Target, h.Unread)
+		}
+	}
 	f.Meet(b.GetPeerAddress())
 	if !f.heard(b, now) {
 		return
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -27,6 +27,11 @@
 	// prompt without a home chooses: many routers that know loads late would
 	// otherwise all choose the same one.
 	firstChoices = 4
+	// readPerMillisecond is a cautious number of tokens that an engine reads in a
+	// millisecond; others may fetch a part only after it has been read.
+	readPerMillisecond = 30
+	// learnedWait is when a part is taken to be read that another router told of.
+	learnedWait = 200 * time.Millisecond
 	// boundShare keeps below the bound on a target's calls: other routers'
 	// calls are known only with a delay.
 	boundShare = 0.75
@@ -106,6 +111,8 @@
 	Holding struct {
 		Part   uint64
 		Target uint64
+		// Unread is the number of tokens that the target has to read first.
+		Unread int
 	}
 
 	// Map is a router's belief of which targets hold which parts.
@@ -119,6 +126,8 @@
 		target    uint64
 		used      time.Time
 		announced time.Time
+		// ready is when the target is expected to have read the part.
+		ready time.Time
 	}
 )
 
@@ -139,8 +148,8 @@
 	if len(shared) == 0 {
 		shared = r.Parts
 	}
-	held := m.depths(shared, candidates, now)
-	sources := deepest(shared, candidates, held, r.Fetch)
+	held, read := m.depths(shared, candidates, now)
+	sources := deepest(shared, candidates, held, read, r.Fetch)
 	key := shared[len(shared)-1].Hash
 	eligible := first(key, candidates, allowed, held)
 	best := Choice{Index: -1, Source: -1}
@@ -174,8 +183,14 @@
 	default:
 		best.Reason = ReasonNew
 	}
-	for _, p := range shared {
-		m.use(p.Hash, candidates[best.Index].Target, now, true)
+	chosen := candidates[best.Index]
+	ready := now.Add(time.Duration((chosen.Unread+best.Unread)/readPerMillisecond) * time.Millisecond)
+	for i, p := range shared {
+		h := Holding{Part: p.Hash, Target: chosen.Target}
+		if i == len(shared)-1 {
+			h.Unread = best.Unread // Told once for the whole prompt.
+		}
+		m.use(h, now, ready, true)
 	}
 	return best
 }
@@ -185,7 +200,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range holdings {
-		m.use(h.Part, h.Target, now, false)
+		m.use(h, now, now.Add(learnedWait), false)
 	}
 }
 
@@ -194,7 +209,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range holdings {
-		m.use(h.Part, h.Target, now, true)
+		m.use(h, now, now, true)
 	}
 }
 
@@ -254,23 +269,28 @@
 	anywhere int
 }
 
-// depths returns how many leading parts each candidate holds. A part is of use
-// only when all parts before it are cached too.
-func (m *Map) depths(shared []Part, candidates []Candidate, now time.Time) []int {
-	held := make([]int, len(candidates))
+// depths returns how many leading parts each candidate holds or is about to
+// read, and how many it has read. A part is of use only when all parts before
+// it are cached too.
+func (m *Map) depths(shared []Part, candidates []Candidate, now time.Time) (held, ready []int) {
+	held, ready = make([]int, len(candidates)), make([]int, len(candidates))
 	for depth, p := range shared {
 		for _, h := range m.parts[p.Hash] {
 			if now.Sub(h.used) >= holdingAge {
 				continue
 			}
 			for i, c := range candidates {
-				if c.Target == h.target && held[i] == depth {
-					held[i] = depth + 1
+				if c.Target != h.target || held[i] != depth {
+					continue
+				}
+				held[i] = depth + 1
+				if ready[i] == depth && !now.Before(h.ready) {
+					ready[i] = depth + 1
 				}
 			}
 		}
 	}
-	return held
+	return held, ready
 }
 
 // first marks the allowed candidates that hold a part of the prompt and those
@@ -295,12 +315,12 @@
 }
 
 // deepest returns the candidate to fetch from.
-func deepest(shared []Part, candidates []Candidate, held []int, fetch bool) source {
+func deepest(shared []Part, candidates []Candidate, held, ready []int, fetch bool) source {
 	s := source{index: -1}
 	for i, c := range candidates {
 		s.anywhere = max(s.anywhere, held[i])
-		if fetch && !c.Aside && held[i] > s.depth {
-			s.index, s.depth = i, held[i]
+		if fetch && !c.Aside && ready[i] > s.depth {
+			s.index, s.depth = i, ready[i]
 		}
 	}
 	if tokens(shared[:s.depth]) < fetchLeast {
@@ -336,25 +356,27 @@
 	return n
 }
 
-func (m *Map) use(part, target uint64, now time.Time, own bool) {
-	holders := m.parts[part]
+// use notes that a target holds a part, or will have read it when it is ready.
+func (m *Map) use(h Holding, now, ready time.Time, own bool) {
+	holders := m.parts[h.Part]
 	for i := range holders {
-		if holders[i].target != target {
+		known := &holders[i]
+		if known.target != h.Target {
 			continue
 		}
-		holders[i].used = now
-		if own && now.Sub(holders[i].announced) >= announceEvery {
-			holders[i].announced = now
-			m.news = append(m.news, Holding{Part: part, Target: target})
+		known.used = now
+		if own && now.Sub(known.announced) < announceEvery {
+			return
 		}
-		if !own {
-			holders[i].announced = now
+		known.announced = now
+		if own {
+			m.news = append(m.news, h)
 		}
 		return
 	}
-	m.parts[part] = append(holders, holder{target: target, used: now, announced: now})
+	m.parts[h.Part] = append(holders, holder{target: h.Target, used: now, announced: now, ready: ready})
 	if own {
-		m.news = append(m.news, Holding{Part: part, Target: target})
+		m.news = append(m.news, h)
 	}
 }
 
--- a/internal/policy/standing/standing.go
+++ b/internal/policy/standing/standing.go
@@ -104,6 +104,8 @@
 	peerReport struct {
 		at    time.Time
 		loads map[uint64]Load
+		// expected holds prompt tokens that have been announced since the report.
+		expected map[uint64]int
 		// cut is set when the router sets too many targets aside.
 		cut bool
 	}
@@ -227,6 +229,7 @@
 		}
 		fresh := math.Exp2(-float64(age) / float64(failureHalfLife))
 		for i, t := range targets {
+			out[i].Unread += p.expected[t]
 			l, ok := p.loads[t]
 			if !ok {
 				continue
@@ -317,6 +320,22 @@
 	b.peers[router] = p
 }
 
+// Expect adds prompt tokens that another router has just sent to a target; its
+// next report counts them itself.
+func (b *Book) Expect(router string, target uint64, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok := b.peers[router]
+	if !ok {
+		return
+	}
+	if p.expected == nil {
+		p.expected = make(map[uint64]int)
+		b.peers[router] = p
+	}
+	p.expected[target] += tokens
+}
+
 // Keep forgets the targets that are not listed and have no calls.
 func (b *Book) Keep(listed map[uint64]bool) {
 	b.mu.Lock()
