Choose each attempt's target from the newest view; hold the later list; no grace for a router's own outage

Ruled out: lost beacons (all had dropped the target 20 ms after its deletion). Also: a call's second attempt chose from the view of its start.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -31,9 +31,15 @@
 	turnPoll = 150 * time.Millisecond
 	// outage is the time without the store after which entries may have lapsed.
 	outage = 1500 * time.Millisecond
+	// ownAfter is how long calls must have failed before others' success shows
+	// that the store itself is not away.
+	ownAfter = time.Second
 	// lapseGrace is how long after the store's return entries that lapsed
 	// meanwhile have to come back: the platform states about two seconds.
 	lapseGrace = 2 * time.Second
+	// lapseMost bounds that time for each entry: one that is truly gone must get
+	// no calls two seconds later.
+	lapseMost = 1500 * time.Millisecond
 	// keptChanges is how many changes of targets are kept for other routers.
 	keptChanges = 256
 	// sweepEvery is how often entries that did not come back are dropped.
@@ -49,6 +55,8 @@
 		// viewed is called after each change of the view, with the change of
 		// targets that the store has told, if any.
 		viewed func(*Change)
+		// served reports whether the store serves other routers now.
+		served func() bool
 
 		mu            sync.Mutex
 		configuration []byte
@@ -57,6 +65,8 @@
 		// recent holds all changes after recentFrom, oldest first.
 		recent     []Change
 		recentFrom uint64
+		// listed is the revision of the last list of all targets.
+		listed uint64
 		// lapsed holds until when entries that went missing may come back.
 		lapsed map[string]time.Time
 
@@ -70,8 +80,10 @@
 		heard atomic.Int64
 		// pokes ask for a call to the store ahead of time.
 		pokes chan struct{}
-		// failing is since when calls have failed, or zero.
+		// failing is since when calls have failed, or zero; own is set when the
+		// store has served other routers meanwhile, so that nothing lapsed.
 		failing  time.Time
+		own      bool
 		regained time.Time
 		lost     bool
 	}
@@ -106,15 +118,16 @@
 	}
 )
 
-// New returns a follower that calls viewed after each change of its view.
-func New(store *platform.Store, log zerolog.Logger, viewed func(*Change)) *Follower {
+// New returns a follower that calls viewed after each change of its view, and
+// asks served whether the store serves other routers while it fails this one.
+func New(store *platform.Store, log zerolog.Logger, viewed func(*Change), served func() bool) *Follower {
 	f := &Follower{
-		store: store, log: log, viewed: viewed,
+		store: store, log: log, viewed: viewed, served: served,
 		entries: make(map[string]entry), lapsed: make(map[string]time.Time),
 	}
 	f.configurations.kind, f.configurations.pokes = platform.KindConfigurations, make(chan struct{}, 1)
 	f.targets.kind, f.targets.pokes = platform.KindTargets, make(chan struct{}, 1)
-	f.view.Store(&state.View{Targets: state.NewTargets(0, 0, nil)})
+	f.view.Store(&state.View{Targets: state.NewTargets(nil)})
 	return f
 }
 
@@ -209,11 +222,13 @@
 
 func (f *Follower) failed(s *source, err error) {
 	now := time.Now()
+	served := f.served()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.failing.IsZero() {
-		s.failing = now
+		s.failing, s.own = now, false
 	}
+	s.own = s.own || (served && now.Sub(s.failing) > ownAfter)
 	if !s.lost && now.Sub(s.failing) > outage {
 		s.lost = true
 		f.log.Warn().Str("kind", s.kind).Dur("failing-ms", now.Sub(s.failing)).Err(err).Msg("store lost")
@@ -226,8 +241,11 @@
 	defer f.mu.Unlock()
 	s.heard.Store(now.UnixNano())
 	if !s.failing.IsZero() && now.Sub(s.failing) > outage {
-		s.regained = now
-		f.log.Info().Str("kind", s.kind).Dur("failing-ms", now.Sub(s.failing)).Msg("store reached again")
+		if !s.own {
+			s.regained = now
+		}
+		f.log.Info().Str("kind", s.kind).Dur("failing-ms", now.Sub(s.failing)).
+			Bool("served-others", s.own).Msg("store reached again")
 	}
 	s.failing, s.lost = time.Time{}, false
 }
@@ -353,7 +371,7 @@
 	}
 	f.revision = max(f.revision, page.Revision)
 	if full {
-		f.recent, f.recentFrom = nil, f.revision
+		f.recent, f.recentFrom, f.listed = nil, f.revision, f.revision
 	}
 	if dirty || f.View().Targets.Revision != f.revision {
 		f.publishTargets()
@@ -365,8 +383,10 @@
 	if _, ok := f.entries[name]; !ok {
 		return false
 	}
-	if time.Now().Before(grace) {
-		f.lapsed[name] = grace
+	if now := time.Now(); now.Before(grace) {
+		if _, ok := f.lapsed[name]; !ok {
+			f.lapsed[name] = minTime(grace, now.Add(lapseMost))
+		}
 		return false
 	}
 	delete(f.lapsed, name)
@@ -375,6 +395,13 @@
 	return true
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // sweep drops the entries that did not come back after an outage.
 func (f *Follower) sweep(ctx context.Context) {
 	for objects.Sleep(ctx, sweepEvery) == nil {
@@ -403,9 +430,9 @@
 			targets = append(targets, &t)
 		}
 	}
-	f.view.Store(&state.View{
-		Configuration: f.View().Configuration, Targets: state.NewTargets(f.revision, digest, targets),
-	})
+	published := state.NewTargets(targets)
+	published.Revision, published.Digest, published.Listed = f.revision, digest, f.listed
+	f.view.Store(&state.View{Configuration: f.View().Configuration, Targets: published})
 }
 
 // Snapshot returns what a router may take from this one that knows a
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -47,7 +47,7 @@
 		return
 	}
 	c.tried[target.Hash] = true
-	c.targets = append(c.targets, target.ID)
+	c.sentTo = append(c.sentTo, target.ID)
 	c.progress.Sends++
 	ticket := c.h.Book.Begin(target.Hash, c.choice.Unread, time.Now())
 	defer ticket.End()
@@ -91,7 +91,9 @@
 // choose picks the target of the next attempt, or nil.
 func (c *call) choose() *state.Target {
 	now := time.Now()
-	targets := c.view.Targets.ByService[c.service]
+	// An earlier attempt may have taken long: its targets may have left since.
+	c.targets = c.h.View().Targets
+	targets := c.targets.ByService[c.service]
 	hashes := make([]uint64, len(targets))
 	for i, t := range targets {
 		hashes[i] = t.Hash
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -80,7 +80,9 @@
 		// failure is the target's own answer that is passed on when nothing better comes.
 		failure *wholeAnswer
 		reason  string
-		targets []string
+		// targets are those that the last attempt chose from.
+		targets *state.Targets
+		sentTo  []string
 		choice  affinity.Choice
 		// source is the target whose cache the next attempt's target fetches from, or nil.
 		source *state.Target
@@ -104,7 +106,7 @@
 func (h *Handler) ServeCall(ctx context.Context, a *ingress.Answer, r *http1.Request, body []byte) {
 	c := &call{
 		h: h, request: r, body: body, answer: a, info: platform.DecodeCall(r.Fields),
-		view: h.View(), start: time.Now(), tried: make(map[uint64]bool),
+		view: h.View(), targets: h.View().Targets, start: time.Now(), tried: make(map[uint64]bool),
 	}
 	c.serve(ctx)
 	c.record()
@@ -261,7 +263,7 @@
 		Update(took.Seconds())
 	c.h.Log.Info().Str("call", c.info.ID).Str("route", route).Str("service", c.service).
 		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
-		Uint64("targets-revision", c.view.Targets.Revision).Strs("targets", c.targets).
+		Uint64("targets-revision", c.targets.Revision).Strs("targets", c.sentTo).
 		Str("placement", string(c.choice.Reason)).Int("unread", c.choice.Unread).Int("reread", c.choice.Reread).
 		Int("fetched", c.choice.Fetched).
 		Int("sends", c.progress.Sends).Int("runs", c.progress.Runs).
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -108,7 +108,9 @@
 	Targets struct {
 		Revision uint64
 		// Digest differs between sets of targets.
-		Digest    uint64
+		Digest uint64
+		// Listed is the revision of the last list of all targets that they come from.
+		Listed    uint64
 		ByService map[string][]*Target
 	}
 
@@ -165,9 +167,9 @@
 	return !r.Repeatable && !r.Resumable
 }
 
-// NewTargets groups the targets by service, in an order that all routers share.
-func NewTargets(revision, digest uint64, targets []*Target) *Targets {
-	t := &Targets{Revision: revision, Digest: digest, ByService: make(map[string][]*Target)}
+// NewTargets groups targets by service, in an order that all routers share.
+func NewTargets(targets []*Target) *Targets {
+	t := &Targets{ByService: make(map[string][]*Target)}
 	for _, target := range targets {
 		// A restart under the same name holds nothing of what was before.
 		target.Hash = xxhash.Sum64String(target.ID + "/" + strconv.FormatInt(target.Born, 10))
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -86,7 +86,8 @@
 	store, closeStore := platform.NewStore(s.StoreAddress)
 	r.store = store
 	r.closers = append(r.closers, closeStore)
-	r.follower = follow.New(store, log, func(c *follow.Change) { r.fleet.Nudge(c) })
+	r.follower = follow.New(store, log, func(c *follow.Change) { r.fleet.Nudge(c) },
+		func() bool { return r.fleet.StoreServes() })
 	pool, closePool := exchange.New()
 	r.closers = append(r.closers, closePool)
 	factor := s.Bounds.LoadFactor
@@ -227,7 +228,7 @@
 	v := r.follower.View()
 	k := gossip.Known{
 		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision,
-		TargetsDigest: v.Targets.Digest, StoreAge: r.follower.StoreAge(),
+		TargetsDigest: v.Targets.Digest, TargetsListed: v.Targets.Listed, StoreAge: r.follower.StoreAge(),
 	}
 	if v.Configuration != nil {
 		k.ConfigurationVersion = v.Configuration.Version
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -89,6 +89,7 @@
 		ConfigurationVersion int64
 		TargetsRevision      uint64
 		TargetsDigest        uint64
+		TargetsListed        uint64
 		StoreAge             time.Duration
 		Targets              int
 	}
@@ -245,6 +246,18 @@
 	return before < leaders
 }
 
+// StoreServes reports whether the store has just served another router.
+func (f *Fleet) StoreServes() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		if p.live && storeAge(p.beacon)+time.Since(p.heard) < leaderAge {
+			return true
+		}
+	}
+	return false
+}
+
 // Live returns the number of routers heard from, this one included.
 func (f *Fleet) Live() int {
 	f.mu.Lock()
@@ -299,7 +312,8 @@
 	known := f.known()
 	b := &peerv1.Beacon{
 		Incarnation: f.self.Incarnation, Serving: known.Serving, ConfigurationVersion: known.ConfigurationVersion,
-		TargetsRevision: known.TargetsRevision, TargetsDigest: known.TargetsDigest, Change: encodeChange(change),
+		TargetsRevision: known.TargetsRevision, TargetsDigest: known.TargetsDigest,
+		TargetsListed: known.TargetsListed, Change: encodeChange(change),
 		StoreAgeMs: uint32(min(known.StoreAge, time.Hour).Milliseconds()), Homes: encodeHoldings(news),
 	}
 	if b.Change == nil && len(news) == 0 {
@@ -515,8 +529,14 @@
 	if b.GetConfigurationVersion() > known.ConfigurationVersion || b.GetTargetsRevision() > known.TargetsRevision {
 		return true
 	}
+	return differs(b, known)
+}
+
+// differs reports whether another router has read other targets at the same
+// revision from a later list.
+func differs(b *peerv1.Beacon, known Known) bool {
 	return b.GetTargetsRevision() == known.TargetsRevision && b.GetTargetsDigest() != known.TargetsDigest &&
-		storeAge(b) < min(leaderAge, known.StoreAge)
+		b.GetTargetsListed() > known.TargetsListed
 }
 
 func storeAge(b *peerv1.Beacon) time.Duration {
@@ -588,8 +608,7 @@
 		ConfigurationVersion: known.ConfigurationVersion, TargetsRevision: known.TargetsRevision,
 	}
 	f.mu.Lock()
-	if p := f.peers[address]; p != nil && p.beacon.GetTargetsRevision() == known.TargetsRevision &&
-		p.beacon.GetTargetsDigest() != known.TargetsDigest {
+	if p := f.peers[address]; p != nil && differs(p.beacon, known) {
 		request.TargetsRevision = 0
 	}
 	f.mu.Unlock()
