--- a/internal/node/edge/command.go
+++ b/internal/node/edge/command.go
@@ -23,11 +23,15 @@
 	exitFailed = 1
 )
 
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 // Commands returns the commands that concern a router on the users' platform.
 func Commands() []command.Command {
 	return []command.Command{
 		{Name: "edge", Summary: "run a router on the users' platform", Run: runEdge},
 		{Name: "check-settings", Summary: "check the settings file of the users' platform", Run: runCheck},
+		{Name: "view", Summary: "show what a router on the users' platform believes", Run: runView},
+		{Name: "story", Summary: "show one call's lines out of the logs of several routers", Run: runStory},
 	}
 }
 
@@ -68,7 +72,6 @@
 		metrics.GetOrCreateCounter(`hickoryrock_log_lines_dropped_total`).Add(missed)
 	})
 	defer func() { _ = writer.Close() }()
-	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(writer).With().Timestamp().Str("router", s.Router).Logger()
 	r, stop, err := New(path, s, log)
 	if err != nil {
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
@@ -44,6 +45,8 @@
 	routersEvery = 10 * time.Second
 	// reloadEvery is how often the settings file is looked at; it may change without a signal.
 	reloadEvery = time.Second
+	// metricsPort is where metrics and the router's view are served; deploy/system.toml names it.
+	metricsPort = 9464
 	// tidyEvery is how often what is no longer listed is forgotten.
 	tidyEvery = 2 * time.Second
 	// budgetShare of the fleet's retries is what the routers use together: each
@@ -137,6 +140,13 @@
 	if err := r.serveHTTP(peerAddress, fleet.Handler()); err != nil {
 		return err
 	}
+	admin := http.NewServeMux()
+	admin.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	admin.HandleFunc("GET /view", r.serveView)
+	if err := r.serveHTTP(net.JoinHostPort(s.IP, strconv.Itoa(metricsPort)), admin); err != nil {
+		// Callers are served without metrics.
+		r.log.Error().Err(err).Msg("metrics cannot be served")
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, r.serveReady)
 	mux.HandleFunc("GET "+platform.LookupPath, r.serveLookup)
--- /dev/null
+++ b/internal/policy/affinity/affinity_test.go
@@ -0,0 +1,336 @@
+package affinity_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"hickoryrock/internal/policy/affinity"
+	"hickoryrock/internal/testing/seed"
+)
+
+func TestMain(m *testing.M) { seed.Main(m, seed.Settings{}) }
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func candidates(n int) []affinity.Candidate {
+	out := make([]affinity.Candidate, n)
+	for i := range out {
+		out[i] = affinity.Candidate{Target: uint64(i+1) * 0x9e3779b97f4a7c15, Near: true}
+	}
+	return out
+}
+
+func prompt(group, chat uint64) affinity.Request {
+	return affinity.Request{Factor: 2, Fetch: true, Parts: []affinity.Part{
+		{Hash: group, Tokens: 2500}, {Hash: chat, Tokens: 6000}, {Hash: rand.Uint64(), Tokens: 500},
+	}}
+}
+
+func TestAReturningChatGoesWhereItsPromptIs(t *testing.T) {
+	c := qt.New(t)
+	m := affinity.NewMap()
+	all := candidates(18)
+	first := m.Choose(prompt(1, 2), all, start)
+	c.Assert(first.Reason, qt.Equals, affinity.ReasonNew)
+	c.Assert(first.Unread, qt.Equals, 9000)
+	again := m.Choose(prompt(1, 2), all, start.Add(time.Second))
+	c.Assert(again.Index, qt.Equals, first.Index)
+	c.Assert(again.Reason, qt.Equals, affinity.ReasonHeld)
+	c.Assert(again.Unread, qt.Equals, 500)
+}
+
+func TestRoutersThatKnowNothingAgree(t *testing.T) {
+	c := qt.New(t)
+	all := candidates(18)
+	for chat := range uint64(50) {
+		one := affinity.NewMap().Choose(prompt(1, chat), all, start)
+		other := affinity.NewMap().Choose(prompt(1, chat), all, start)
+		c.Assert(one.Index, qt.Equals, other.Index)
+	}
+}
+
+func TestLeavingTargets(t *testing.T) {
+	c := qt.New(t)
+	m := affinity.NewMap()
+	all := candidates(18)
+	home := m.Choose(prompt(1, 2), all, start).Index
+	all[home].Leaving = true
+	moved := m.Choose(prompt(1, 2), all, start.Add(time.Second))
+	c.Assert(moved.Index, qt.Not(qt.Equals), home)
+	c.Assert(moved.Source, qt.Equals, home)
+	c.Assert(moved.Fetched, qt.Equals, 8500)
+	c.Assert(moved.Unread, qt.Equals, 500)
+	c.Assert(moved.Reason, qt.Equals, affinity.ReasonMoved)
+}
+
+func TestATargetThatIsStillReadingIsNoSource(t *testing.T) {
+	c := qt.New(t)
+	m := affinity.NewMap()
+	all := candidates(18)
+	home := m.Choose(prompt(1, 2), all, start).Index
+	all[home].Leaving = true
+	moved := m.Choose(prompt(1, 2), all, start.Add(10*time.Millisecond))
+	c.Assert(moved.Source, qt.Equals, -1)
+	c.Assert(moved.Reread, qt.Equals, 8500)
+}
+
+func TestAsideAndTriedTargets(t *testing.T) {
+	t.Run("an aside target is avoided", func(t *testing.T) {
+		c := qt.New(t)
+		m := affinity.NewMap()
+		all := candidates(3)
+		home := m.Choose(prompt(1, 2), all, start).Index
+		all[home].Aside = true
+		c.Assert(m.Choose(prompt(1, 2), all, start).Index, qt.Not(qt.Equals), home)
+	})
+	t.Run("when all are aside one of them is tried", func(t *testing.T) {
+		all := candidates(3)
+		for i := range all {
+			all[i].Aside = true
+		}
+		qt.Assert(t, affinity.NewMap().Choose(prompt(1, 2), all, start).Index >= 0, qt.IsTrue)
+	})
+	t.Run("a target is not tried twice", func(t *testing.T) {
+		all := candidates(2)
+		all[0].Tried, all[1].Tried = true, true
+		qt.Assert(t, affinity.NewMap().Choose(prompt(1, 2), all, start).Index, qt.Equals, -1)
+	})
+}
+
+// Pattern: one prompt gets much of the traffic. Its home takes calls up to the
+// bound on a target's load; the rest goes to targets that fetch the prompt.
+func TestHotPromptStaysWithinTheBound(t *testing.T) {
+	c := qt.New(t)
+	m := affinity.NewMap()
+	all := candidates(18)
+	for i := range all {
+		all[i].Calls = 5
+	}
+	total := 5 * len(all)
+	reread := 0
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		choice := m.Choose(prompt(1, 2), all, now)
+		all[choice.Index].Calls++
+		reread += choice.Reread
+		total++
+		mean := float64(total) / float64(len(all))
+		c.Assert(float64(all[choice.Index].Calls) <= 2*mean+3, qt.IsTrue,
+			qt.Commentf("%d calls at a mean of %.1f", all[choice.Index].Calls, mean))
+	}
+	c.Assert(reread, qt.Equals, 0)
+}
+
+// fleet is a load model: routers that hear of each other's prompts and loads
+// after a delay, before engines that read prompts one after the other.
+type fleet struct {
+	maps    []*affinity.Map
+	engines int
+	// unread is the work of each engine in tokens; seen is what a router knows of it.
+	unread  []float64
+	reread  int
+	waits   []float64
+	pending []announcement
+	choose  func(router int, r affinity.Request, all []affinity.Candidate, now time.Time) affinity.Choice
+}
+
+type announcement struct {
+	from    int
+	at      time.Time
+	tokens  int
+	engine  int
+	holding []affinity.Holding
+}
+
+const (
+	tellAfter    = 15 * time.Millisecond
+	tokensPerMS  = 42.8
+	callsEachMS  = 0.2
+	coldStartFor = 2 * time.Second
+)
+
+func newFleet(routers, engines int) *fleet {
+	f := &fleet{engines: engines, unread: make([]float64, engines)}
+	for range routers {
+		f.maps = append(f.maps, affinity.NewMap())
+	}
+	f.choose = func(router int, r affinity.Request, all []affinity.Candidate, now time.Time) affinity.Choice {
+		return f.maps[router].Choose(r, all, now)
+	}
+	return f
+}
+
+// run plays calls on prompts that no engine has read yet.
+func (f *fleet) run(random *rand.Rand, chats int) {
+	known := make([][]float64, len(f.maps))
+	for i := range known {
+		known[i] = make([]float64, f.engines)
+	}
+	for ms := range int(coldStartFor / time.Millisecond) {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for e := range f.unread {
+			f.unread[e] = max(0, f.unread[e]-tokensPerMS)
+			for r := range known {
+				known[r][e] = max(0, known[r][e]-tokensPerMS)
+			}
+		}
+		for len(f.pending) > 0 && now.Sub(f.pending[0].at) >= tellAfter {
+			a := f.pending[0]
+			f.pending = f.pending[1:]
+			for r, m := range f.maps {
+				if r != a.from {
+					m.Learn(a.holding, now)
+					known[r][a.engine] += float64(a.tokens)
+				}
+			}
+		}
+		if random.Float64() < callsEachMS {
+			f.call(random, chats, known, now)
+		}
+	}
+}
+
+func (f *fleet) call(random *rand.Rand, chats int, known [][]float64, now time.Time) {
+	router := random.IntN(len(f.maps))
+	chat := uint64(random.IntN(chats))
+	all := candidates(f.engines)
+	for e := range all {
+		all[e].Unread = int(known[router][e])
+	}
+	choice := f.choose(router, prompt(1000+chat%4, chat), all, now)
+	f.unread[choice.Index] += float64(choice.Unread)
+	known[router][choice.Index] += float64(choice.Unread)
+	f.waits = append(f.waits, f.unread[choice.Index]/tokensPerMS)
+	f.reread += choice.Reread
+	f.pending = append(f.pending, announcement{
+		from: router, at: now, tokens: choice.Unread, engine: choice.Index, holding: f.maps[router].News(30),
+	})
+}
+
+// late returns the share of calls whose first event comes after 600 ms.
+func (f *fleet) late() float64 {
+	n := 0
+	for _, w := range f.waits {
+		if w > 600 {
+			n++
+		}
+	}
+	return float64(n) / float64(len(f.waits))
+}
+
+// Pattern: the first seconds after a start, when every prompt is read for the
+// first time by engines that six routers share.
+func TestFirstReadsSpreadOverTheEngines(t *testing.T) {
+	c := qt.New(t)
+	var placed, hashed float64
+	for s := range uint64(10) {
+		f := newFleet(6, 18)
+		f.run(rand.New(rand.NewPCG(s, 1)), 106)
+		placed += f.late() / 10
+
+		baseline := newFleet(6, 18)
+		baseline.choose = func(router int, r affinity.Request, all []affinity.Candidate, now time.Time) affinity.Choice {
+			// Rendezvous hashing on the last shared part, whatever the load.
+			for i := range all {
+				all[i].Unread = 0
+			}
+			only := affinity.Request{Parts: r.Parts[1:]}
+			return baseline.maps[router].Choose(only, all, now)
+		}
+		baseline.run(rand.New(rand.NewPCG(s, 1)), 106)
+		hashed += baseline.late() / 10
+	}
+	t.Logf("late: placed %.3f, by hashing alone %.3f", placed, hashed)
+	c.Assert(placed < hashed, qt.IsTrue, qt.Commentf("late: placed %.3f, by hashing alone %.3f", placed, hashed))
+	c.Assert(placed < 0.1, qt.IsTrue, qt.Commentf("late: placed %.3f", placed))
+}
+
+// Pattern: many routers that see loads late. They must not all choose the same target.
+func TestManyRoutersDoNotChooseTheSameTarget(t *testing.T) {
+	c := qt.New(t)
+	all := candidates(90)
+	all[17].Near = true
+	for i := range all {
+		all[i].Unread = 5000
+	}
+	all[17].Unread = 0
+	got := make(map[int]int)
+	for chat := range uint64(87) {
+		got[affinity.NewMap().Choose(prompt(chat%4, chat), all, start).Index]++
+	}
+	c.Assert(got[17] < 15, qt.IsTrue, qt.Commentf("%d of 87 routers chose the idle target", got[17]))
+}
+
+func TestCallsWithoutPrompts(t *testing.T) {
+	t.Run("go to the target with the fewest calls", func(t *testing.T) {
+		all := candidates(4)
+		all[0].Calls, all[1].Calls, all[3].Calls = 4, 4, 4
+		qt.Assert(t, affinity.NewMap().Choose(affinity.Request{Factor: 2}, all, start).Index, qt.Equals, 2)
+	})
+	t.Run("stay near while it is not busier", func(t *testing.T) {
+		all := candidates(4)
+		for i := range all {
+			all[i].Near = i == 1
+		}
+		all[1].Calls = 1
+		qt.Assert(t, affinity.NewMap().Choose(affinity.Request{Factor: 2}, all, start).Index, qt.Equals, 1)
+	})
+}
+
+func TestNews(t *testing.T) {
+	c := qt.New(t)
+	one, other := affinity.NewMap(), affinity.NewMap()
+	all := candidates(18)
+	home := one.Choose(prompt(1, 2), all, start).Index
+	news := one.News(30)
+	c.Assert(len(news), qt.Equals, 2)
+	c.Assert(news[0].Unread+news[1].Unread, qt.Equals, 9000)
+	c.Assert(len(one.News(30)), qt.Equals, 0)
+	one.Choose(prompt(1, 2), all, start.Add(time.Second))
+	c.Assert(len(one.News(30)), qt.Equals, 0)
+	other.Learn(news, start)
+	choice := other.Choose(prompt(1, 2), all, start.Add(time.Second))
+	c.Assert(choice.Index, qt.Equals, home)
+	c.Assert(choice.Reason, qt.Equals, affinity.ReasonHeld)
+	other.Expire(map[uint64]bool{}, start)
+	c.Assert(len(other.Holdings(start)), qt.Equals, 0)
+}
+
+// Whatever is known, a target that was tried or is leaving is never chosen, and
+// what is read and fetched adds up to the prompt without what is held.
+func TestChoicesAreSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := affinity.NewMap()
+		now := start
+		for range rapid.IntRange(1, 30).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			all := candidates(rapid.IntRange(1, 6).Draw(t, "targets"))
+			for i := range all {
+				all[i].Calls = rapid.IntRange(0, 20).Draw(t, "load")
+				all[i].Unread = rapid.IntRange(0, 20000).Draw(t, "unread")
+				all[i].Aside = rapid.Bool().Draw(t, "aside")
+				all[i].Tried = rapid.Bool().Draw(t, "tried")
+				all[i].Leaving = rapid.Bool().Draw(t, "leaving")
+			}
+			r := prompt(rapid.Uint64Range(1, 3).Draw(t, "group"), rapid.Uint64Range(10, 15).Draw(t, "chat"))
+			choice := m.Choose(r, all, now)
+			if choice.Index < 0 {
+				continue
+			}
+			chosen := all[choice.Index]
+			if chosen.Tried || chosen.Leaving {
+				t.Fatalf("chose %+v", chosen)
+			}
+			if choice.Source == choice.Index || (choice.Source < 0) != (choice.Fetched == 0) {
+				t.Fatalf("fetches %d tokens from %d for %d", choice.Fetched, choice.Source, choice.Index)
+			}
+			if choice.Unread < 500 || choice.Unread+choice.Fetched > 9000 || choice.Reread > choice.Unread {
+				t.Fatalf("%+v", choice)
+			}
+		}
+	})
+}
--- a/internal/policy/standing/standing.go
+++ b/internal/policy/standing/standing.go
@@ -63,10 +63,10 @@
 	// Summary is what is known of a target for one decision.
 	Summary struct {
 		// Calls and Unread are over all routers.
-		Calls  int
-		Unread int
+		Calls  int `json:"calls"`
+		Unread int `json:"unread-tokens"`
 		// Aside targets should get no new calls.
-		Aside bool
+		Aside bool `json:"aside"`
 	}
 
 	// Change says that a target's failures set it aside, or no longer do.
--- a/internal/target/exchange/exchange.go
+++ b/internal/target/exchange/exchange.go
@@ -108,7 +108,12 @@
 )
 
 // Error implements error.
-func (f *Failure) Error() string { return f.Reason + ": " + f.Err.Error() }
+func (f *Failure) Error() string {
+	if f == nil {
+		return "none"
+	}
+	return f.Reason + ": " + f.Err.Error()
+}
 
 // New returns a pool and the function that closes its idle connections.
 func New(opts ...Option) (*Pool, func()) {
--- /dev/null
+++ b/internal/target/exchange/exchange_test.go
@@ -0,0 +1,252 @@
+package exchange_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/internal/target/exchange"
+	"hickoryrock/internal/wire/http1"
+)
+
+const bodyLimit = 1 << 20
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nCall: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func newCall(id, method string, body []byte) exchange.Call {
+	return exchange.Call{
+		Method: method, Target: "/p", Body: body,
+		Fields: []http1.Field{http1.NewField("Host", "h"), http1.NewField("Call", id)},
+		Owns: func(fields []http1.Field) exchange.Ownership {
+			for _, f := range fields {
+				if f.Lower == "call" && f.Value == id {
+					return exchange.Own
+				}
+				if f.Lower == "call" {
+					return exchange.Earlier
+				}
+			}
+			return exchange.Unnamed
+		},
+	}
+}
+
+type fixture struct {
+	*qt.C
+	pool   *exchange.Pool
+	server *rawserver.Server
+}
+
+func newFixture(t *testing.T, script rawserver.Script, opts ...exchange.Option) fixture {
+	c := qt.New(t)
+	server, stop, err := rawserver.New(script)
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(stop)
+	pool, closePool := exchange.New(opts...)
+	t.Cleanup(closePool)
+	return fixture{C: c, pool: pool, server: server}
+}
+
+func (f fixture) do(ctx context.Context, call exchange.Call) (string, *exchange.Failure) {
+	a, failure := f.pool.Do(ctx, exchange.Endpoint{Address: f.server.Address(), Key: "t"}, call)
+	if failure != nil {
+		return "", failure
+	}
+	body, err := exchange.ReadWhole(a, bodyLimit)
+	if err != nil {
+		f.pool.Drop(a)
+		return "", &exchange.Failure{Certainty: exchange.Unknown, Reason: "cut", Err: err}
+	}
+	f.pool.Done(a)
+	return string(body), nil
+}
+
+func (f fixture) assertBody(id, method, want string) {
+	f.Helper()
+	got, failure := f.do(context.Background(), newCall(id, method, nil))
+	f.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+	f.Assert(got, qt.Equals, want)
+}
+
+func (f fixture) assertFails(id, method string, want exchange.Certainty) {
+	f.Helper()
+	_, failure := f.do(context.Background(), newCall(id, method, nil))
+	f.Assert(failure, qt.IsNotNil)
+	f.Assert(failure.Certainty, qt.Equals, want, qt.Commentf("%v", failure))
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	f := newFixture(t, func(c net.Conn, r rawserver.Request) bool {
+		_, err := io.WriteString(c, answer(r.Field("call"), "x"))
+		return err == nil
+	})
+	f.assertBody("1", "GET", "x")
+	f.assertBody("2", "POST", "x")
+	f.Assert(f.server.Connections(), qt.Equals, 1)
+}
+
+func TestABrokenKeptConnectionIsNotReplayed(t *testing.T) {
+	f := newFixture(t, func(c net.Conn, r rawserver.Request) bool {
+		if r.OnConnection > 1 {
+			rawserver.Reset(c)
+			return false
+		}
+		_, err := io.WriteString(c, answer(r.Field("call"), "x"))
+		return err == nil
+	})
+	f.assertBody("1", "GET", "x")
+	f.assertFails("2", "GET", exchange.Unknown)
+	f.Assert(len(f.server.Requests()), qt.Equals, 2)
+}
+
+func TestAnAnswerToAnEarlierCallIsPassedOver(t *testing.T) {
+	f := newFixture(t, func(c net.Conn, r rawserver.Request) bool {
+		extra := ""
+		if r.Number == 2 {
+			extra = answer("1", "late answer to the first call")
+		}
+		_, err := io.WriteString(c, extra+answer(r.Field("call"), "own "+r.Field("call")))
+		return err == nil
+	})
+	f.assertBody("1", "GET", "own 1")
+	f.assertBody("2", "GET", "own 2")
+	f.assertBody("3", "GET", "own 3")
+}
+
+func TestBytesThatNobodyAskedForEndTheConnection(t *testing.T) {
+	f := newFixture(t, func(c net.Conn, r rawserver.Request) bool {
+		_, err := io.WriteString(c, answer(r.Field("call"), "x")+answer("other", "surplus"))
+		return err == nil
+	})
+	f.assertBody("1", "GET", "x")
+	time.Sleep(20 * time.Millisecond)
+	f.assertBody("2", "GET", "x")
+	f.Assert(f.server.Connections(), qt.Equals, 2)
+}
+
+func TestOnlyAnotherCallsAnswerLeavesTheFateUnknown(t *testing.T) {
+	f := newFixture(t, func(c net.Conn, _ rawserver.Request) bool {
+		_, _ = io.WriteString(c, answer("other", "x"))
+		return false
+	})
+	f.assertFails("1", "GET", exchange.Unknown)
+}
+
+func TestAKeptConnectionThatTheTargetClosedIsNotUsed(t *testing.T) {
+	f := newFixture(t, func(c net.Conn, r rawserver.Request) bool {
+		_, _ = io.WriteString(c, answer(r.Field("call"), "x"))
+		return false
+	})
+	f.assertBody("1", "POST", "x")
+	time.Sleep(20 * time.Millisecond)
+	f.assertBody("2", "POST", "x")
+}
+
+func TestARefusedConnectionProvesThatNothingWasSent(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := l.Addr().String()
+	c.Assert(l.Close(), qt.IsNil)
+	pool, stop := exchange.New()
+	defer stop()
+	_, failure := pool.Do(context.Background(), exchange.Endpoint{Address: address, Key: "t"}, newCall("1", "POST", nil))
+	c.Assert(failure.Certainty, qt.Equals, exchange.NotSent)
+	c.Assert(failure.Reason, qt.Equals, "connection-refused")
+}
+
+func TestAnswersThatAreCut(t *testing.T) {
+	for name, raw := range map[string]string{
+		"sized":              "HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 9\r\n\r\nabc",
+		"chunked":            "HTTP/1.1 200 OK\r\nCall: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"head":               "HTTP/1.1 200 OK\r\nCall: 1\r\n",
+		"nothing":            "",
+		"no protocol at all": "garbage\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, func(c net.Conn, _ rawserver.Request) bool {
+				_, _ = io.WriteString(c, raw)
+				return false
+			})
+			f.assertFails("1", "POST", exchange.Unknown)
+		})
+	}
+}
+
+func TestAnAnswerWithoutLengthThatIsResetIsNotWhole(t *testing.T) {
+	script := func(reset bool) rawserver.Script {
+		return func(c net.Conn, _ rawserver.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nCall: 1\r\n\r\nabc")
+			time.Sleep(20 * time.Millisecond)
+			if reset {
+				rawserver.Reset(c)
+			}
+			return false
+		}
+	}
+	newFixture(t, script(false)).assertBody("1", "POST", "abc")
+	newFixture(t, script(true)).assertFails("1", "POST", exchange.Unknown)
+}
+
+func TestAnEarlyAnswerGivesUpTheConnection(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			// Answers before it has read the body, and never reads it.
+			_, _ = io.WriteString(conn, answer("1", "early"))
+			accepted <- conn
+		}
+	}()
+	pool, stop := exchange.New()
+	defer stop()
+	body := []byte(strings.Repeat("a", 8<<20))
+	endpoint := exchange.Endpoint{Address: l.Addr().String(), Key: "t"}
+	a, failure := pool.Do(context.Background(), endpoint, newCall("1", "POST", body))
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+	got, err := exchange.ReadWhole(a, bodyLimit)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, "early")
+	pool.Done(a)
+	_, failure = pool.Do(context.Background(), endpoint, newCall("1", "POST", nil))
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+	c.Assert(len(accepted), qt.Equals, 2)
+}
+
+func TestTheEndOfTheCallReachesTheTarget(t *testing.T) {
+	closed := make(chan struct{})
+	f := newFixture(t, func(c net.Conn, _ rawserver.Request) bool {
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+		return false
+	})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		cancel(errors.New("the caller has left"))
+	}()
+	_, failure := f.do(ctx, newCall("1", "POST", nil))
+	f.Assert(failure.Certainty, qt.Equals, exchange.Unknown)
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		f.Fatal("the target is still at work half a second later")
+	}
+}
