Recall caches through one elder; heal deaf watches; test following, gossip, forwarding and a whole router

Found by tests: settings that change while a router starts were missed; a watch that was deaf while its revision moved was never healed.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -212,10 +213,15 @@
 		}
 		failures = 0
 		f.succeeded(s)
-		if apply(page, full) {
-			revision = max(revision, page.Revision)
-		} else {
+		switch {
+		case !apply(page, full):
 			_ = objects.Sleep(ctx, retryFirst) // An old read: ask again.
+		case !full && len(page.Objects) == 0 && page.Revision > revision:
+			// The store has changed and the watch has heard nothing: that was
+			// another kind, or the watch is deaf. Only a list tells.
+			revision = 0
+		default:
+			revision = max(revision, page.Revision)
 		}
 	}
 }
@@ -342,6 +348,16 @@
 	}
 }
 
+// Agree notes that another router knows the same targets as of a later revision.
+func (f *Follower) Agree(revision, digest uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision > f.revision && digest == f.View().Targets.Digest {
+		f.revision = revision
+		f.publishTargets()
+	}
+}
+
 // take changes the entries; those that went missing stay until the end of the
 // grace time. It reports whether anything but the revision has changed.
 func (f *Follower) take(page platform.Page, full bool, grace time.Time) bool {
@@ -359,8 +375,8 @@
 			target = nil
 		}
 		delete(f.lapsed, o.Name)
+		dirty = dirty || !bytes.Equal(f.entries[o.Name].raw, o.Raw)
 		f.entries[o.Name] = entry{raw: o.Raw, target: target}
-		dirty = true
 	}
 	if full {
 		for name := range f.entries {
@@ -370,7 +386,7 @@
 		}
 	}
 	f.revision = max(f.revision, page.Revision)
-	if full {
+	if full && dirty {
 		f.recent, f.recentFrom, f.listed = nil, f.revision, f.revision
 	}
 	if dirty || f.View().Targets.Revision != f.revision {
--- /dev/null
+++ b/internal/fleet/forward/forward_test.go
@@ -0,0 +1,458 @@
+package forward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"hickoryrock/internal/caller/ingress"
+	"hickoryrock/internal/fleet/forward"
+	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/policy/affinity"
+	"hickoryrock/internal/policy/retries"
+	"hickoryrock/internal/policy/standing"
+	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/internal/target/exchange"
+	"hickoryrock/internal/wire/http1"
+	"hickoryrock/platform"
+)
+
+// seal makes an answer the target's own.
+const seal = "X-Hickoryrock-Response-Seal: s\r\n"
+
+type fixture struct {
+	*qt.C
+	view    atomic.Pointer[state.View]
+	front   net.Listener
+	server  *ingress.Server
+	targets []*rawserver.Server
+}
+
+type reply struct {
+	*http1.Response
+	body string
+	err  error
+}
+
+func routes() []state.Route {
+	shares := []state.Share{{Service: "s", Weight: 1}}
+	return []state.Route{
+		{Name: "once", Host: "h", Prefix: "/once/", Timeout: 400 * time.Millisecond, MaxAttempts: 1, Shares: shares},
+		{
+			Name: "safe", Host: "h", Prefix: "/safe/", Timeout: time.Second, Objective: 100 * time.Millisecond,
+			MaxAttempts: 2, Repeatable: true, Shares: shares,
+		},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Timeout: time.Second, MaxAttempts: 1, Streaming: true, Shares: shares},
+		{
+			Name: "resume", Host: "h", Prefix: "/resume/", Timeout: 2 * time.Second, Objective: 300 * time.Millisecond,
+			MaxAttempts: 2, Streaming: true, Resumable: true, Shares: shares,
+		},
+		{Name: "open", Host: "h", Prefix: "/open/", Timeout: time.Second, MaxAttempts: 1, Public: true, Shares: shares},
+	}
+}
+
+// newFixture starts a router before targets that all follow a script.
+func newFixture(t *testing.T, targets int, script rawserver.Script) *fixture {
+	f := &fixture{C: qt.New(t)}
+	var list []*state.Target
+	for i := range targets {
+		server, stop, err := rawserver.New(script)
+		f.Assert(err, qt.IsNil)
+		t.Cleanup(stop)
+		f.targets = append(f.targets, server)
+		list = append(list, &state.Target{ID: fmt.Sprint("i-", i), Service: "s", Address: server.Address()})
+	}
+	configuration := &state.Configuration{
+		Version: 1, Routes: routes(), Limits: platform.DefaultLimits(),
+		Workspaces: map[string]state.Workspace{"key": {Name: "w"}},
+	}
+	configuration.Index()
+	f.view.Store(&state.View{Configuration: configuration, Targets: state.NewTargets(list)})
+	pool, closePool := exchange.New()
+	t.Cleanup(closePool)
+	handler := forward.New(forward.Parts{
+		View: f.view.Load, Pool: pool, Book: standing.NewBook(func(standing.Change) {}),
+		Map: affinity.NewMap(), Budgets: retries.NewBudgets(), LoadFactor: 2, Log: zerolog.Nop(),
+	})
+	f.server = ingress.New(handler, platform.DefaultLimits, zerolog.Nop())
+	var err error
+	f.front, err = net.Listen("tcp4", "127.0.0.1:0")
+	f.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = f.front.Close() })
+	go f.server.Serve(f.front)
+	return f
+}
+
+func (f *fixture) dial() (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp4", f.front.Addr().String())
+	f.Assert(err, qt.IsNil)
+	f.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func request(method, path, extra, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Hickoryrock-Attempt-Id: c1\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, path, extra, len(body), body)
+}
+
+const key = "Authorization: Bearer key\r\n"
+
+func (f *fixture) call(path string) reply {
+	return f.send(request("POST", path, key, "hello"))
+}
+
+func (f *fixture) send(raw string) reply {
+	c, r := f.dial()
+	_, err := io.WriteString(c, raw)
+	f.Assert(err, qt.IsNil)
+	return readReply(r)
+}
+
+func readReply(r *bufio.Reader) reply {
+	head, err := http1.ReadResponse(r, 16<<10, "POST")
+	if err != nil {
+		return reply{err: err}
+	}
+	body, err := io.ReadAll(http1.Body(r, head.Length))
+	return reply{Response: head, body: string(body), err: err}
+}
+
+func (f *fixture) arrivals() int {
+	n := 0
+	for _, t := range f.targets {
+		n += len(t.Requests())
+	}
+	return n
+}
+
+func (f *fixture) assertReply(got reply, status int, body string) {
+	f.Helper()
+	f.Assert(got.err, qt.IsNil)
+	f.Assert(got.Status, qt.Equals, status)
+	f.Assert(got.body, qt.Equals, body)
+}
+
+func answer(r rawserver.Request, status, extra, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nX-Hickoryrock-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, r.Field("x-hickoryrock-attempt-id"), extra, len(body), body)
+}
+
+func always(status, extra, body string) rawserver.Script {
+	return func(c net.Conn, r rawserver.Request) bool {
+		_, err := io.WriteString(c, answer(r, status, extra, body))
+		return err == nil
+	}
+}
+
+func reset(c net.Conn, _ rawserver.Request) bool {
+	rawserver.Reset(c)
+	return false
+}
+
+func TestAnswersArePassedOnUnchanged(t *testing.T) {
+	f := newFixture(t, 1, always("200 Fine", seal+"X-Own: 1\r\n", "whole"))
+	got := f.call("/once/a?q=1")
+	f.assertReply(got, 200, "whole")
+	f.Assert(got.Reason, qt.Equals, "Fine")
+	f.Assert(got.Field("x-own"), qt.Equals, "1")
+	f.Assert(got.Field("x-hickoryrock-response-seal"), qt.Equals, "s")
+	sent := f.targets[0].Requests()[0]
+	f.Assert(sent.Target, qt.Equals, "/once/a?q=1")
+	f.Assert(string(sent.Body), qt.Equals, "hello")
+	f.Assert(sent.Field("x-hickoryrock-tenant"), qt.Equals, "w")
+	f.Assert(sent.Field("authorization"), qt.Equals, "")
+	f.Assert(sent.Field("x-hickoryrock-expect-instance"), qt.Equals, "i-0")
+}
+
+func TestCallsThatTheConfigurationDoesNotAllow(t *testing.T) {
+	f := newFixture(t, 1, always("200 OK", seal, "x"))
+	f.assertReply(f.call("/nowhere/"), 404, "")
+	f.assertReply(f.send(request("POST", "/once/a", "", "")), 401, "")
+	f.assertReply(f.send(request("POST", "/once/a", "Authorization: Bearer other\r\n", "")), 401, "")
+	f.Assert(f.arrivals(), qt.Equals, 0)
+	f.assertReply(f.send(request("POST", "/open/a", "", "")), 200, "x")
+	f.view.Store(&state.View{Targets: state.NewTargets(nil)})
+	got := f.call("/once/a")
+	f.assertReply(got, 503, "")
+	f.Assert(got.Field("retry-after"), qt.Not(qt.Equals), "")
+}
+
+func TestACallThatRunsOnce(t *testing.T) {
+	t.Run("is not sent again after a reset", func(t *testing.T) {
+		f := newFixture(t, 3, reset)
+		f.assertReply(f.call("/once/a"), 502, "")
+		f.Assert(f.arrivals(), qt.Equals, 1)
+	})
+	t.Run("goes to another target after proof that it has not run", func(t *testing.T) {
+		f := newFixture(t, 3, func(c net.Conn, r rawserver.Request) bool {
+			_, _ = io.WriteString(c, answer(r, "503 Busy", "X-Hickoryrock-Not-Executed: 1\r\n", ""))
+			return true
+		})
+		got := f.call("/once/a")
+		f.assertReply(got, 503, "")
+		f.Assert(got.Field("retry-after"), qt.Not(qt.Equals), "")
+		f.Assert(f.arrivals(), qt.Equals, 3)
+	})
+	t.Run("is not refused as not run by a target's plain 503", func(t *testing.T) {
+		f := newFixture(t, 3, always("503 Busy", seal, "busy"))
+		got := f.call("/once/a")
+		f.assertReply(got, 503, "busy")
+		f.Assert(got.Field("x-hickoryrock-response-seal"), qt.Equals, "s")
+		f.Assert(f.arrivals(), qt.Equals, 1)
+	})
+	t.Run("passes a target's failure on", func(t *testing.T) {
+		f := newFixture(t, 3, always("500 Oops", seal, "oops"))
+		f.assertReply(f.call("/once/a"), 500, "oops")
+		f.Assert(f.arrivals(), qt.Equals, 1)
+	})
+	t.Run("is answered when its time is over", func(t *testing.T) {
+		f := newFixture(t, 1, func(c net.Conn, _ rawserver.Request) bool {
+			_, _ = c.Read(make([]byte, 1))
+			return false
+		})
+		start := time.Now()
+		f.assertReply(f.call("/once/a"), 504, "")
+		f.Assert(time.Since(start) < 650*time.Millisecond, qt.IsTrue)
+	})
+	t.Run("is refused at once without targets", func(t *testing.T) {
+		f := newFixture(t, 0, reset)
+		start := time.Now()
+		f.assertReply(f.call("/once/a"), 503, "")
+		f.Assert(time.Since(start) < 100*time.Millisecond, qt.IsTrue)
+	})
+}
+
+func TestSuccessesThatCannotBeTrusted(t *testing.T) {
+	for name, script := range map[string]rawserver.Script{
+		"without a seal": always("200 OK", "", "x"),
+		"cut": func(c net.Conn, r rawserver.Request) bool {
+			raw := answer(r, "200 OK", seal, "whole")
+			_, _ = io.WriteString(c, raw[:len(raw)-2])
+			return false
+		},
+		"of another call": func(c net.Conn, _ rawserver.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: c0\r\n"+seal+"Content-Length: 1\r\n\r\nx")
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, script)
+			f.assertReply(f.call("/once/a"), 502, "")
+			f.Assert(f.arrivals(), qt.Equals, 1)
+		})
+	}
+}
+
+func TestARepeatableCall(t *testing.T) {
+	fails := func(first rawserver.Script) rawserver.Script {
+		return func(c net.Conn, r rawserver.Request) bool {
+			if r.Field("x-hickoryrock-expect-instance") == "i-0" {
+				return first(c, r)
+			}
+			return always("200 OK", seal, "second")(c, r)
+		}
+	}
+	for name, script := range map[string]rawserver.Script{
+		"reset":  reset,
+		"failed": always("500 Oops", seal, "oops"),
+		"silent": func(c net.Conn, _ rawserver.Request) bool {
+			_, _ = c.Read(make([]byte, 1))
+			return false
+		},
+	} {
+		t.Run("goes to another target: "+name, func(t *testing.T) {
+			f := newFixture(t, 2, fails(script))
+			for range 6 {
+				f.assertReply(f.call("/safe/a"), 200, "second")
+			}
+		})
+	}
+	t.Run("is run by no more targets than the route allows", func(t *testing.T) {
+		f := newFixture(t, 5, reset)
+		f.assertReply(f.call("/safe/a"), 502, "")
+		f.Assert(f.arrivals(), qt.Equals, 2)
+	})
+}
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func streamHead(r rawserver.Request) string {
+	return "HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: " + r.Field("x-hickoryrock-attempt-id") + "\r\n" + seal +
+		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+// events streams events from the one after Last-Event-Id on, and stops in the
+// middle of an event when it comes to cut.
+func events(last, cut int) rawserver.Script {
+	return func(c net.Conn, r rawserver.Request) bool {
+		from := 0
+		_, _ = fmt.Sscan(r.Field("last-event-id"), &from)
+		_, _ = io.WriteString(c, streamHead(r))
+		for i := from + 1; i <= last; i++ {
+			if i == cut && from == 0 {
+				_, _ = io.WriteString(c, chunk(fmt.Sprintf("id: %d\nda", i)))
+				return false
+			}
+			_, _ = io.WriteString(c, chunk(fmt.Sprintf("id: %d\ndata: x\n\n", i)))
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+func wholeStream(last int) string {
+	var b strings.Builder
+	for i := 1; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
+
+func TestStreams(t *testing.T) {
+	t.Run("are passed on whole", func(t *testing.T) {
+		f := newFixture(t, 1, events(9, 0))
+		f.assertReply(f.call("/stream/a"), 200, wholeStream(9))
+	})
+	t.Run("that are cut look cut", func(t *testing.T) {
+		f := newFixture(t, 2, events(9, 4))
+		got := f.call("/stream/a")
+		f.Assert(got.err, qt.IsNotNil)
+		f.Assert(strings.HasPrefix(wholeStream(9), got.body), qt.IsTrue)
+		f.Assert(f.arrivals(), qt.Equals, 1)
+	})
+	t.Run("that may be resumed go on at another target", func(t *testing.T) {
+		f := newFixture(t, 2, events(9, 4))
+		f.assertReply(f.call("/resume/a"), 200, wholeStream(9))
+		f.Assert(f.arrivals(), qt.Equals, 2)
+	})
+	t.Run("go on when their target falls silent", func(t *testing.T) {
+		f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
+			if r.Field("last-event-id") != "" {
+				return events(5, 0)(c, r)
+			}
+			_, _ = io.WriteString(c, streamHead(r)+chunk("id: 1\ndata: x\n\n"))
+			_, _ = c.Read(make([]byte, 1))
+			return false
+		})
+		start := time.Now()
+		f.assertReply(f.call("/resume/a"), 200, wholeStream(5))
+		f.Assert(time.Since(start) < time.Second, qt.IsTrue)
+	})
+	t.Run("arrive event by event", func(t *testing.T) {
+		more := make(chan struct{})
+		f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
+			_, _ = io.WriteString(c, streamHead(r)+chunk("id: 1\ndata: x\n\n"))
+			<-more
+			_, _ = io.WriteString(c, chunk("id: 2\ndata: x\n\n")+"0\r\n\r\n")
+			return true
+		})
+		c, r := f.dial()
+		_, _ = io.WriteString(c, request("POST", "/stream/a", key, ""))
+		head, err := http1.ReadResponse(r, 16<<10, "POST")
+		f.Assert(err, qt.IsNil)
+		body := http1.Body(r, head.Length)
+		first := make([]byte, 15)
+		_, err = io.ReadFull(body, first)
+		f.Assert(err, qt.IsNil)
+		close(more)
+		rest, err := io.ReadAll(body)
+		f.Assert(err, qt.IsNil)
+		f.Assert(string(first)+string(rest), qt.Equals, wholeStream(2))
+	})
+}
+
+func TestATargetHearsThatTheCallerHasLeft(t *testing.T) {
+	left := make(chan struct{})
+	f := newFixture(t, 1, func(c net.Conn, _ rawserver.Request) bool {
+		_, _ = c.Read(make([]byte, 1))
+		close(left)
+		return false
+	})
+	c, _ := f.dial()
+	_, _ = io.WriteString(c, request("POST", "/resume/a", key, ""))
+	time.Sleep(50 * time.Millisecond)
+	_ = c.Close()
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		f.Fatal("the target is still at work half a second later")
+	}
+}
+
+func TestConnectionsOfCallers(t *testing.T) {
+	t.Run("carry many calls", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", seal, "x"))
+		c, r := f.dial()
+		for range 3 {
+			_, _ = io.WriteString(c, request("POST", "/once/a", key, "hello"))
+			f.assertReply(readReply(r), 200, "x")
+		}
+	})
+	t.Run("keep calls apart that arrive together", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", seal, "x"))
+		c, r := f.dial()
+		one := request("POST", "/once/a", key, "hello")
+		_, _ = io.WriteString(c, one+one)
+		f.assertReply(readReply(r), 200, "x")
+		f.assertReply(readReply(r), 200, "x")
+	})
+	t.Run("end with the answer while the router leaves", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", seal, "x"))
+		c, r := f.dial()
+		f.server.Drain()
+		_, _ = io.WriteString(c, request("POST", "/once/a", key, "hello"))
+		got := readReply(r)
+		f.assertReply(got, 200, "x")
+		f.Assert(got.Close, qt.IsTrue)
+		_, err := r.ReadByte()
+		f.Assert(err, qt.Equals, io.EOF)
+	})
+	t.Run("end when a call could hide another", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", seal, "x"))
+		hidden := "0\r\n\r\n" + request("POST", "/once/hidden", key, "")
+		c, r := f.dial()
+		_, _ = io.WriteString(c, fmt.Sprintf("POST /once/a HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n"+
+			"Transfer-Encoding: chunked\r\n\r\n%s", key, len(hidden), hidden))
+		f.assertReply(readReply(r), 400, "")
+		_, err := r.ReadByte()
+		f.Assert(err, qt.IsNotNil)
+		f.Assert(f.arrivals(), qt.Equals, 0)
+	})
+	t.Run("get 100 Continue before a body that waits for it", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", seal, "x"))
+		c, r := f.dial()
+		_, _ = io.WriteString(c, "POST /once/a HTTP/1.1\r\nHost: h\r\n"+key+"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		line, err := r.ReadString('\n')
+		f.Assert(err, qt.IsNil)
+		f.Assert(line, qt.Equals, "HTTP/1.1 100 Continue\r\n")
+		_, _ = r.ReadString('\n')
+		_, _ = io.WriteString(c, "hi")
+		f.assertReply(readReply(r), 200, "x")
+	})
+}
+
+func TestALaterAttemptGoesByTheNewestTargets(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, 3, func(c net.Conn, r rawserver.Request) bool {
+		// While the first attempt runs, all other targets begin to leave.
+		leaving := make([]*state.Target, 0, 3)
+		for _, t := range f.view.Load().Targets.ByService["s"] {
+			next := *t
+			next.Leaving = true
+			leaving = append(leaving, &next)
+		}
+		f.view.Store(&state.View{Configuration: f.view.Load().Configuration, Targets: state.NewTargets(leaving)})
+		return reset(c, r)
+	})
+	f.call("/safe/a")
+	f.Assert(f.arrivals(), qt.Equals, 1)
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -76,6 +76,8 @@
 		server   *ingress.Server
 		bounds   atomic.Pointer[platform.Bounds]
 		leaving  atomic.Bool
+		// listed is closed when the routers' entries have been read once.
+		listed chan struct{}
 		closers  []func()
 		fronts   []net.Listener
 	}
@@ -83,7 +85,7 @@
 
 // New binds the router's addresses; the returned function frees them.
 func New(path string, s platform.Settings, log zerolog.Logger) (*Router, func(), error) {
-	r := &Router{path: path, settings: s, log: log, parts: affinity.NewMap()}
+	r := &Router{path: path, settings: s, log: log, parts: affinity.NewMap(), listed: make(chan struct{})}
 	r.bounds.Store(&s.Bounds)
 	r.book = standing.NewBook(r.targetChanged)
 	store, closeStore := platform.NewStore(s.StoreAddress)
@@ -295,7 +297,6 @@
 			continue
 		}
 		page, err := r.store.List(ctx, platform.KindRouters)
-		met = err == nil
 		if err != nil {
 			wait = registerRetry
 		}
@@ -307,6 +308,10 @@
 			}
 			r.fleet.Meet(other.PeerAddress)
 		}
+		if err == nil && !met {
+			met = true
+			close(r.listed)
+		}
 		_ = objects.Sleep(ctx, wait)
 	}
 }
--- /dev/null
+++ b/internal/node/edge/edge_test.go
@@ -0,0 +1,232 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"hickoryrock/internal/operator/command"
+	"hickoryrock/internal/standin/metastore"
+	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/platform"
+)
+
+const patience = 5 * time.Second
+
+type fixture struct {
+	*qt.C
+	meta     *metastore.Store
+	target   *rawserver.Server
+	path     string
+	settings platform.Settings
+	router   *Router
+	cancel   context.CancelFunc
+	ended    chan struct{}
+}
+
+func freeAddress(c *qt.C) (address string, port int) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String(), l.Addr().(*net.TCPAddr).Port
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{C: qt.New(t), meta: metastore.New(), ended: make(chan struct{})}
+	store := httptest.NewServer(f.meta)
+	t.Cleanup(store.Close)
+	var err error
+	var stopTarget func()
+	f.target, stopTarget, err = rawserver.New(func(c net.Conn, r rawserver.Request) bool {
+		if strings.Contains(r.Target, "slow") {
+			time.Sleep(500 * time.Millisecond)
+		}
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: %s\r\n"+
+			"X-Hickoryrock-Response-Seal: s\r\nContent-Length: 2\r\n\r\nhi", r.Field("x-hickoryrock-attempt-id"))
+		return err == nil
+	})
+	f.Assert(err, qt.IsNil)
+	t.Cleanup(stopTarget)
+	front, _ := freeAddress(f.C)
+	ready, _ := freeAddress(f.C)
+	directory, _ := freeAddress(f.C)
+	_, peer := freeAddress(f.C)
+	f.path = filepath.Join(t.TempDir(), "boot.json")
+	f.Assert(os.WriteFile(f.path, fmt.Appendf(nil, `{"node_name":"edge-a-1","ip":"127.0.0.1","zone":"a",
+"listen":{"front":%q,"ready":%q,"directory":%q},"port_range":[%d,%d],"bounds":{"grace_s":3,"ttl_max_s":5,
+"cap_factor":2,"retry_slack":50},"platform":{"address":%q}}`,
+		front, ready, directory, peer, peer, strings.TrimPrefix(store.URL, "http://")), 0o600), qt.IsNil)
+	f.settings, err = platform.LoadSettings(f.path)
+	f.Assert(err, qt.IsNil)
+	router, stop, err := New(f.path, f.settings, zerolog.Nop())
+	f.Assert(err, qt.IsNil)
+	f.router = router
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go func() {
+		defer close(f.ended)
+		router.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-f.ended
+		stop()
+	})
+	return f
+}
+
+func (f *fixture) configure() {
+	f.meta.Set("config", "main", `{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/",
+"route_kind":"non_idempotent","service":"s","timeout_ms":2000,"max_attempts":1}]}`)
+	f.meta.Set("servers", "i-1", `{"service":"s","address":"`+f.target.Address()+`","state":"ready"}`)
+	f.eventually("ready", func() bool { return f.status(f.settings.ReadyAddress, "/readyz") == 200 })
+}
+
+func (f *fixture) eventually(what string, holds func() bool) {
+	f.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+func (f *fixture) status(address, path string) int {
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (f *fixture) call(path string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.settings.CallerAddress+path, strings.NewReader("x"))
+	f.Assert(err, qt.IsNil)
+	req.Host = "h"
+	req.Header.Set("X-Hickoryrock-Attempt-Id", "c1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	f.Assert(err, qt.IsNil)
+	return resp.StatusCode, string(body)
+}
+
+func TestARouterServesOnceItKnowsAConfiguration(t *testing.T) {
+	f := newFixture(t)
+	f.Assert(f.status(f.settings.ReadyAddress, "/readyz"), qt.Equals, 503)
+	f.Assert(f.status(f.settings.LookupAddress, "/lookup?name=h"), qt.Equals, 503)
+	status, _ := f.call("/a")
+	f.Assert(status, qt.Equals, 503)
+	f.configure()
+	resp, err := http.Get("http://" + f.settings.LookupAddress + "/lookup?name=h&zone=a&region=r")
+	f.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	var lookup struct {
+		Addresses []string `json:"addresses"`
+		TTLS      float64  `json:"ttl_s"`
+	}
+	f.Assert(json.NewDecoder(resp.Body).Decode(&lookup), qt.IsNil)
+	f.Assert(lookup.Addresses, qt.DeepEquals, []string{f.settings.CallerAddress})
+	f.Assert(lookup.TTLS > 0 && lookup.TTLS <= 5, qt.IsTrue)
+	f.eventually("the target is known", func() bool { status, _ := f.call("/a"); return status == 200 })
+	f.Assert(f.meta.Names(platform.KindRouters), qt.DeepEquals, []string{"edge-a-1"})
+}
+
+func TestALeavingRouterFinishesItsCalls(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.eventually("the target is known", func() bool { status, _ := f.call("/a"); return status == 200 })
+	answered := make(chan int)
+	go func() {
+		status, _ := f.call("/slow")
+		answered <- status
+	}()
+	f.eventually("the call is on its way", func() bool { return f.router.server.Active() > 0 })
+	f.cancel()
+	f.eventually("not ready", func() bool { return f.status(f.settings.ReadyAddress, "/readyz") == 503 })
+	status, body := f.call("/a")
+	f.Assert(status, qt.Equals, 200)
+	f.Assert(body, qt.Equals, "hi")
+	f.Assert(<-answered, qt.Equals, 200)
+	<-f.ended
+	status, _ = f.call("/a")
+	f.Assert(status, qt.Equals, 0)
+}
+
+func TestChangedSettingsAreTakenIn(t *testing.T) {
+	f := newFixture(t)
+	data, err := os.ReadFile(f.path)
+	f.Assert(err, qt.IsNil)
+	changed := strings.Replace(string(data), `"grace_s":3`, `"grace_s":4`, 1)
+	f.Assert(os.WriteFile(f.path, []byte(changed), 0o600), qt.IsNil)
+	f.eventually("the new grace time", func() bool { return f.router.bounds.Load().Grace == 4*time.Second })
+	f.Assert(os.WriteFile(f.path, []byte(`{`), 0o600), qt.IsNil)
+	time.Sleep(1200 * time.Millisecond)
+	f.Assert(f.router.bounds.Load().Grace, qt.Equals, 4*time.Second)
+}
+
+func TestCommands(t *testing.T) {
+	run := func(name string, stdin string, args ...string) (int, string) {
+		var out strings.Builder
+		env := command.Env{
+			Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &out, Getenv: func(string) string { return "" },
+		}
+		code := command.Dispatch(context.Background(), Commands(), env, append([]string{name}, args...))
+		return code, out.String()
+	}
+	t.Run("check-settings names what is wrong", func(t *testing.T) {
+		c := qt.New(t)
+		path := filepath.Join(t.TempDir(), "boot.json")
+		c.Assert(os.WriteFile(path, []byte(`{"ip":"1.1.1.1"}`), 0o600), qt.IsNil)
+		code, out := run("check-settings", "", "-settings", path)
+		c.Assert(code, qt.Equals, command.ExitUsage)
+		c.Assert(out, qt.Contains, `field "node_name" is missing`)
+		code, _ = run("check-settings", "")
+		c.Assert(code, qt.Equals, command.ExitUsage)
+	})
+	t.Run("story tells one call in order", func(t *testing.T) {
+		c := qt.New(t)
+		logs := `b: {"router":"b","call":"c2","time":"2026-12-04T06:00:02Z","message":"call"}
+{"router":"a","call":"c1","targets":["i-1"],"took-ms":500,"time":"2026-12-04T06:00:03Z","message":"call"}
+not json
+{"router":"b","target":"i-1","time":"2026-12-04T06:00:01Z","message":"target gone"}
+{"router":"b","target":"i-2","time":"2026-12-04T06:00:01Z","message":"target gone"}
+{"router":"b","target":"i-1","time":"2026-12-04T05:00:01Z","message":"target gone"}
+`
+		code, out := run("story", logs, "-call", "c1")
+		c.Assert(code, qt.Equals, command.ExitOK)
+		lines := strings.Split(strings.TrimSpace(out), "\n")
+		c.Assert(len(lines), qt.Equals, 2)
+		c.Assert(lines[0], qt.Contains, "06:00:01")
+		c.Assert(lines[1], qt.Contains, `"call":"c1"`)
+		code, _ = run("story", logs, "-call", "c9")
+		c.Assert(code, qt.Equals, command.ExitNotFound)
+	})
+}
+
+func TestTheViewIsServed(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	w := httptest.NewRecorder()
+	f.router.serveView(w, nil)
+	var got view
+	f.Assert(json.Unmarshal(w.Body.Bytes(), &got), qt.IsNil)
+	f.Assert(got.Configuration, qt.Equals, int64(1))
+	f.Assert(got.Router, qt.Equals, "edge-a-1")
+}
--- a/internal/node/edge/recall.go
+++ b/internal/node/edge/recall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -15,12 +16,9 @@
 const (
 	// recallPoll is how often a starting router looks for a view of the fleet.
 	recallPoll = 10 * time.Millisecond
-	// elderWait is how long a starting router waits to hear from one that has
-	// been there longer: half of the time between beacons.
-	elderWait = 60 * time.Millisecond
 	// recallAgain is when a router that learnt from an elder asks once more,
 	// since the elder may itself have been recalling.
-	recallAgain = 300 * time.Millisecond
+	recallAgain = 400 * time.Millisecond
 	// recallTimeout bounds one target's answer.
 	recallTimeout = 500 * time.Millisecond
 )
@@ -33,21 +31,30 @@
 			return
 		}
 	}
-	if objects.Sleep(ctx, elderWait) != nil {
+	select {
+	case <-ctx.Done():
 		return
+	case <-r.listed:
 	}
-	if name, address := r.fleet.Elder(); address != "" {
-		r.fleet.FetchCaches(ctx, name, address)
-		if objects.Sleep(ctx, recallAgain) == nil {
-			r.fleet.FetchCaches(ctx, name, address)
-		}
-		r.log.Info().Str("peer", name).Msg("caches recalled from a router")
+	// A beacon of each router has come by then.
+	interval := r.fleet.Interval()
+	if objects.Sleep(ctx, interval) != nil {
 		return
 	}
-	if r.settings.FirstStart {
+	name, address := r.fleet.Elder()
+	if address == "" {
+		if !r.settings.FirstStart {
+			r.recallFromEngines(ctx, r.follower.View())
+		}
 		return
 	}
-	r.recallFromEngines(ctx, r.follower.View())
+	for _, wait := range []time.Duration{rand.N(interval), recallAgain + rand.N(interval)} {
+		if objects.Sleep(ctx, wait) != nil {
+			return
+		}
+		r.fleet.FetchCaches(ctx, name, address)
+	}
+	r.log.Info().Str("peer", name).Msg("caches recalled from a router")
 }
 
 func (r *Router) recallFromEngines(ctx context.Context, v *state.View) {
@@ -74,6 +81,6 @@
 	for i, p := range parts {
 		holdings[i] = affinity.Holding{Part: p.Hash, Target: t.Hash}
 	}
-	r.parts.Found(holdings, time.Now())
+	r.parts.Recall(holdings, time.Now())
 	r.log.Info().Str("target", t.ID).Int("parts", len(parts)).Msg("cache recalled from its engine")
 }
--- a/internal/node/edge/reload.go
+++ b/internal/node/edge/reload.go
@@ -19,7 +19,8 @@
 	defer signal.Stop(hangups)
 	ticker := time.NewTicker(reloadEvery)
 	defer ticker.Stop()
-	known := r.modified()
+	// The file may have changed since it was first read.
+	var known time.Time
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -36,7 +36,8 @@
 	// fleets every namedBeacons-th does.
 	smallFleet   = 10
 	namedBeacons = 4
-	// newsEvery is how often news of held prompts are sent ahead of the next beacon.
+	// newsEvery is how often news of held prompts are sent ahead of the next
+	// beacon, for each beaconEvery between beacons.
 	newsEvery = 10 * time.Millisecond
 	// maxHoldings and maxLoads keep a datagram within 1,400 bytes.
 	maxHoldings = 30
@@ -199,7 +200,7 @@
 func (f *Fleet) Run(ctx context.Context) {
 	go f.receive()
 	go f.catchUp(ctx)
-	last := time.Time{}
+	last, lastNews := time.Time{}, time.Time{}
 	ticker := time.NewTicker(newsEvery)
 	defer ticker.Stop()
 	for {
@@ -209,9 +210,11 @@
 		case change := <-f.nudges:
 			f.send(nil, change)
 		case now := <-ticker.C:
-			news := f.parts.News(maxHoldings)
-			if len(news) > 0 {
-				f.send(news, nil)
+			if now.Sub(lastNews) >= f.interval()*newsEvery/beaconEvery {
+				lastNews = now
+				if news := f.parts.News(maxHoldings); len(news) > 0 {
+					f.send(news, nil)
+				}
 			}
 			if now.Sub(last) >= f.interval() {
 				last = now
@@ -403,21 +406,30 @@
 	return out
 }
 
-// Elder returns a live router that started before this one, which may know
-// what targets hold; it returns empty strings when none is heard.
+// Elder returns the live router that started first, if that was before this
+// one: it may know what targets hold. In a large fleet each failure domain has
+// an elder of its own, since what it tells is long. The strings are empty when
+// there is none.
 func (f *Fleet) Elder() (router, address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	oldest := f.self.Incarnation
 	for _, p := range f.peers {
-		if p.live && p.beacon.GetIncarnation() < oldest {
-			oldest = p.beacon.GetIncarnation()
-			router, address = p.beacon.GetRouter(), p.beacon.GetPeerAddress()
+		if !p.live || p.beacon.GetIncarnation() >= oldest {
+			continue
+		}
+		if len(f.peers) > smallFleet && p.beacon.GetFailureDomain() != f.self.FailureDomain {
+			continue
 		}
+		oldest = p.beacon.GetIncarnation()
+		router, address = p.beacon.GetRouter(), p.beacon.GetPeerAddress()
 	}
 	return router, address
 }
 
+// Interval is the time between two beacons of a router.
+func (f *Fleet) Interval() time.Duration { return f.interval() }
+
 func (f *Fleet) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
@@ -487,6 +499,7 @@
 	if b.GetChange() != nil {
 		f.from.TakeTargets(decodeChange(b.GetChange()), false, b.GetRouter())
 	}
+	f.from.Agree(b.GetTargetsRevision(), b.GetTargetsDigest())
 	if f.ahead(b, f.known()) {
 		select {
 		case f.wakes <- struct{}{}:
@@ -526,9 +539,12 @@
 // ahead reports whether another router has a newer configuration, or knows
 // targets that this one does not.
 func (f *Fleet) ahead(b *peerv1.Beacon, known Known) bool {
-	if b.GetConfigurationVersion() > known.ConfigurationVersion || b.GetTargetsRevision() > known.TargetsRevision {
+	if b.GetConfigurationVersion() > known.ConfigurationVersion {
 		return true
 	}
+	if b.GetTargetsRevision() > known.TargetsRevision {
+		return b.GetTargetsDigest() != known.TargetsDigest
+	}
 	return differs(b, known)
 }
 
@@ -629,7 +645,7 @@
 		ConfigurationVersion: known.ConfigurationVersion, TargetsRevision: known.TargetsRevision, Homes: true,
 	})
 	if ok {
-		f.parts.Learn(decodeHoldings(reply.GetHomes()), time.Now())
+		f.parts.Recall(decodeHoldings(reply.GetHomes()), time.Now())
 	}
 	return ok
 }
--- /dev/null
+++ b/internal/peer/gossip/gossip_test.go
@@ -0,0 +1,232 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"hickoryrock/internal/fleet/follow"
+	"hickoryrock/internal/peer/gossip"
+	"hickoryrock/internal/policy/affinity"
+	"hickoryrock/internal/policy/standing"
+	"hickoryrock/internal/standin/metastore"
+	"hickoryrock/platform"
+)
+
+const patience = 5 * time.Second
+
+// router is one router without callers.
+type router struct {
+	*gossip.Fleet
+	follower *follow.Follower
+	book     *standing.Book
+	parts    *affinity.Map
+	address  string
+	stop     func()
+}
+
+type fixture struct {
+	*qt.C
+	meta *metastore.Store
+	up   string
+	// down is the address of a store that turns every call away.
+	down string
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{C: qt.New(t), meta: metastore.New()}
+	serve := func(h http.Handler) string {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	f.up = serve(f.meta)
+	f.down = serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	return f
+}
+
+// start runs a router that reaches a store.
+func (f *fixture) start(name, storeAddress string) *router {
+	probe, err := net.Listen("tcp4", "127.0.0.1:0")
+	f.Assert(err, qt.IsNil)
+	address := probe.Addr().String()
+	f.Assert(probe.Close(), qt.IsNil)
+
+	r := &router{address: address, book: standing.NewBook(func(standing.Change) {}), parts: affinity.NewMap()}
+	store, closeStore := platform.NewStore(storeAddress)
+	r.follower = follow.New(store, zerolog.Nop(),
+		func(c *follow.Change) { r.Nudge(c) }, func() bool { return r.StoreServes() })
+	fleet, closeFleet, err := gossip.New(gossip.Self{
+		Router: name, CallerAddress: "callers-of-" + name, PeerAddress: address, FailureDomain: "z-" + name,
+		Incarnation: uint64(time.Now().UnixMicro()),
+	}, r.known, r.book, r.parts, r.follower, zerolog.Nop())
+	f.Assert(err, qt.IsNil)
+	r.Fleet = fleet
+	l, err := net.Listen("tcp4", address)
+	f.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: fleet.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.follower.Run(ctx, fleet.Leads)
+	go fleet.Run(ctx)
+	r.stop = func() {
+		cancel()
+		_ = server.Close()
+		closeFleet()
+		closeStore()
+	}
+	f.Cleanup(func() { r.stop() })
+	return r
+}
+
+func (r *router) known() gossip.Known {
+	v := r.follower.View()
+	k := gossip.Known{
+		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision, TargetsDigest: v.Targets.Digest,
+		TargetsListed: v.Targets.Listed, StoreAge: r.follower.StoreAge(), Targets: len(v.Targets.ByService["s"]),
+	}
+	if v.Configuration != nil {
+		k.ConfigurationVersion = v.Configuration.Version
+	}
+	return k
+}
+
+func (f *fixture) eventually(what string, holds func() bool) {
+	f.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+func (f *fixture) configure(version int) {
+	f.meta.Set("config", "main", fmt.Sprintf(
+		`{"version":%d,"routes":[{"name":"r","host":"h","path_prefix":"/","service":"s"}]}`, version))
+}
+
+func (f *fixture) target(id, state string) {
+	f.meta.Set("servers", id, `{"service":"s","address":"10.0.0.1:80","state":"`+state+`"}`)
+}
+
+func TestRoutersHearOfEachOther(t *testing.T) {
+	f := newFixture(t)
+	f.configure(1)
+	a, b := f.start("a", f.up), f.start("b", f.up)
+	cc := f.start("c", f.up)
+	b.Meet(a.address)
+	cc.Meet(a.address)
+	f.eventually("all hear of those that know of them", func() bool { return a.Live() == 3 })
+	b.Meet(cc.address)
+	f.eventually("callers are told of all, the nearest first", func() bool {
+		list := b.CallerAddresses("z-b", 10)
+		return len(list) == 3 && list[0] == "callers-of-b"
+	})
+	f.Assert(len(b.CallerAddresses("", 2)), qt.Equals, 2)
+	cc.Leave()
+	f.eventually("one that leaves is not named", func() bool { return len(a.CallerAddresses("", 10)) == 2 })
+	b.stop()
+	f.eventually("one that is lost is not named", func() bool { return len(a.CallerAddresses("", 10)) == 1 })
+}
+
+// Pattern: the store turns a router away while it serves the others.
+func TestARouterThatTheStoreTurnsAway(t *testing.T) {
+	f := newFixture(t)
+	f.configure(1)
+	f.target("i-1", "ready")
+	a, b := f.start("a", f.up), f.start("b", f.down)
+	b.Meet(a.address)
+	f.eventually("it knows the configuration and the target", func() bool {
+		k := b.known()
+		return k.ConfigurationVersion == 1 && k.Targets == 1
+	})
+	f.configure(2)
+	f.target("i-1", "draining")
+	since := time.Now()
+	f.eventually("it learns of a change", func() bool {
+		v := b.follower.View()
+		return v.Configuration.Version == 2 && len(v.Targets.ByService["s"]) == 1 && v.Targets.ByService["s"][0].Leaving
+	})
+	f.Assert(time.Since(since) < time.Second, qt.IsTrue)
+	f.meta.Remove("servers", "i-1")
+	f.eventually("it learns of an end", func() bool { return b.known().Targets == 0 })
+	f.Assert(b.known().TargetsDigest, qt.Equals, a.known().TargetsDigest)
+}
+
+func TestFewRoutersWatchTheStore(t *testing.T) {
+	f := newFixture(t)
+	f.configure(1)
+	routers := make([]*router, 5)
+	for i := range routers {
+		routers[i] = f.start(string(rune('a'+i)), f.up)
+		for _, other := range routers[:i] {
+			routers[i].Meet(other.address)
+		}
+	}
+	f.eventually("all know all", func() bool {
+		for _, r := range routers {
+			if r.Live() != len(routers) {
+				return false
+			}
+		}
+		return true
+	})
+	leads := func() string {
+		s := ""
+		for i, r := range routers {
+			if r.Leads() {
+				s += string(rune('a' + i))
+			}
+		}
+		return s
+	}
+	f.eventually("the first two watch", func() bool { return leads() == "ab" })
+	before := f.meta.Calls()
+	time.Sleep(2 * time.Second)
+	// Two routers watch two kinds for 700 ms at a time.
+	f.Assert(f.meta.Calls()-before <= 2*2*3+2, qt.IsTrue, qt.Commentf("%d calls", f.meta.Calls()-before))
+	f.target("i-1", "ready")
+	since := time.Now()
+	f.eventually("all hear of a change", func() bool {
+		for _, r := range routers {
+			if r.known().Targets != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	f.Assert(time.Since(since) < 500*time.Millisecond, qt.IsTrue)
+	routers[0].stop()
+	f.eventually("another one steps in", func() bool { return strings.HasSuffix(leads(), "bc") })
+}
+
+func TestLoadsAndPromptsAreTold(t *testing.T) {
+	f := newFixture(t)
+	f.configure(1)
+	a, b := f.start("a", f.up), f.start("b", f.up)
+	b.Meet(a.address)
+	f.eventually("both hear of each other", func() bool { return a.Live() == 2 && b.Live() == 2 })
+	a.book.Begin(7, 0, time.Now())
+	f.eventually("the call is counted", func() bool {
+		return b.book.Summaries([]uint64{7}, time.Now())[0].Calls == 1
+	})
+	request := affinity.Request{Parts: []affinity.Part{{Hash: 1, Tokens: 900}, {Hash: 2, Tokens: 10}}}
+	a.parts.Choose(request, []affinity.Candidate{{Target: 7}}, time.Now())
+	f.eventually("the prompt is known", func() bool { return len(b.parts.Holdings(time.Now())) == 1 })
+	late := f.start("c", f.up)
+	late.Meet(b.address)
+	f.eventually("a late one hears an elder", func() bool { _, address := late.Elder(); return address != "" })
+	_, address := late.Elder()
+	f.Assert(late.FetchCaches(context.Background(), "b", address), qt.IsTrue)
+	f.Assert(len(late.parts.Holdings(time.Now())), qt.Equals, 1)
+}
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -195,21 +195,21 @@
 	return best
 }
 
-// Learn notes what another router has told.
-func (m *Map) Learn(holdings []Holding, now time.Time) {
+// Recall notes what targets hold already, as they or another router say.
+func (m *Map) Recall(holdings []Holding, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range holdings {
-		m.use(h, now, now.Add(learnedWait), false)
+		m.use(h, now, now, false)
 	}
 }
 
-// Found notes what a target itself says that it holds, for this router and the others.
-func (m *Map) Found(holdings []Holding, now time.Time) {
+// Learn notes what another router has just told.
+func (m *Map) Learn(holdings []Holding, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range holdings {
-		m.use(h, now, now, true)
+		m.use(h, now, now.Add(learnedWait), false)
 	}
 }
 
