--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -77,9 +77,9 @@
 		bounds   atomic.Pointer[platform.Bounds]
 		leaving  atomic.Bool
 		// listed is closed when the routers' entries have been read once.
-		listed chan struct{}
-		closers  []func()
-		fronts   []net.Listener
+		listed  chan struct{}
+		closers []func()
+		fronts  []net.Listener
 	}
 )
 
