--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -27,7 +27,7 @@
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 	// idlePoll is how often a router that others keep informed asks the store itself.
-	idlePoll = 15 * time.Second
+	idlePoll = 30 * time.Second
 	// turnPoll is how often such a router checks whether it has to watch itself.
 	turnPoll = 150 * time.Millisecond
 	// outage is the time without the store after which entries may have lapsed.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -161,18 +161,23 @@
 			return err
 		}
 	}
-	l, err := net.Listen("tcp4", s.CallerAddress)
+	l, err := listenAt(s.CallerAddress)
 	if err != nil {
-		return eris.Wrapf(err, "listen for callers at %q", s.CallerAddress)
+		return err
 	}
 	r.fronts = append(r.fronts, l)
 	return nil
 }
 
+func listenAt(address string) (net.Listener, error) {
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", address)
+	return l, eris.Wrapf(err, "listen at %q", address)
+}
+
 func (r *Router) serveHTTP(address string, handler http.Handler) error {
-	l, err := net.Listen("tcp4", address)
+	l, err := listenAt(address)
 	if err != nil {
-		return eris.Wrapf(err, "listen at %q", address)
+		return err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = server.Serve(l) }() // Ends when the router closes it.
@@ -270,7 +275,8 @@
 		ttl = min(ttl, most)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(platform.EncodeLookup(addresses, ttl)) // A caller that has left needs no answer.
+	// JSON of the router's own addresses; a caller that has left needs no answer.
+	_, _ = w.Write(platform.EncodeLookup(addresses, ttl)) //nolint:gosec // Nothing of the request is in it.
 }
 
 // register writes the router's entry and reads those of the others.
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -15,6 +15,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -39,6 +40,9 @@
 	// newsEvery is how often news of held prompts are sent ahead of the next
 	// beacon, for each beaconEvery between beacons.
 	newsEvery = 10 * time.Millisecond
+	// introduction is how long after the meeting of a new router every beacon
+	// says who sends it: some beacons of a large fleet.
+	introduction = time.Second
 	// maxHoldings and maxLoads keep a datagram within 1,400 bytes.
 	maxHoldings = 30
 	maxLoads    = 40
@@ -62,6 +66,9 @@
 	behindFor = 250 * time.Millisecond
 	// leaders is the number of routers that watch the store for all.
 	leaders = 2
+	// maxWaiting is the number of routers that wait for an absent store beside
+	// its leaders; each call is charged, refused ones too.
+	maxWaiting = 8
 	// leaderAge is the age of a leader's last reply from the store beyond which
 	// others step in: its watches end sooner than that.
 	leaderAge = 900 * time.Millisecond
@@ -113,9 +120,10 @@
 
 		mu    sync.Mutex
 		peers map[string]*peer
-		// sent counts the regular beacons.
-		sent    int
-		leaving bool
+		// sent counts the regular beacons; until introduced, each says who sends it.
+		sent       int
+		introduced time.Time
+		leaving    bool
 	}
 
 	peer struct {
@@ -185,6 +193,7 @@
 	defer f.mu.Unlock()
 	if f.peers[peerAddress] == nil {
 		f.peers[peerAddress] = &peer{address: address, heard: time.Now()}
+		f.introduced = time.Now().Add(introduction)
 	}
 }
 
@@ -235,20 +244,30 @@
 }
 
 // Leads reports whether this router watches the store for the others: the
-// first few by name do that the store serves.
+// first few, in an order that all share, that the store serves. When many before
+// this one are not served, the store itself is away and they are enough to notice
+// its return.
 func (f *Fleet) Leads() bool {
+	own := rank(f.self.Router)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := 0
+	served, waiting := 0, 0
 	for _, p := range f.peers {
-		if p.live && !p.beacon.GetLeaving() && p.beacon.GetRouter() < f.self.Router &&
-			storeAge(p.beacon)+time.Since(p.heard) < leaderAge+f.intervalOf(len(f.peers)) {
-			before++
+		if !p.live || p.beacon.GetLeaving() || rank(p.beacon.GetRouter()) > own {
+			continue
+		}
+		if storeAge(p.beacon)+time.Since(p.heard) < leaderAge+f.intervalOf(len(f.peers)) {
+			served++
+		} else {
+			waiting++
 		}
 	}
-	return before < leaders
+	return served < leaders && waiting < maxWaiting
 }
 
+// rank orders routers without regard to failure domains, which names often begin with.
+func rank(router string) uint64 { return xxhash.Sum64String(router) }
+
 // StoreServes reports whether the store has just served another router.
 func (f *Fleet) StoreServes() bool {
 	f.mu.Lock()
@@ -351,7 +370,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sent++
-	return len(f.peers) <= smallFleet || f.sent%namedBeacons == 1
+	return len(f.peers) <= smallFleet || f.sent%namedBeacons == 1 || time.Now().Before(f.introduced)
 }
 
 func encodeLoads(loads []standing.Load) []*peerv1.TargetLoad {
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -41,7 +42,7 @@
 
 // New starts a server and returns it with the function that stops it.
 func New(script Script) (*Server, func(), error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -27,6 +27,8 @@
 	expectHeader           = "expect"
 	closeToken             = "close"
 	chunkedToken           = "chunked"
+	version10              = "HTTP/1.0"
+	version11              = "HTTP/1.1"
 
 	// maxTrailerBytes bounds the lines after the last chunk, which are dropped.
 	maxTrailerBytes = 4 << 10
@@ -137,7 +139,7 @@
 	}
 	method, rest, ok := strings.Cut(line, " ")
 	target, version, ok2 := strings.Cut(rest, " ")
-	if !ok || !ok2 || !isToken(method) || (version != "HTTP/1.1" && version != "HTTP/1.0") {
+	if !ok || !ok2 || !isToken(method) || (version != version11 && version != version10) {
 		return nil, eris.Wrapf(ErrMalformed, "request line %.80q", line)
 	}
 	if !strings.HasPrefix(target, "/") || !isVisible(target) {
@@ -149,9 +151,9 @@
 	}
 	req := &Request{
 		Method: method, Target: target, Fields: fields, listed: f.listed,
-		Close: f.closing || version == "HTTP/1.0",
+		Close: f.closing || version == version10,
 	}
-	if f.chunked && version == "HTTP/1.0" {
+	if f.chunked && version == version10 {
 		return nil, eris.Wrap(ErrMalformed, "chunks in HTTP/1.0")
 	}
 	req.Length = max(f.length, 0)
@@ -198,7 +200,7 @@
 	version, rest, ok := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(rest, " ")
 	status, convErr := strconv.Atoi(code)
-	if !ok || convErr != nil || len(code) != 3 || status < 100 || (version != "HTTP/1.1" && version != "HTTP/1.0") {
+	if !ok || convErr != nil || len(code) != 3 || status < 100 || (version != version11 && version != version10) {
 		return nil, eris.Wrapf(ErrMalformed, "status line %.80q", line)
 	}
 	f, err := frame(fields)
@@ -206,7 +208,7 @@
 		return nil, err
 	}
 	resp := &Response{
-		Status: status, Reason: reason, Fields: fields, Close: f.closing || version == "HTTP/1.0", listed: f.listed,
+		Status: status, Reason: reason, Fields: fields, Close: f.closing || version == version10, listed: f.listed,
 	}
 	switch {
 	case method == "HEAD" || status < 200 || status == 204 || status == 304:
@@ -224,10 +226,10 @@
 // Body returns a reader of a body of a length in bytes, Chunked or UntilClose.
 // It returns io.ErrUnexpectedEOF for a body that is cut short.
 func Body(r *bufio.Reader, length int64) io.Reader {
-	switch {
-	case length == Chunked:
+	switch length {
+	case Chunked:
 		return &chunkedBody{source: r, chunks: httputil.NewChunkedReader(r)}
-	case length == UntilClose:
+	case UntilClose:
 		return r
 	}
 	return &sizedBody{source: r, left: length}
