Share the retry budget among the routers that live

The workspace budgets of a router that sees few of each workspace's calls would deny most repeats; one budget a router and service stays. Found by reading; the test fails with the old division.

--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -29,6 +29,9 @@
 	// back: soon, since callers wait for a third of their time at most, and spread.
 	retryAfterBase   = 100 * time.Millisecond
 	retryAfterSpread = 200 * time.Millisecond
+	// allWorkspaces share one budget: a router of a large fleet sees too few
+	// calls of each to give it one.
+	allWorkspaces = ""
 	// defaultTimeout holds for routes and callers that state none.
 	defaultTimeout = 30 * time.Second
 	// wholeAnswerBytes is the largest answer that is held until it is complete.
@@ -127,7 +130,7 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errTimeout)
 	defer cancel()
 	now := time.Now()
-	c.h.Budgets.Request(now, c.workspace.Name, c.service)
+	c.h.Budgets.Request(now, allWorkspaces, c.service)
 	for {
 		c.attempt(ctx)
 		if errors.Is(context.Cause(ctx), ingress.ErrGone) {
@@ -195,7 +198,7 @@
 	if c.reason == "connection-refused" || c.reason == "no-connection" {
 		return true
 	}
-	verdict := c.h.Budgets.Retry(time.Now(), c.workspace.Name, c.service)
+	verdict := c.h.Budgets.Retry(time.Now(), allWorkspaces, c.service)
 	if verdict != retries.Allowed {
 		metrics.GetOrCreateCounter(`hickoryrock_retries_denied_total{reason="budget-spent"}`).Inc()
 		return false
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -51,7 +51,7 @@
 	tidyEvery = 2 * time.Second
 	// budgetShare of the fleet's retries is what the routers use together: each
 	// of them knows only its own requests.
-	budgetShare = 0.6
+	budgetShare = 0.8
 	// pulseEvery is how often the router checks that it has not stood still;
 	// pulseLate is the delay from which on silences of targets say nothing.
 	pulseEvery = 50 * time.Millisecond
@@ -73,6 +73,7 @@
 		fleet    *gossip.Fleet
 		book     *standing.Book
 		parts    *affinity.Map
+		budgets  *retries.Budgets
 		server   *ingress.Server
 		bounds   atomic.Pointer[platform.Bounds]
 		leaving  atomic.Bool
@@ -99,8 +100,9 @@
 	if factor <= 0 {
 		factor = defaultLoadFactor
 	}
+	r.budgets = newBudgets(s.Bounds)
 	handler := forward.New(forward.Parts{
-		View: r.follower.View, Pool: pool, Book: r.book, Map: r.parts, Budgets: newBudgets(s.Bounds),
+		View: r.follower.View, Pool: pool, Book: r.book, Map: r.parts, Budgets: r.budgets,
 		FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 	})
 	r.server = ingress.New(handler, r.limits, log)
@@ -111,14 +113,15 @@
 	return r, r.close, nil
 }
 
-// newBudgets gives each router an equal part of the retries that the platform allows the fleet.
+// newBudgets returns this router's part of the retries that the platform allows the fleet.
 func newBudgets(b platform.Bounds) *retries.Budgets {
-	const routers = 6
-	return retries.NewBudgets(
-		retries.WithFraction(budgetShare*b.RetryShare),
-		retries.WithBurst(max(budgetShare*b.RetrySlack/routers, 1)),
-		retries.WithFloor(0),
-	)
+	return retries.NewBudgets(retries.WithFraction(budgetShare*b.RetryShare), retries.WithFloor(0),
+		retries.WithBurst(1))
+}
+
+// shareBudget gives each live router an equal part of the fleet's slack.
+func (r *Router) shareBudget() {
+	r.budgets.SetBurst(max(budgetShare*r.bounds.Load().RetrySlack/float64(r.fleet.Live()), 1))
 }
 
 func (r *Router) close() {
@@ -331,6 +334,7 @@
 				listed[t.Hash] = true
 			}
 		}
+		r.shareBudget()
 		r.parts.Expire(listed, time.Now())
 		r.book.Keep(listed)
 	}
--- a/internal/policy/retries/retries.go
+++ b/internal/policy/retries/retries.go
@@ -3,6 +3,7 @@
 package retries
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,9 @@
 
 	// Budgets are the retry budgets of one router.
 	Budgets struct {
-		options    Options
+		options Options
+		// burst is the most that a budget holds, as the bits of a float64.
+		burst      atomic.Uint64
 		workspaces [shardCount]shard
 		services   [shardCount]shard
 		counts     [verdicts]atomic.Uint64
@@ -50,6 +53,7 @@
 // NewBudgets returns full budgets.
 func NewBudgets(opts ...Option) *Budgets {
 	b := &Budgets{options: newOptions(opts)}
+	b.SetBurst(b.options.Burst)
 	for i := range shardCount {
 		b.workspaces[i].budgets = make(map[string]*budget)
 		b.services[i].budgets = make(map[string]*budget)
@@ -57,6 +61,15 @@
 	return b
 }
 
+// SetBurst sets the most that a budget holds from now on.
+func (b *Budgets) SetBurst(burst float64) {
+	b.burst.Store(math.Float64bits(burst))
+}
+
+func (b *Budgets) most() float64 {
+	return math.Float64frombits(b.burst.Load())
+}
+
 // SetFraction sets the retries that each request of a service adds to the
 // service's budget.
 func (b *Budgets) SetFraction(now time.Time, service string, fraction float64) {
@@ -65,7 +78,7 @@
 
 // Request adds to the budgets for a request that is no retry.
 func (b *Budgets) Request(now time.Time, workspace, service string) {
-	add := func(u *budget) { u.tokens = min(u.tokens+u.fraction, b.options.Burst) }
+	add := func(u *budget) { u.tokens = min(u.tokens+u.fraction, b.most()) }
 	b.with(&b.workspaces, now, workspace, add)
 	b.with(&b.services, now, service, add)
 }
@@ -110,11 +123,11 @@
 	defer s.mu.Unlock()
 	u, ok := s.budgets[name]
 	if !ok {
-		u = &budget{tokens: b.options.Burst, fraction: b.options.Fraction, at: now}
+		u = &budget{tokens: b.most(), fraction: b.options.Fraction, at: now}
 		s.budgets[name] = u
 	}
 	if since := now.Sub(u.at); since > 0 {
-		u.tokens = min(u.tokens+since.Seconds()*b.options.Floor, b.options.Burst)
+		u.tokens = min(u.tokens+since.Seconds()*b.options.Floor, b.most())
 		u.at = now
 	}
 	change(u)
--- a/internal/policy/retries/retries_test.go
+++ b/internal/policy/retries/retries_test.go
@@ -75,3 +75,28 @@
 		}
 	})
 }
+
+// Pattern: a fleet shares one budget, and each router learns how many share it.
+func TestRoutersOfAFleetKeepTheFleetsBudget(t *testing.T) {
+	const (
+		routers  = 87
+		slack    = 214.0
+		ratio    = 0.2
+		requests = 40
+	)
+	now := time.Unix(0, 0)
+	total := 0
+	for range routers {
+		b := retries.NewBudgets(retries.WithFraction(ratio), retries.WithFloor(0))
+		b.SetBurst(slack / routers)
+		for range requests {
+			b.Request(now, "", "s")
+			for b.Retry(now, "", "s") == retries.Allowed {
+				total++
+			}
+		}
+	}
+	if limit := ratio*requests*routers + slack; float64(total) > limit {
+		t.Fatalf("%d retries of %d requests: more than %.0f", total, requests*routers, limit)
+	}
+}
