--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -13,30 +12,24 @@
 	"github.com/rs/zerolog"
 
 	"hickoryrock/internal/fleet/follow"
-	"hickoryrock/internal/standin/metastore"
 	"hickoryrock/platform"
+	"hickoryrock/platform/platformtest"
 )
 
 const patience = 5 * time.Second
 
 type fixture struct {
 	*qt.C
-	meta    *metastore.Store
+	meta    *platformtest.Store
 	changes chan follow.Change
 	served  atomic.Bool
 	*follow.Follower
 }
 
-func configuration(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","path_prefix":"/","service":"s"}]}`, version)
-}
-
-func target(state string) string {
-	return `{"service":"s","address":"10.0.0.1:80","state":"` + state + `"}`
-}
+func target(state string) string { return platformtest.Target("10.0.0.1:80", state, 0) }
 
 func newFixture(t *testing.T, leads bool) *fixture {
-	f := &fixture{C: qt.New(t), meta: metastore.New(), changes: make(chan follow.Change, 100)}
+	f := &fixture{C: qt.New(t), meta: platformtest.NewStore(), changes: make(chan follow.Change, 100)}
 	server := httptest.NewServer(f.meta)
 	store, stop := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	f.Follower = follow.New(store, zerolog.Nop(), func(c *follow.Change) {
@@ -88,60 +81,60 @@
 
 func TestChangesComeIntoForce(t *testing.T) {
 	f := newFixture(t, true)
-	f.meta.Set("config", "main", configuration(3))
-	f.meta.Set("servers", "i-1", target("ready"))
-	f.meta.Set("servers", "foreign", `{"service":7}`)
+	f.meta.Set(platformtest.Configurations, platformtest.Current, platformtest.Configuration(3))
+	f.meta.Set(platformtest.Targets, "i-1", target("ready"))
+	f.meta.Set(platformtest.Targets, "foreign", `{"service":7}`)
 	f.eventually("configuration 3 and one target", func() bool { return f.version() == 3 && f.ready() == 1 })
-	f.meta.Set("servers", "i-1", target("draining"))
+	f.meta.Set(platformtest.Targets, "i-1", target("draining"))
 	f.eventually("the target leaves", func() bool { return f.ready() == 0 })
-	f.meta.Set("servers", "i-1", target("ready"))
+	f.meta.Set(platformtest.Targets, "i-1", target("ready"))
 	f.eventually("the target is back", func() bool { return f.ready() == 1 })
-	f.meta.Remove("servers", "i-1")
+	f.meta.Remove(platformtest.Targets, "i-1")
 	f.eventually("the target is gone", func() bool { return f.ready() == 0 })
 }
 
 func TestVersionsNeverStepBack(t *testing.T) {
 	f := newFixture(t, true)
-	f.meta.Set("config", "main", configuration(5))
+	f.meta.Set(platformtest.Configurations, platformtest.Current, platformtest.Configuration(5))
 	f.eventually("configuration 5", func() bool { return f.version() == 5 })
-	f.TakeConfiguration([]byte(configuration(4)), "router")
+	f.TakeConfiguration([]byte(platformtest.Configuration(4)), "router")
 	f.TakeConfiguration([]byte(`{"version":9`), "router")
 	f.Assert(f.version(), qt.Equals, int64(5))
-	f.TakeConfiguration([]byte(configuration(6)), "router")
+	f.TakeConfiguration([]byte(platformtest.Configuration(6)), "router")
 	f.Assert(f.version(), qt.Equals, int64(6))
-	f.meta.Set("config", "main", configuration(7))
+	f.meta.Set(platformtest.Configurations, platformtest.Current, platformtest.Configuration(7))
 	f.eventually("configuration 7", func() bool { return f.version() == 7 })
 }
 
 // Pattern: watches hear nothing while a target leaves, then their history is dropped.
 func TestDeafWatchesAreHealedByTheirEnd(t *testing.T) {
 	f := newFixture(t, true)
-	f.meta.Set("servers", "i-1", target("ready"))
+	f.meta.Set(platformtest.Targets, "i-1", target("ready"))
 	f.eventually("the target is known", func() bool { return f.ready() == 1 })
 	f.meta.Deafen(true)
-	f.meta.Remove("servers", "i-1")
+	f.meta.Remove(platformtest.Targets, "i-1")
 	time.Sleep(time.Second)
 	gone := time.Now()
 	f.meta.Compact()
 	f.meta.Deafen(false)
-	f.meta.Set("config", "main", configuration(1))
+	f.meta.Set(platformtest.Configurations, platformtest.Current, platformtest.Configuration(1))
 	f.eventually("the target is gone", func() bool { return f.ready() == 0 })
 	f.Assert(time.Since(gone) < time.Second, qt.IsTrue)
 }
 
 func TestEntriesThatLapseDuringAnOutageMayComeBack(t *testing.T) {
 	f := newFixture(t, true)
-	f.meta.Set("servers", "i-1", target("ready"))
-	f.meta.Set("servers", "i-2", target("ready"))
+	f.meta.Set(platformtest.Targets, "i-1", target("ready"))
+	f.meta.Set(platformtest.Targets, "i-2", target("ready"))
 	f.eventually("the targets are known", func() bool { return f.ready() == 2 })
 	f.meta.Fail(503)
-	f.meta.Remove("servers", "i-1")
-	f.meta.Remove("servers", "i-2")
+	f.meta.Remove(platformtest.Targets, "i-1")
+	f.meta.Remove(platformtest.Targets, "i-2")
 	time.Sleep(2 * time.Second)
 	f.meta.Fail(0)
 	time.Sleep(500 * time.Millisecond)
 	f.Assert(f.ready(), qt.Equals, 2)
-	f.meta.Set("servers", "i-1", target("ready"))
+	f.meta.Set(platformtest.Targets, "i-1", target("ready"))
 	f.eventually("the one that stayed away is gone", func() bool { return f.ready() == 1 })
 	time.Sleep(time.Second)
 	f.Assert(f.ready(), qt.Equals, 1)
@@ -151,12 +144,12 @@
 // all along, so an entry that is missing afterwards has been deleted.
 func TestNothingLapsesInARoutersOwnOutage(t *testing.T) {
 	f := newFixture(t, true)
-	f.meta.Set("servers", "i-1", target("ready"))
+	f.meta.Set(platformtest.Targets, "i-1", target("ready"))
 	f.eventually("the target is known", func() bool { return f.ready() == 1 })
 	f.served.Store(true)
 	f.meta.Fail(503)
 	time.Sleep(2 * time.Second)
-	f.meta.Remove("servers", "i-1")
+	f.meta.Remove(platformtest.Targets, "i-1")
 	f.meta.Fail(0)
 	back := time.Now()
 	f.eventually("the target is gone", func() bool { return f.ready() == 0 })
@@ -167,13 +160,13 @@
 // return, not after each deletion.
 func TestGraceCountsFromTheStoresReturn(t *testing.T) {
 	f := newFixture(t, true)
-	f.meta.Set("servers", "i-1", target("ready"))
+	f.meta.Set(platformtest.Targets, "i-1", target("ready"))
 	f.eventually("the target is known", func() bool { return f.ready() == 1 })
 	f.meta.Fail(503)
 	time.Sleep(2 * time.Second)
 	f.meta.Fail(0)
 	time.Sleep(1900 * time.Millisecond)
-	f.meta.Remove("servers", "i-1")
+	f.meta.Remove(platformtest.Targets, "i-1")
 	deleted := time.Now()
 	f.eventually("the target is gone", func() bool { return f.ready() == 0 })
 	f.Assert(time.Since(deleted) < time.Second, qt.IsTrue)
@@ -182,7 +175,7 @@
 func TestRoutersThatDoNotWatch(t *testing.T) {
 	f := newFixture(t, false)
 	f.eventually("the first lists", func() bool { return f.meta.Calls() >= 2 })
-	f.meta.Set("servers", "i-1", target("ready"))
+	f.meta.Set(platformtest.Targets, "i-1", target("ready"))
 	time.Sleep(300 * time.Millisecond)
 	f.Assert(f.meta.Calls(), qt.Equals, 2)
 	f.Assert(f.ready(), qt.Equals, 0)
@@ -191,7 +184,7 @@
 }
 
 func item(name, state string) follow.Item {
-	return follow.Item{Entry: []byte(`{"metadata":{"name":"` + name + `"},"spec":` + target(state) + `}`)}
+	return follow.Item{Entry: platformtest.Entry(name, target(state))}
 }
 
 func TestChangesOfOtherRouters(t *testing.T) {
@@ -229,9 +222,9 @@
 
 func TestARestartUnderTheSameNameIsAnotherTarget(t *testing.T) {
 	f := newFixture(t, true)
-	f.meta.Set("servers", "i-1", `{"service":"s","address":"10.0.0.1:80","state":"ready","born":1}`)
+	f.meta.Set(platformtest.Targets, "i-1", platformtest.Target("10.0.0.1:80", "ready", 1))
 	f.eventually("the target is known", func() bool { return f.ready() == 1 })
 	before := f.View().Targets.ByService["s"][0].Hash
-	f.meta.Set("servers", "i-1", `{"service":"s","address":"10.0.0.1:80","state":"ready","born":2}`)
+	f.meta.Set(platformtest.Targets, "i-1", platformtest.Target("10.0.0.1:80", "ready", 2))
 	f.eventually("the restart is known", func() bool { return f.View().Targets.ByService["s"][0].Hash != before })
 }
--- a/internal/fleet/forward/forward_test.go
+++ b/internal/fleet/forward/forward_test.go
@@ -23,11 +23,9 @@
 	"hickoryrock/internal/target/exchange"
 	"hickoryrock/internal/wire/http1"
 	"hickoryrock/platform"
+	"hickoryrock/platform/platformtest"
 )
 
-// seal makes an answer the target's own.
-const seal = "X-Hickoryrock-Response-Seal: s\r\n"
-
 type fixture struct {
 	*qt.C
 	view    atomic.Pointer[state.View]
@@ -99,15 +97,8 @@
 	return c, bufio.NewReader(c)
 }
 
-func request(path, extra, body string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nX-Hickoryrock-Attempt-Id: c1\r\n%sContent-Length: %d\r\n\r\n%s",
-		path, extra, len(body), body)
-}
-
-const key = "Authorization: Bearer key\r\n"
-
 func (f *fixture) call(path string) reply {
-	return f.send(request(path, key, "hello"))
+	return f.send(platformtest.Request(path, platformtest.Key, "hello"))
 }
 
 func (f *fixture) send(raw string) reply {
@@ -141,14 +132,9 @@
 	f.Assert(got.body, qt.Equals, body)
 }
 
-func answer(r rawserver.Request, status, extra, body string) string {
-	return fmt.Sprintf("HTTP/1.1 %s\r\nX-Hickoryrock-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		status, r.Field("x-hickoryrock-attempt-id"), extra, len(body), body)
-}
-
-func always(status, extra, body string) rawserver.Script {
+func always(status, lines, body string) rawserver.Script {
 	return func(c net.Conn, r rawserver.Request) bool {
-		_, err := io.WriteString(c, answer(r, status, extra, body))
+		_, err := io.WriteString(c, platformtest.Answer(r, status, lines, body))
 		return err == nil
 	}
 }
@@ -159,27 +145,25 @@
 }
 
 func TestAnswersArePassedOnUnchanged(t *testing.T) {
-	f := newFixture(t, 1, always("200 Fine", seal+"X-Own: 1\r\n", "whole"))
+	f := newFixture(t, 1, always("200 Fine", "X-Own: 1\r\n", "whole"))
 	got := f.call("/once/a?q=1")
 	f.assertReply(got, 200, "whole")
 	f.Assert(got.Reason, qt.Equals, "Fine")
 	f.Assert(got.Field("x-own"), qt.Equals, "1")
-	f.Assert(got.Field("x-hickoryrock-response-seal"), qt.Equals, "s")
+	f.Assert(platform.DecodeVerdict(got.Status, got.Fields).Sealed, qt.IsTrue)
 	sent := f.targets[0].Requests()[0]
 	f.Assert(sent.Target, qt.Equals, "/once/a?q=1")
 	f.Assert(string(sent.Body), qt.Equals, "hello")
-	f.Assert(sent.Field("x-hickoryrock-tenant"), qt.Equals, "w")
-	f.Assert(sent.Field("authorization"), qt.Equals, "")
-	f.Assert(sent.Field("x-hickoryrock-expect-instance"), qt.Equals, "i-0")
+	f.Assert(platformtest.DecodeSent(sent), qt.Equals, platformtest.Sent{Workspace: "w", Expected: "i-0"})
 }
 
 func TestCallsThatTheConfigurationDoesNotAllow(t *testing.T) {
-	f := newFixture(t, 1, always("200 OK", seal, "x"))
+	f := newFixture(t, 1, always("200 OK", "", "x"))
 	f.assertReply(f.call("/nowhere/"), 404, "")
-	f.assertReply(f.send(request("/once/a", "", "")), 401, "")
-	f.assertReply(f.send(request("/once/a", "Authorization: Bearer other\r\n", "")), 401, "")
+	f.assertReply(f.send(platformtest.Request("/once/a", "", "")), 401, "")
+	f.assertReply(f.send(platformtest.Request("/once/a", "Authorization: Bearer other\r\n", "")), 401, "")
 	f.Assert(f.arrivals(), qt.Equals, 0)
-	f.assertReply(f.send(request("/open/a", "", "")), 200, "x")
+	f.assertReply(f.send(platformtest.Request("/open/a", "", "")), 200, "x")
 	f.view.Store(&state.View{Targets: state.NewTargets(nil)})
 	got := f.call("/once/a")
 	f.assertReply(got, 503, "")
@@ -194,7 +178,7 @@
 	})
 	t.Run("goes to another target after proof that it has not run", func(t *testing.T) {
 		f := newFixture(t, 3, func(c net.Conn, r rawserver.Request) bool {
-			_, _ = io.WriteString(c, answer(r, "503 Busy", "X-Hickoryrock-Not-Executed: 1\r\n", ""))
+			_, _ = io.WriteString(c, platformtest.NotRun(r))
 			return true
 		})
 		got := f.call("/once/a")
@@ -203,14 +187,14 @@
 		f.Assert(f.arrivals(), qt.Equals, 3)
 	})
 	t.Run("is not refused as not run by a target's plain 503", func(t *testing.T) {
-		f := newFixture(t, 3, always("503 Busy", seal, "busy"))
+		f := newFixture(t, 3, always("503 Busy", "", "busy"))
 		got := f.call("/once/a")
 		f.assertReply(got, 503, "busy")
-		f.Assert(got.Field("x-hickoryrock-response-seal"), qt.Equals, "s")
+		f.Assert(platform.DecodeVerdict(got.Status, got.Fields).Sealed, qt.IsTrue)
 		f.Assert(f.arrivals(), qt.Equals, 1)
 	})
 	t.Run("passes a target's failure on", func(t *testing.T) {
-		f := newFixture(t, 3, always("500 Oops", seal, "oops"))
+		f := newFixture(t, 3, always("500 Oops", "", "oops"))
 		f.assertReply(f.call("/once/a"), 500, "oops")
 		f.Assert(f.arrivals(), qt.Equals, 1)
 	})
@@ -233,14 +217,17 @@
 
 func TestSuccessesThatCannotBeTrusted(t *testing.T) {
 	for name, script := range map[string]rawserver.Script{
-		"without a seal": always("200 OK", "", "x"),
+		"without a seal": func(c net.Conn, r rawserver.Request) bool {
+			_, err := io.WriteString(c, platformtest.Unsealed(r, "200 OK", "", "x"))
+			return err == nil
+		},
 		"cut": func(c net.Conn, r rawserver.Request) bool {
-			raw := answer(r, "200 OK", seal, "whole")
+			raw := platformtest.Answer(r, "200 OK", "", "whole")
 			_, _ = io.WriteString(c, raw[:len(raw)-2])
 			return false
 		},
 		"of another call": func(c net.Conn, _ rawserver.Request) bool {
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: c0\r\n"+seal+"Content-Length: 1\r\n\r\nx")
+			_, _ = io.WriteString(c, platformtest.OfAnotherCall())
 			return false
 		},
 	} {
@@ -255,15 +242,15 @@
 func TestARepeatableCall(t *testing.T) {
 	fails := func(first rawserver.Script) rawserver.Script {
 		return func(c net.Conn, r rawserver.Request) bool {
-			if r.Field("x-hickoryrock-expect-instance") == "i-0" {
+			if platformtest.DecodeSent(r).Expected == "i-0" {
 				return first(c, r)
 			}
-			return always("200 OK", seal, "second")(c, r)
+			return always("200 OK", "", "second")(c, r)
 		}
 	}
 	for name, script := range map[string]rawserver.Script{
 		"reset":  reset,
-		"failed": always("500 Oops", seal, "oops"),
+		"failed": always("500 Oops", "", "oops"),
 		"silent": func(c net.Conn, _ rawserver.Request) bool {
 			_, _ = c.Read(make([]byte, 1))
 			return false
@@ -285,18 +272,13 @@
 
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 
-func streamHead(r rawserver.Request) string {
-	return "HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: " + r.Field("x-hickoryrock-attempt-id") + "\r\n" + seal +
-		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-}
-
 // events streams events from the one after Last-Event-Id on, and stops in the
 // middle of an event when it comes to cut.
 func events(last, cut int) rawserver.Script {
 	return func(c net.Conn, r rawserver.Request) bool {
 		from := 0
-		_, _ = fmt.Sscan(r.Field("last-event-id"), &from)
-		_, _ = io.WriteString(c, streamHead(r))
+		_, _ = fmt.Sscan(platformtest.DecodeSent(r).LastEvent, &from)
+		_, _ = io.WriteString(c, platformtest.StreamHead(r))
 		for i := from + 1; i <= last; i++ {
 			if i == cut && from == 0 {
 				_, _ = io.WriteString(c, chunk(fmt.Sprintf("id: %d\nda", i)))
@@ -336,10 +318,10 @@
 	})
 	t.Run("go on when their target falls silent", func(t *testing.T) {
 		f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
-			if r.Field("last-event-id") != "" {
+			if platformtest.DecodeSent(r).LastEvent != "" {
 				return events(5, 0)(c, r)
 			}
-			_, _ = io.WriteString(c, streamHead(r)+chunk("id: 1\ndata: x\n\n"))
+			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk("id: 1\ndata: x\n\n"))
 			_, _ = c.Read(make([]byte, 1))
 			return false
 		})
@@ -350,13 +332,13 @@
 	t.Run("arrive event by event", func(t *testing.T) {
 		more := make(chan struct{})
 		f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
-			_, _ = io.WriteString(c, streamHead(r)+chunk("id: 1\ndata: x\n\n"))
+			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk("id: 1\ndata: x\n\n"))
 			<-more
 			_, _ = io.WriteString(c, chunk("id: 2\ndata: x\n\n")+"0\r\n\r\n")
 			return true
 		})
 		c, r := f.dial()
-		_, _ = io.WriteString(c, request("/stream/a", key, ""))
+		_, _ = io.WriteString(c, platformtest.Request("/stream/a", platformtest.Key, ""))
 		head, err := http1.ReadResponse(r, 16<<10, "POST")
 		f.Assert(err, qt.IsNil)
 		body := http1.Body(r, head.Length)
@@ -378,7 +360,7 @@
 		return false
 	})
 	c, _ := f.dial()
-	_, _ = io.WriteString(c, request("/resume/a", key, ""))
+	_, _ = io.WriteString(c, platformtest.Request("/resume/a", platformtest.Key, ""))
 	time.Sleep(50 * time.Millisecond)
 	_ = c.Close()
 	select {
@@ -390,26 +372,26 @@
 
 func TestConnectionsOfCallers(t *testing.T) {
 	t.Run("carry many calls", func(t *testing.T) {
-		f := newFixture(t, 1, always("200 OK", seal, "x"))
+		f := newFixture(t, 1, always("200 OK", "", "x"))
 		c, r := f.dial()
 		for range 3 {
-			_, _ = io.WriteString(c, request("/once/a", key, "hello"))
+			_, _ = io.WriteString(c, platformtest.Request("/once/a", platformtest.Key, "hello"))
 			f.assertReply(readReply(r), 200, "x")
 		}
 	})
 	t.Run("keep calls apart that arrive together", func(t *testing.T) {
-		f := newFixture(t, 1, always("200 OK", seal, "x"))
+		f := newFixture(t, 1, always("200 OK", "", "x"))
 		c, r := f.dial()
-		one := request("/once/a", key, "hello")
+		one := platformtest.Request("/once/a", platformtest.Key, "hello")
 		_, _ = io.WriteString(c, one+one)
 		f.assertReply(readReply(r), 200, "x")
 		f.assertReply(readReply(r), 200, "x")
 	})
 	t.Run("end with the answer while the router leaves", func(t *testing.T) {
-		f := newFixture(t, 1, always("200 OK", seal, "x"))
+		f := newFixture(t, 1, always("200 OK", "", "x"))
 		c, r := f.dial()
 		f.server.Drain()
-		_, _ = io.WriteString(c, request("/once/a", key, "hello"))
+		_, _ = io.WriteString(c, platformtest.Request("/once/a", platformtest.Key, "hello"))
 		got := readReply(r)
 		f.assertReply(got, 200, "x")
 		f.Assert(got.Close, qt.IsTrue)
@@ -417,20 +399,20 @@
 		f.Assert(err, qt.Equals, io.EOF)
 	})
 	t.Run("end when a call could hide another", func(t *testing.T) {
-		f := newFixture(t, 1, always("200 OK", seal, "x"))
-		hidden := "0\r\n\r\n" + request("/once/hidden", key, "")
+		f := newFixture(t, 1, always("200 OK", "", "x"))
+		hidden := "0\r\n\r\n" + platformtest.Request("/once/hidden", platformtest.Key, "")
 		c, r := f.dial()
 		_, _ = io.WriteString(c, fmt.Sprintf("POST /once/a HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n"+
-			"Transfer-Encoding: chunked\r\n\r\n%s", key, len(hidden), hidden))
+			"Transfer-Encoding: chunked\r\n\r\n%s", platformtest.Key, len(hidden), hidden))
 		f.assertReply(readReply(r), 400, "")
 		_, err := r.ReadByte()
 		f.Assert(err, qt.IsNotNil)
 		f.Assert(f.arrivals(), qt.Equals, 0)
 	})
 	t.Run("get 100 Continue before a body that waits for it", func(t *testing.T) {
-		f := newFixture(t, 1, always("200 OK", seal, "x"))
+		f := newFixture(t, 1, always("200 OK", "", "x"))
 		c, r := f.dial()
-		_, _ = io.WriteString(c, "POST /once/a HTTP/1.1\r\nHost: h\r\n"+key+"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		_, _ = io.WriteString(c, "POST /once/a HTTP/1.1\r\nHost: h\r\n"+platformtest.Key+"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
 		line, err := r.ReadString('\n')
 		f.Assert(err, qt.IsNil)
 		f.Assert(line, qt.Equals, "HTTP/1.1 100 Continue\r\n")
--- a/internal/node/edge/edge_test.go
+++ b/internal/node/edge/edge_test.go
@@ -1,9 +1,9 @@
 package edge
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,16 +18,16 @@
 	"github.com/rs/zerolog"
 
 	"hickoryrock/internal/operator/command"
-	"hickoryrock/internal/standin/metastore"
 	"hickoryrock/internal/standin/rawserver"
 	"hickoryrock/platform"
+	"hickoryrock/platform/platformtest"
 )
 
 const patience = 5 * time.Second
 
 type fixture struct {
 	*qt.C
-	meta     *metastore.Store
+	meta     *platformtest.Store
 	target   *rawserver.Server
 	path     string
 	settings platform.Settings
@@ -44,7 +44,7 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{C: qt.New(t), meta: metastore.New(), ended: make(chan struct{})}
+	f := &fixture{C: qt.New(t), meta: platformtest.NewStore(), ended: make(chan struct{})}
 	store := httptest.NewServer(f.meta)
 	t.Cleanup(store.Close)
 	var err error
@@ -53,8 +53,7 @@
 		if strings.Contains(r.Target, "slow") {
 			time.Sleep(500 * time.Millisecond)
 		}
-		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: %s\r\n"+
-			"X-Hickoryrock-Response-Seal: s\r\nContent-Length: 2\r\n\r\nhi", r.Field("x-hickoryrock-attempt-id"))
+		_, err := io.WriteString(c, platformtest.Answer(r, "200 OK", "", "hi"))
 		return err == nil
 	})
 	f.Assert(err, qt.IsNil)
@@ -64,10 +63,8 @@
 	directory, _ := freeAddress(f.C)
 	_, peer := freeAddress(f.C)
 	f.path = filepath.Join(t.TempDir(), "boot.json")
-	f.Assert(os.WriteFile(f.path, fmt.Appendf(nil, `{"node_name":"edge-a-1","ip":"127.0.0.1","zone":"a",
-"listen":{"front":%q,"ready":%q,"directory":%q},"port_range":[%d,%d],"bounds":{"grace_s":3,"ttl_max_s":5,
-"cap_factor":2,"retry_slack":50},"platform":{"address":%q}}`,
-		front, ready, directory, peer, peer, strings.TrimPrefix(store.URL, "http://")), 0o600), qt.IsNil)
+	f.Assert(os.WriteFile(f.path, platformtest.Settings(front, ready, directory, peer,
+		strings.TrimPrefix(store.URL, "http://")), 0o600), qt.IsNil)
 	f.settings, err = platform.LoadSettings(f.path)
 	f.Assert(err, qt.IsNil)
 	router, stop, err := New(f.path, f.settings, zerolog.Nop())
@@ -88,9 +85,8 @@
 }
 
 func (f *fixture) configure() {
-	f.meta.Set("config", "main", `{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/",
-"route_kind":"non_idempotent","service":"s","timeout_ms":2000,"max_attempts":1}]}`)
-	f.meta.Set("servers", "i-1", `{"service":"s","address":"`+f.target.Address()+`","state":"ready"}`)
+	f.meta.Set(platformtest.Configurations, platformtest.Current, platformtest.Configuration(1))
+	f.meta.Set(platformtest.Targets, "i-1", platformtest.Target(f.target.Address(), "ready", 0))
 	f.eventually("ready", func() bool { return f.status(f.settings.ReadyAddress, "/readyz") == 200 })
 }
 
@@ -113,11 +109,14 @@
 }
 
 func (f *fixture) call(path string) (int, string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.settings.CallerAddress+path, strings.NewReader("x"))
+	c, err := net.Dial("tcp4", f.settings.CallerAddress)
+	if err != nil {
+		return 0, ""
+	}
+	defer c.Close()
+	_, err = io.WriteString(c, platformtest.Request(path, "Connection: close\r\n", "x"))
 	f.Assert(err, qt.IsNil)
-	req.Host = "h"
-	req.Header.Set("X-Hickoryrock-Attempt-Id", "c1")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0, ""
 	}
@@ -137,13 +136,12 @@
 	resp, err := http.Get("http://" + f.settings.LookupAddress + "/lookup?name=h&zone=a&region=r")
 	f.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
-	var lookup struct {
-		Addresses []string `json:"addresses"`
-		TTLS      float64  `json:"ttl_s"`
-	}
-	f.Assert(json.NewDecoder(resp.Body).Decode(&lookup), qt.IsNil)
-	f.Assert(lookup.Addresses, qt.DeepEquals, []string{f.settings.CallerAddress})
-	f.Assert(lookup.TTLS > 0 && lookup.TTLS <= 5, qt.IsTrue)
+	body, err := io.ReadAll(resp.Body)
+	f.Assert(err, qt.IsNil)
+	addresses, ttl, err := platformtest.Lookup(body)
+	f.Assert(err, qt.IsNil)
+	f.Assert(addresses, qt.DeepEquals, []string{f.settings.CallerAddress})
+	f.Assert(ttl > 0 && ttl <= 5, qt.IsTrue)
 	f.eventually("the target is known", func() bool { status, _ := f.call("/a"); return status == 200 })
 	f.Assert(f.meta.Names(platform.KindRouters), qt.DeepEquals, []string{"edge-a-1"})
 }
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,8 +16,8 @@
 	"hickoryrock/internal/peer/gossip"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/standing"
-	"hickoryrock/internal/standin/metastore"
 	"hickoryrock/platform"
+	"hickoryrock/platform/platformtest"
 )
 
 const patience = 5 * time.Second
@@ -35,14 +34,14 @@
 
 type fixture struct {
 	*qt.C
-	meta *metastore.Store
+	meta *platformtest.Store
 	up   string
 	// down is the address of a store that turns every call away.
 	down string
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{C: qt.New(t), meta: metastore.New()}
+	f := &fixture{C: qt.New(t), meta: platformtest.NewStore()}
 	serve := func(h http.Handler) string {
 		server := httptest.NewServer(h)
 		t.Cleanup(server.Close)
@@ -111,12 +110,11 @@
 }
 
 func (f *fixture) configure(version int) {
-	f.meta.Set("config", "main", fmt.Sprintf(
-		`{"version":%d,"routes":[{"name":"r","host":"h","path_prefix":"/","service":"s"}]}`, version))
+	f.meta.Set(platformtest.Configurations, platformtest.Current, platformtest.Configuration(version))
 }
 
 func (f *fixture) target(id, state string) {
-	f.meta.Set("servers", id, `{"service":"s","address":"10.0.0.1:80","state":"`+state+`"}`)
+	f.meta.Set(platformtest.Targets, id, platformtest.Target("10.0.0.1:80", state, 0))
 }
 
 func TestRoutersHearOfEachOther(t *testing.T) {
@@ -158,7 +156,7 @@
 		return v.Configuration.Version == 2 && len(v.Targets.ByService["s"]) == 1 && v.Targets.ByService["s"][0].Leaving
 	})
 	f.Assert(time.Since(since) < time.Second, qt.IsTrue)
-	f.meta.Remove("servers", "i-1")
+	f.meta.Remove(platformtest.Targets, "i-1")
 	f.eventually("it learns of an end", func() bool { return b.known().Targets == 0 })
 	f.Assert(b.known().TargetsDigest, qt.Equals, a.known().TargetsDigest)
 }
