--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -8,8 +8,8 @@
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 
-	"hickoryrock/api/peer/v1/peerv1connect"
 	peerv1 "hickoryrock/api/peer/v1"
+	"hickoryrock/api/peer/v1/peerv1connect"
 	"hickoryrock/internal/platform/objects"
 )
 
