Wait in the process tests until a router listens

Ruled out: a router that ended (it is killed only later in the test) and a taken port (23879 is outside the range of ephemeral ports). The wait is a check of its own with the same time; the assertion stays.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -125,6 +125,9 @@
 	resources := fmt.Sprintf(resourcesFormat, f.engines[0], f.engines[1], f.order, hex.EncodeToString(sum[:]))
 	f.run("hickoryrock", "apply", "-platform", f.platform, "-f", f.file("resources.yaml", resources))
 	for _, address := range f.routers {
+		f.waitFor("the router listens", func() bool {
+			return f.status("GET", "http://"+address+"/v1/address", "") == http.StatusOK
+		})
 		// Targets change owners while routers join.
 		f.waitFor("the routers know each other", func() bool {
 			var a struct{ Alternatives []string }
