--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	// watchWait is how long a watch waits: a watch that has silently gone deaf
-	// must end well before a change has to be in force, two seconds at the least.
-	watchWait = 700 * time.Millisecond
+	// defaultWatchWait is the longest time that a watch waits.
+	defaultWatchWait = 700 * time.Millisecond
+	// watchShare of the time until a change must be in force is how long a watch
+	// waits at most: one that has gone deaf must end well before.
+	watchShare = 0.35
 	// retryFirst and retryMost are the waiting times after failed calls.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -36,9 +38,11 @@
 	// lapseGrace is how long after the store's return entries that lapsed
 	// meanwhile have to come back: the platform states about two seconds.
 	lapseGrace = 2 * time.Second
-	// lapseMost bounds that time for each entry: one that is truly gone must get
-	// no calls two seconds later.
-	lapseMost = 1500 * time.Millisecond
+	// lapseShare of the time in which a leaving target may still get calls bounds
+	// that time for each entry: it may truly be gone.
+	lapseShare = 0.75
+	// defaultDrain holds when the platform states none.
+	defaultDrain = 2 * time.Second
 	// keptChanges is how many changes of targets are kept for other routers.
 	keptChanges = 256
 	// sweepEvery is how often entries that did not come back are dropped.
@@ -46,6 +50,9 @@
 )
 
 type (
+	// Option changes a follower's settings.
+	Option func(*Follower)
+
 	// Follower holds the newest view.
 	Follower struct {
 		store *platform.Store
@@ -56,6 +63,10 @@
 		viewed func(*Change)
 		// served reports whether the store serves other routers now.
 		served func() bool
+		// watchWait is how long a watch waits.
+		watchWait time.Duration
+		// lapseMost is how long an entry that went missing may be kept.
+		lapseMost time.Duration
 
 		mu            sync.Mutex
 		configuration []byte
@@ -119,10 +130,14 @@
 
 // New returns a follower that calls viewed after each change of its view, and
 // asks served whether the store serves other routers while it fails this one.
-func New(store *platform.Store, log zerolog.Logger, viewed func(*Change), served func() bool) *Follower {
+func New(store *platform.Store, log zerolog.Logger, viewed func(*Change), served func() bool, opts ...Option) *Follower {
 	f := &Follower{
 		store: store, log: log, viewed: viewed, served: served,
 		entries: make(map[string]entry), lapsed: make(map[string]time.Time),
+		watchWait: defaultWatchWait, lapseMost: share(lapseShare, defaultDrain),
+	}
+	for _, opt := range opts {
+		opt(f)
 	}
 	f.configurations.kind, f.configurations.pokes = platform.KindConfigurations, make(chan struct{}, 1)
 	f.targets.kind, f.targets.pokes = platform.KindTargets, make(chan struct{}, 1)
@@ -130,6 +145,26 @@
 	return f
 }
 
+// WithBounds sets the times in which a change must be in force and a leaving
+// target must be left; zero keeps the default.
+func WithBounds(apply, drain time.Duration) Option {
+	return func(f *Follower) {
+		if apply > 0 {
+			f.watchWait = min(defaultWatchWait, share(watchShare, apply))
+		}
+		if drain > 0 {
+			f.lapseMost = share(lapseShare, drain)
+		}
+	}
+}
+
+func share(part float64, of time.Duration) time.Duration {
+	return time.Duration(part * float64(of))
+}
+
+// WatchWait is how long this router's watches wait.
+func (f *Follower) WatchWait() time.Duration { return f.watchWait }
+
 // View returns the newest view.
 func (f *Follower) View() *state.View { return f.view.Load() }
 
@@ -176,7 +211,7 @@
 			}
 		}
 	}
-	return watchWait
+	return f.watchWait
 }
 
 // follow lists a kind and then watches it; full is set for the pages of a list.
--- a/internal/fleet/follow/targets.go
+++ b/internal/fleet/follow/targets.go
@@ -127,7 +127,7 @@
 	}
 	if now := time.Now(); now.Before(grace) {
 		if _, ok := f.lapsed[name]; !ok {
-			f.lapsed[name] = minTime(grace, now.Add(lapseMost))
+			f.lapsed[name] = minTime(grace, now.Add(f.lapseMost))
 		}
 		return false
 	}
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -178,7 +179,7 @@
 	case errors.Is(cause, errTimeout):
 		c.reason = reasonTimeout
 	}
-	if reason == "connection-refused" || reason == "no-connection" {
+	if reason == exchange.ReasonRefused || reason == exchange.ReasonNoConnection {
 		c.h.Book.Unreachable(target.Hash, now)
 		c.h.Pool.Forget(endpoint(target))
 		c.h.Log.Warn().Str("call", c.info.ID).Str("target", target.ID).Str("reason", reason).Msg("target set aside")
@@ -202,7 +203,7 @@
 		c.answerless(target, "unsealed-answer")
 		return
 	}
-	if c.route.Streaming && a.Head.Status == 200 {
+	if c.route.Streaming && a.Head.Status == http.StatusOK {
 		c.relayStream(ctx, target, ticket, a)
 		return
 	}
@@ -214,7 +215,7 @@
 	}
 	c.h.Pool.Done(a)
 	c.progress.Runs++
-	c.failure = &wholeAnswer{head: a.Head, body: body}
+	c.whole = &wholeAnswer{head: a.Head, body: body}
 	if c.answer.Begun() {
 		// A resumed stream cannot end in another kind of answer.
 		c.answerless(target, "no-stream")
@@ -232,7 +233,7 @@
 
 // answerless notes an answer that cannot be passed on.
 func (c *call) answerless(target *state.Target, reason string) {
-	c.failure = nil
+	c.whole = nil
 	c.progress.Fate = Unknown
 	c.reason = reason
 	c.h.Book.Failed(target.Hash, time.Now())
@@ -243,7 +244,7 @@
 	c.progress.Fate = NotRun
 	c.reason = "target-refused"
 	now := time.Now()
-	if status == 421 {
+	if status == http.StatusMisdirectedRequest {
 		// Another server has the address now.
 		c.reason = "target-replaced"
 		c.h.Book.Unreachable(target.Hash, now)
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -80,9 +80,9 @@
 		progress Progress
 		tried    map[uint64]bool
 		events   events
-		// failure is the target's own answer that is passed on when nothing better comes.
-		failure *wholeAnswer
-		reason  string
+		// whole is a target's complete answer, passed on unless another attempt follows.
+		whole  *wholeAnswer
+		reason string
 		// targets are those that the last attempt chose from.
 		targets *state.Targets
 		sentTo  []string
@@ -140,7 +140,7 @@
 		}
 		c.progress.Left = time.Until(c.deadline)
 		c.progress.Begun = c.answer.Begun()
-		c.progress.HasAnswer = c.failure != nil
+		c.progress.HasAnswer = c.whole != nil
 		if c.act(Decide(c.route, c.progress, c.budget)) {
 			return
 		}
@@ -195,7 +195,7 @@
 	if c.reason == reasonNoTarget {
 		return false
 	}
-	if c.reason == "connection-refused" || c.reason == "no-connection" {
+	if c.reason == exchange.ReasonRefused || c.reason == exchange.ReasonNoConnection {
 		return true
 	}
 	verdict := c.h.Budgets.Retry(time.Now(), allWorkspaces, c.service)
@@ -211,12 +211,12 @@
 func (c *call) act(a Action) bool {
 	switch a {
 	case Again:
-		c.failure = nil
+		c.whole = nil
 		return false
 	case PassOn:
-		if c.failure != nil {
-			c.status = c.failure.head.Status
-			c.answer.Whole(c.status, c.failure.head.Reason, passFields(c.failure.head), c.failure.body)
+		if c.whole != nil {
+			c.status = c.whole.head.Status
+			c.answer.Whole(c.status, c.whole.head.Reason, passFields(c.whole.head), c.whole.body)
 		}
 	case Refuse:
 		c.refuse(c.reason)
--- a/internal/node/edge/command.go
+++ b/internal/node/edge/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,9 @@
 	logLines = 4096
 	// logPoll is how often waiting lines are written.
 	logPoll = 20 * time.Millisecond
+	// memoryShare of the process's memory is what the runtime keeps to; bytes
+	// that wait in sockets count, too.
+	memoryShare = 0.7
 	// exitFailed means that the router could not start.
 	exitFailed = 1
 )
@@ -73,6 +77,9 @@
 	})
 	defer func() { _ = writer.Close() }()
 	log := zerolog.New(writer).With().Timestamp().Str("router", s.Router).Logger()
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
 	r, stop, err := New(path, s, log)
 	if err != nil {
 		log.Error().Err(err).Msg("router cannot start")
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -93,7 +93,8 @@
 	r.store = store
 	r.closers = append(r.closers, closeStore)
 	r.follower = follow.New(store, log, func(c *follow.Change) { r.fleet.Nudge(c) },
-		func() bool { return r.fleet.StoreServes() })
+		func() bool { return r.fleet.StoreServes() },
+		follow.WithBounds(s.Bounds.ConfigurationApply, s.Bounds.Drain))
 	pool, closePool := exchange.New()
 	r.closers = append(r.closers, closePool)
 	factor := s.Bounds.LoadFactor
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -64,9 +64,9 @@
 	// maxWaiting is the number of routers that wait for an absent store beside
 	// its leaders; each call is charged, refused ones too.
 	maxWaiting = 8
-	// leaderAge is the age of a leader's last reply from the store beyond which
-	// others step in: its watches end sooner than that.
-	leaderAge = 900 * time.Millisecond
+	// leaderSlack is the age of a leader's last reply from the store, beyond the
+	// time that its watches wait, from which on others step in.
+	leaderSlack = 200 * time.Millisecond
 	// fetchTimeout bounds the fetching of a snapshot.
 	fetchTimeout = 800 * time.Millisecond
 	// maxDatagramBytes is the size of the receive buffer.
--- a/internal/peer/gossip/leader.go
+++ b/internal/peer/gossip/leader.go
@@ -21,7 +21,7 @@
 		if !p.live || p.beacon.GetLeaving() || rank(p.beacon.GetRouter()) > own {
 			continue
 		}
-		if storeAge(p.beacon)+time.Since(p.heard) < leaderAge+f.intervalOf(len(f.peers)) {
+		if storeAge(p.beacon)+time.Since(p.heard) < f.leaderAge()+f.intervalOf(len(f.peers)) {
 			served++
 		} else {
 			waiting++
@@ -30,6 +30,9 @@
 	return served < leaders && waiting < maxWaiting
 }
 
+// leaderAge is the age of a leader's last reply from the store up to which it counts as served.
+func (f *Fleet) leaderAge() time.Duration { return f.from.WatchWait() + leaderSlack }
+
 // rank orders routers without regard to failure domains, which names often begin with.
 func rank(router string) uint64 { return xxhash.Sum64String(router) }
 
@@ -38,7 +41,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.peers {
-		if p.live && storeAge(p.beacon)+time.Since(p.heard) < leaderAge {
+		if p.live && storeAge(p.beacon)+time.Since(p.heard) < f.leaderAge() {
 			return true
 		}
 	}
--- a/internal/target/exchange/exchange.go
+++ b/internal/target/exchange/exchange.go
@@ -26,6 +26,10 @@
 	// Unknown means that the call may have run.
 	Unknown
 
+	// ReasonRefused and ReasonNoConnection are those of a target that cannot be reached.
+	ReasonRefused      = "connection-refused"
+	ReasonNoConnection = "no-connection"
+
 	readBufferBytes = 4 << 10
 	// headLimit bounds the head of a target's answer.
 	headLimit = 64 << 10
@@ -217,9 +221,9 @@
 	dialer := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1}
 	n, err := dialer.DialContext(ctx, "tcp", e.Address)
 	if err != nil {
-		why := "no-connection"
+		why := ReasonNoConnection
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			why = "connection-refused"
+			why = ReasonRefused
 		}
 		return nil, &Failure{Certainty: NotSent, Reason: why, Err: err}
 	}
