--- a/internal/target/exchange/exchange.go
+++ b/internal/target/exchange/exchange.go
@@ -26,8 +26,9 @@
 	// Unknown means that the call may have run.
 	Unknown
 
-	// ReasonRefused and ReasonNoConnection are those of a target that cannot be reached.
-	ReasonRefused      = "connection-refused"
+	// ReasonRefused is the reason of a call to a target that accepts no connection.
+	ReasonRefused = "connection-refused"
+	// ReasonNoConnection is the reason of a call to a target that does not answer to a connection.
 	ReasonNoConnection = "no-connection"
 
 	readBufferBytes = 4 << 10
