--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -86,7 +87,7 @@
 }
 
 func endpoint(t *state.Target) exchange.Endpoint {
-	return exchange.Endpoint{Address: t.Address, Key: t.ID + "/" + t.Address + "/" + time.UnixMilli(t.Born).String()}
+	return exchange.Endpoint{Address: t.Address, Key: t.Address + "/" + strconv.FormatUint(t.Hash, 16)}
 }
 
 // choose picks the target of the next attempt, or nil.
