--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -107,7 +107,8 @@
 		candidates[i] = affinity.Candidate{
 			Target: t.Hash, Calls: summaries[i].Calls, Unread: summaries[i].Unread,
 			Aside: summaries[i].Aside || c.h.Book.Silent(t.Hash, now) > limit,
-			Tried: c.tried[t.Hash], Near: t.FailureDomain == c.h.FailureDomain, Leaving: t.Leaving,
+			Tried: c.tried[t.Hash], Leaving: t.Leaving,
+			FailureDomain: t.FailureDomain, Near: t.FailureDomain == c.h.FailureDomain,
 		}
 	}
 	choice := c.h.Map.Choose(affinity.Request{
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -179,6 +179,18 @@
 	return xxhash.Sum64String(c.info.ID)
 }
 
+// promptName identifies the deepest part that the call shares with others, for the log.
+func (c *call) promptName() string {
+	if c.route == nil {
+		return ""
+	}
+	parts := c.parts()
+	if len(parts) == 0 {
+		return ""
+	}
+	return strconv.FormatUint(parts[max(len(parts)-2, 0)].Hash, 16)
+}
+
 func (c *call) parts() []affinity.Part {
 	if !c.route.Sticky {
 		return nil
@@ -268,8 +280,8 @@
 		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
 		Uint64("targets-revision", c.targets.Revision).Strs("targets", c.sentTo).
 		Str("placement", string(c.choice.Reason)).Int("unread", c.choice.Unread).Int("reread", c.choice.Reread).
-		Int("fetched", c.choice.Fetched).
-		Int("sends", c.progress.Sends).Int("runs", c.progress.Runs).
+		Int("fetched", c.choice.Fetched).Str("prompt", c.promptName()).
+		Dur("caller-waits-ms", c.info.Deadline).Int("sends", c.progress.Sends).Int("runs", c.progress.Runs).
 		Int("status", c.status).Str("reason", reason).Dur("took-ms", took).Msg("call")
 }
 
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -73,7 +73,8 @@
 		// Aside candidates are taken only when there is no other.
 		Aside bool
 		// Tried candidates have had the call already and are never chosen.
-		Tried bool
+		Tried         bool
+		FailureDomain string
 		// Near candidates are in the router's own failure domain.
 		Near bool
 		// Leaving candidates are never chosen, but others may fetch from their caches.
@@ -159,7 +160,7 @@
 		if !eligible[i] {
 			continue
 		}
-		choice := sources.read(r.Parts, held[i])
+		choice := sources.read(r.Parts, held[i], c.FailureDomain)
 		choice.Index = i
 		total := float64(c.Unread+choice.Unread) + rereadWeight*float64(choice.Reread) +
 			(fetchShare+fetchWeight)*float64(choice.Fetched) + callTokens*float64(c.Calls)
--- a/internal/policy/affinity/affinity_test.go
+++ b/internal/policy/affinity/affinity_test.go
@@ -67,6 +67,27 @@
 	c.Assert(moved.Reason, qt.Equals, affinity.ReasonMoved)
 }
 
+// A transfer between failure domains takes twice the time of one within.
+func TestSourcesInTheSameFailureDomainComeFirst(t *testing.T) {
+	m := affinity.NewMap()
+	all := candidates(4)
+	for i, domain := range []string{"a", "b", "a"} {
+		all[i].FailureDomain, all[i].Leaving = domain, true
+		m.Recall([]affinity.Holding{{Part: 1, Target: all[i].Target}, {Part: 2, Target: all[i].Target}}, start)
+	}
+	for _, domain := range []string{"a", "b"} {
+		t.Run("in "+domain, func(t *testing.T) {
+			c := qt.New(t)
+			all[3].FailureDomain = domain
+			choice := m.Choose(prompt(1, 2), all, start.Add(time.Second))
+			c.Assert(choice.Index, qt.Equals, 3)
+			c.Assert(choice.Fetched, qt.Equals, 8500)
+			c.Assert(all[choice.Source].FailureDomain, qt.Equals, domain)
+			m.Expire(map[uint64]bool{all[0].Target: true, all[1].Target: true, all[2].Target: true}, start)
+		})
+	}
+}
+
 func TestATargetThatIsStillReadingIsNoSource(t *testing.T) {
 	c := qt.New(t)
 	m := affinity.NewMap()
--- a/internal/policy/affinity/source.go
+++ b/internal/policy/affinity/source.go
@@ -2,10 +2,12 @@
 
 import "time"
 
-// source is the candidate that holds most of a prompt.
-type source struct {
-	index int
-	// depth is the number of leading parts that it holds.
+// sources are the candidates that hold most of a prompt.
+type sources struct {
+	// indexes are the ones to fetch from, by failure domain; first is any of them, or -1.
+	indexes map[string]int
+	first   int
+	// depth is the number of leading parts that they hold.
 	depth int
 	// anywhere is that number over all candidates, fetched from or not.
 	anywhere int
@@ -35,31 +37,38 @@
 	return held, ready
 }
 
-// deepest returns the candidate to fetch from.
-func deepest(shared []Part, candidates []Candidate, held, ready []int, fetch bool) source {
-	s := source{index: -1}
+// deepest returns the candidates to fetch from.
+func deepest(shared []Part, candidates []Candidate, held, ready []int, fetch bool) sources {
+	s := sources{first: -1, indexes: make(map[string]int)}
 	for i, c := range candidates {
 		s.anywhere = max(s.anywhere, held[i])
-		if fetch && !c.Aside && ready[i] > s.depth {
-			s.index, s.depth = i, ready[i]
+		if !fetch || c.Aside || ready[i] == 0 || ready[i] < s.depth {
+			continue
 		}
+		if ready[i] > s.depth {
+			s.first, s.depth = i, ready[i]
+			clear(s.indexes)
+		}
+		s.indexes[c.FailureDomain] = i
 	}
 	if tokens(shared[:s.depth]) < fetchLeast {
-		s.index, s.depth = -1, 0
+		s.first, s.depth = -1, 0
+		clear(s.indexes)
 	}
 	return s
 }
 
 // read returns what a candidate that holds some leading parts has to read and to fetch.
-func (s source) read(parts []Part, held int) Choice {
+func (s sources) read(parts []Part, held int, failureDomain string) Choice {
 	c := Choice{Source: -1}
 	known := held
 	if s.depth > held {
-		c.Fetched = tokens(parts[held:s.depth])
-		known = s.depth
-		c.Source = s.index
-		if c.Fetched < fetchLeast {
-			c.Source, c.Fetched, known = -1, 0, held
+		if missing := tokens(parts[held:s.depth]); missing >= fetchLeast {
+			c.Fetched, known = missing, s.depth
+			c.Source = s.first
+			if near, ok := s.indexes[failureDomain]; ok {
+				c.Source = near
+			}
 		}
 	}
 	c.Unread = tokens(parts[known:])
