Recall the targets' caches within a round trip of a start

Cause: after a loss of all VMs a starting router waited for beacons of 100 ms, then asked its elder at a random time and again after 400 ms; meanwhile returning chats were sent where their prompts are not. Change: first beacons are answered at once in small fleets; an elder that is itself recalling says so and is asked again; calls with prompts wait for the recall, a quarter of their objective at most.

--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -34,6 +34,9 @@
 	allWorkspaces = ""
 	// defaultTimeout holds for routes and callers that state none.
 	defaultTimeout = 30 * time.Second
+	// recallShare of its objective is how long a call with a prompt waits for a
+	// starting router to learn which targets hold it: reading it again takes longer.
+	recallShare = 0.25
 	// wholeAnswerBytes is the largest answer that is held until it is complete.
 	wholeAnswerBytes = 1 << 20
 )
@@ -131,6 +134,7 @@
 	defer cancel()
 	now := time.Now()
 	c.h.Budgets.Request(now, allWorkspaces, c.service)
+	c.awaitRecall(ctx)
 	for {
 		c.attempt(ctx)
 		if errors.Is(context.Cause(ctx), ingress.ErrGone) {
@@ -147,6 +151,26 @@
 	}
 }
 
+// awaitRecall holds a call with a prompt for a moment while the router does
+// not know yet which targets hold it.
+func (c *call) awaitRecall(ctx context.Context) {
+	if len(c.parts()) == 0 {
+		return
+	}
+	select {
+	case <-c.h.Map.Recalled():
+		return
+	default:
+	}
+	metrics.GetOrCreateCounter(`hickoryrock_calls_held_total{reason="caches-not-recalled"}`).Inc()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(recallShare*float64(c.route.Objective)))
+	defer cancel()
+	select {
+	case <-c.h.Map.Recalled():
+	case <-ctx.Done():
+	}
+}
+
 // admit finds the call's route, workspace and service, or answers why not.
 func (c *call) admit() bool {
 	configuration := c.view.Configuration
--- a/internal/fleet/forward/forward_test.go
+++ b/internal/fleet/forward/forward_test.go
@@ -32,6 +32,7 @@
 	front   net.Listener
 	server  *ingress.Server
 	targets []*rawserver.Server
+	parts   *affinity.Map
 }
 
 type reply struct {
@@ -53,13 +54,17 @@
 			Name: "resume", Host: "h", Prefix: "/resume/", Timeout: 2 * time.Second, Objective: 300 * time.Millisecond,
 			MaxAttempts: 2, Streaming: true, Resumable: true, Shares: shares,
 		},
+		{
+			Name: "chat", Host: "h", Prefix: "/chat/", Timeout: time.Second, Objective: 400 * time.Millisecond,
+			MaxAttempts: 1, Sticky: true, Shares: shares,
+		},
 		{Name: "open", Host: "h", Prefix: "/open/", Timeout: time.Second, MaxAttempts: 1, Public: true, Shares: shares},
 	}
 }
 
 // newFixture starts a router before targets that all follow a script.
 func newFixture(t *testing.T, targets int, script rawserver.Script) *fixture {
-	f := &fixture{C: qt.New(t)}
+	f := &fixture{C: qt.New(t), parts: affinity.NewMap()}
 	var list []*state.Target
 	for i := range targets {
 		server, stop, err := rawserver.New(script)
@@ -78,7 +83,7 @@
 	t.Cleanup(closePool)
 	handler := forward.New(forward.Parts{
 		View: f.view.Load, Pool: pool, Book: standing.NewBook(func(standing.Change) {}),
-		Map: affinity.NewMap(), Budgets: retries.NewBudgets(), LoadFactor: 2, Log: zerolog.Nop(),
+		Map: f.parts, Budgets: retries.NewBudgets(), LoadFactor: 2, Log: zerolog.Nop(),
 	})
 	f.server = ingress.New(handler, platform.DefaultLimits, zerolog.Nop())
 	var err error
@@ -157,6 +162,32 @@
 	f.Assert(platformtest.DecodeSent(sent), qt.Equals, platformtest.Sent{Workspace: "w", Expected: "i-0"})
 }
 
+// Pattern: callers return right after a loss of all VMs, before a router knows
+// which targets hold their prompts.
+func TestCallsWithPromptsWaitForTheRecallOfCaches(t *testing.T) {
+	took := func(f *fixture, path string) time.Duration {
+		begun := time.Now()
+		f.assertReply(f.send(platformtest.Request(path, platformtest.Key+platformtest.Prompt, "")), 200, "x")
+		return time.Since(begun)
+	}
+	t.Run("until it is done", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", "", "x"))
+		time.AfterFunc(40*time.Millisecond, f.parts.Complete)
+		first := took(f, "/chat/a")
+		f.Assert(first >= 40*time.Millisecond, qt.IsTrue, qt.Commentf("%v", first))
+		f.Assert(took(f, "/chat/a") < 40*time.Millisecond, qt.IsTrue)
+	})
+	t.Run("for a quarter of their objective at most", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", "", "x"))
+		held := took(f, "/chat/a")
+		f.Assert(held >= 100*time.Millisecond && held < 400*time.Millisecond, qt.IsTrue, qt.Commentf("%v", held))
+	})
+	t.Run("but not those without prompts", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", "", "x"))
+		f.Assert(took(f, "/once/a") < 100*time.Millisecond, qt.IsTrue)
+	})
+}
+
 func TestCallsThatTheConfigurationDoesNotAllow(t *testing.T) {
 	f := newFixture(t, 1, always("200 OK", "", "x"))
 	f.assertReply(f.call("/nowhere/"), 404, "")
--- a/internal/node/edge/recall.go
+++ b/internal/node/edge/recall.go
@@ -16,9 +16,14 @@
 const (
 	// recallPoll is how often a starting router looks for a view of the fleet.
 	recallPoll = 10 * time.Millisecond
-	// recallAgain is when a router that learnt from an elder asks once more,
-	// since the elder may itself have been recalling.
-	recallAgain = 400 * time.Millisecond
+	// listedWait is how long it waits for the list of routers; those that it
+	// knows from its settings may have been heard by then.
+	listedWait = 300 * time.Millisecond
+	// recallAgain is the time between two tries to learn from an elder, which
+	// may itself be recalling.
+	recallAgain = 30 * time.Millisecond
+	// recallMost is when a router gives up and learns from the calls alone.
+	recallMost = 2 * time.Second
 	// recallTimeout bounds one target's answer.
 	recallTimeout = 500 * time.Millisecond
 )
@@ -26,6 +31,7 @@
 // recall learns what targets hold: from a router that started earlier, or
 // from the engines themselves when there is none, as after a loss of all VMs.
 func (r *Router) recall(ctx context.Context) {
+	defer r.parts.Complete()
 	for r.follower.View().Configuration == nil || len(r.follower.View().Targets.ByService) == 0 {
 		if objects.Sleep(ctx, recallPoll) != nil {
 			return
@@ -34,27 +40,30 @@
 	select {
 	case <-ctx.Done():
 		return
+	case <-time.After(listedWait):
 	case <-r.listed:
 	}
-	// A beacon of each router has come by then.
-	interval := r.fleet.Interval()
-	if objects.Sleep(ctx, interval) != nil {
+	meeting := r.fleet.MeetingTime()
+	if objects.Sleep(ctx, meeting) != nil {
 		return
 	}
-	name, address := r.fleet.Elder()
-	if address == "" {
-		if !r.settings.FirstStart {
-			r.recallFromEngines(ctx, r.follower.View())
+	for end := time.Now().Add(recallMost); time.Now().Before(end); {
+		name, address := r.fleet.Elder()
+		if address == "" {
+			if !r.settings.FirstStart {
+				r.recallFromEngines(ctx, r.follower.View())
+			}
+			return
 		}
-		return
-	}
-	for _, wait := range []time.Duration{rand.N(interval), recallAgain + rand.N(interval)} {
-		if objects.Sleep(ctx, wait) != nil {
+		if r.fleet.FetchCaches(ctx, name, address) {
+			r.log.Info().Str("peer", name).Msg("caches recalled from a router")
+			return
+		}
+		if objects.Sleep(ctx, recallAgain+rand.N(meeting)) != nil {
 			return
 		}
-		r.fleet.FetchCaches(ctx, name, address)
 	}
-	r.log.Info().Str("peer", name).Msg("caches recalled from a router")
+	r.log.Warn().Msg("caches not recalled: no elder router told of them in time")
 }
 
 func (r *Router) recallFromEngines(ctx context.Context, v *state.View) {
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -199,6 +199,9 @@
 	if !p.live {
 		f.log.Info().Str("peer", b.GetRouter()).Uint64("incarnation", b.GetIncarnation()).Msg("router heard")
 	}
+	if p.beacon.GetIncarnation() != b.GetIncarnation() {
+		f.hello()
+	}
 	p.beacon, p.heard, p.live = b, now, true
 	return true
 }
--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -13,10 +14,19 @@
 	"hickoryrock/internal/platform/objects"
 )
 
+var errNotRecalled = errors.New("the router has not recalled the targets' caches yet")
+
 // GetSnapshot implements peerv1connect.FleetServiceHandler.
 func (f *Fleet) GetSnapshot(
 	_ context.Context, r *connect.Request[peerv1.GetSnapshotRequest],
 ) (*connect.Response[peerv1.Snapshot], error) {
+	if r.Msg.GetHomes() {
+		select {
+		case <-f.parts.Recalled():
+		default:
+			return nil, connect.NewError(connect.CodeFailedPrecondition, errNotRecalled)
+		}
+	}
 	s := f.from.Snapshot(r.Msg.GetConfigurationVersion(), r.Msg.GetTargetsRevision())
 	reply := &peerv1.Snapshot{Configuration: s.Configuration, AllTargets: s.All, Targets: &peerv1.TargetsChange{
 		AfterRevision: s.Targets.After, Revision: s.Targets.Revision,
@@ -147,6 +157,10 @@
 	defer cancel()
 	client := peerv1connect.NewFleetServiceClient(f.client, "http://"+address)
 	reply, err := client.GetSnapshot(ctx, connect.NewRequest(request))
+	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="not-yet"}`).Inc()
+		return nil, false
+	}
 	if err != nil {
 		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="failed"}`).Inc()
 		f.log.Warn().Err(err).Str("peer", router).Msg("snapshot could not be fetched")
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -38,6 +38,9 @@
 	// introduction is how long after the meeting of a new router every beacon
 	// says who sends it: some beacons of a large fleet.
 	introduction = time.Second
+	// helloTime bounds the exchange of the first beacons with routers of a small
+	// fleet: a round trip between failure domains and two turns of the processor.
+	helloTime = 30 * time.Millisecond
 	// maxHoldings and maxLoads keep a datagram within 1,400 bytes.
 	maxHoldings = 30
 	maxLoads    = 40
@@ -172,9 +175,28 @@
 	if f.peers[peerAddress] == nil {
 		f.peers[peerAddress] = &peer{address: address, heard: time.Now()}
 		f.introduced = time.Now().Add(introduction)
+		f.hello()
 	}
 }
 
+// hello sends a beacon at once to a router that is new to this one; in larger
+// fleets the next regular beacon is soon enough.
+func (f *Fleet) hello() {
+	if len(f.peers) <= smallFleet {
+		f.Nudge(nil)
+	}
+}
+
+// MeetingTime is how long the live routers take to be heard after they have been met.
+func (f *Fleet) MeetingTime() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.peers) <= smallFleet {
+		return helloTime
+	}
+	return f.intervalOf(len(f.peers))
+}
+
 // Leave tells the others that this router takes no new callers.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
@@ -271,9 +293,6 @@
 	return beaconEvery * time.Duration(1+peers/mediumFleet)
 }
 
-// Interval is the time between two beacons of a router.
-func (f *Fleet) Interval() time.Duration { return f.interval() }
-
 // notice marks the routers that have not been heard from for some beacons.
 func (f *Fleet) notice(now time.Time) {
 	limit := lostAfter * f.interval()
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -137,6 +137,23 @@
 	f.eventually("one that is lost is not named", func() bool { return len(a.CallerAddresses("", 10)) == 1 })
 }
 
+// Pattern: a router starts among others after a loss of all VMs; what it hears
+// of them first decides whether it reads the targets' caches itself.
+func TestRoutersOfASmallFleetHearOfEachOtherAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.configure(1)
+	a, b := f.start("a", f.up), f.start("b", f.up)
+	for range 5 {
+		late := f.start("late", f.up)
+		begun := time.Now()
+		late.Meet(a.address)
+		late.Meet(b.address)
+		f.eventually("both are heard", func() bool { return late.Live() == 3 })
+		f.Assert(time.Since(begun) <= late.MeetingTime(), qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+		late.stop()
+	}
+}
+
 // Pattern: the store turns a router away while it serves the others.
 func TestARouterThatTheStoreTurnsAway(t *testing.T) {
 	f := newFixture(t)
@@ -233,6 +250,10 @@
 	late.Meet(b.address)
 	f.eventually("a late one hears an elder", func() bool { _, address := late.Elder(); return address != "" })
 	_, address := late.Elder()
+	f.Assert(late.FetchCaches(context.Background(), "b", address), qt.IsFalse,
+		qt.Commentf("taken from an elder that is still recalling"))
+	a.parts.Complete()
+	b.parts.Complete()
 	f.Assert(late.FetchCaches(context.Background(), "b", address), qt.IsTrue)
 	f.Assert(len(late.parts.Holdings(time.Now())), qt.Equals, 1)
 }
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -121,6 +121,8 @@
 		mu    sync.Mutex
 		parts map[uint64][]holder
 		news  []Holding
+		// recalled is closed when the map holds what targets held before the start.
+		recalled chan struct{}
 	}
 
 	holder struct {
@@ -134,7 +136,7 @@
 
 // NewMap returns an empty map.
 func NewMap() *Map {
-	return &Map{parts: make(map[uint64][]holder)}
+	return &Map{parts: make(map[uint64][]holder), recalled: make(chan struct{})}
 }
 
 // Choose picks a candidate for a request and, for prompts, notes that it will hold the parts.
--- a/internal/policy/affinity/holdings.go
+++ b/internal/policy/affinity/holdings.go
@@ -11,6 +11,12 @@
 	}
 }
 
+// Complete says that all that could be recalled has been; it is called once.
+func (m *Map) Complete() { close(m.recalled) }
+
+// Recalled is closed when the map is complete.
+func (m *Map) Recalled() <-chan struct{} { return m.recalled }
+
 // Learn notes what another router has just told.
 func (m *Map) Learn(holdings []Holding, now time.Time) {
 	m.mu.Lock()
