Fetch only what was read; do not blame engines for reading

Fetches went to engines that were taken to have read a prompt after a fixed time and had not, so both read it (at 1.04 s a call that fetched 14,621 tokens waited 594 ms for its first event, another with 11,008 1,276 ms). Change: a part can be fetched from the call's first event on, which the others are told of; the time to read what is ahead is added before a call is overdue. Ruled out: queues behind one router's own choices (the calls came from all).

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -34,6 +34,8 @@
 	// overdueLeast is the shortest time after which a call without a sign counts
 	// against its target.
 	overdueLeast = 100 * time.Millisecond
+	// readPerMillisecond is a cautious number of tokens that an engine reads in a millisecond.
+	readPerMillisecond = 20
 	// watchEvery is how often a waiting attempt looks at its target's silence.
 	watchEvery = 25 * time.Millisecond
 	// readBytes is the size of one read of a stream.
@@ -53,7 +55,7 @@
 	c.progress.Sends++
 	ticket := c.h.Book.Begin(target.Hash, c.choice.Unread, time.Now())
 	defer ticket.End()
-	overdue := time.AfterFunc(max(c.route.Objective, overdueLeast), func() { ticket.Overdue(time.Now()) })
+	overdue := time.AfterFunc(overdueAfter(c.route.Objective, c.choice), func() { ticket.Overdue(time.Now()) })
 	defer overdue.Stop()
 
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -76,6 +78,13 @@
 	c.relay(attemptCtx, target, ticket, answer)
 }
 
+// overdueAfter returns when a call without a sign counts against its target.
+// Prompts that the target has to read take their time on a sound one, too.
+func overdueAfter(objective time.Duration, choice affinity.Choice) time.Duration {
+	reading := time.Duration(choice.Ahead+choice.Unread) * time.Millisecond / readPerMillisecond
+	return max(objective, overdueLeast) + reading
+}
+
 func (c *call) owns(fields []http1.Field) exchange.Ownership {
 	switch platform.DecodeVerdict(0, fields).CallID {
 	case c.info.ID:
@@ -274,7 +283,9 @@
 	for {
 		n, err := a.Body.Read(buffer)
 		if n > 0 {
-			ticket.Sign(time.Now())
+			now := time.Now()
+			ticket.Sign(now)
+			c.read(target, now)
 			c.pass(a.Head, c.events.add(buffer[:n]))
 		}
 		if c.answer.Failed() {
@@ -298,6 +309,14 @@
 	}
 }
 
+// read notes, at the first event, that the target has read the call's prompt.
+func (c *call) read(target *state.Target, now time.Time) {
+	if c.readAt != target.Hash {
+		c.readAt = target.Hash
+		c.h.Map.Read(affinity.Shared(c.parts()), target.Hash, now)
+	}
+}
+
 func (c *call) pass(head *http1.Response, data []byte) {
 	if len(data) == 0 {
 		return
@@ -309,7 +328,7 @@
 // begin sends the head of the first target's answer, which stays for the whole stream.
 func (c *call) begin(head *http1.Response) {
 	if !c.answer.Begun() {
-		c.status = head.Status
+		c.status, c.first = head.Status, time.Now()
 		c.answer.Start(head.Status, head.Reason, passFields(head))
 	}
 }
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -93,6 +93,10 @@
 		// source is the target whose cache the next attempt's target fetches from, or nil.
 		source *state.Target
 		status int
+		// readAt is the hash of the last target that has read the prompt.
+		readAt uint64
+		// first is when the first part of a stream came.
+		first time.Time
 	}
 
 	wholeAnswer struct {
@@ -306,7 +310,16 @@
 		Str("placement", string(c.choice.Reason)).Int("unread", c.choice.Unread).Int("reread", c.choice.Reread).
 		Int("fetched", c.choice.Fetched).Str("prompt", c.promptName()).
 		Dur("caller-waits-ms", c.info.Deadline).Int("sends", c.progress.Sends).Int("runs", c.progress.Runs).
-		Int("status", c.status).Str("reason", reason).Dur("took-ms", took).Msg("call")
+		Int("status", c.status).Str("reason", reason).Dur("first-event-ms", c.firstAfter()).
+		Dur("took-ms", took).Msg("call")
+}
+
+// firstAfter returns the time to the first event of a stream, zero without one.
+func (c *call) firstAfter() time.Duration {
+	if c.first.IsZero() {
+		return 0
+	}
+	return c.first.Sub(c.start)
 }
 
 // passFields returns the headers of a target's answer for the caller.
--- /dev/null
+++ b/internal/fleet/forward/overdue_test.go
@@ -0,0 +1,40 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hickoryrock/internal/policy/affinity"
+)
+
+// Pattern: the first seconds after a start, when engines read every prompt for
+// the first time. An engine that reads is not one that fails.
+func TestReadingIsNotOverdue(t *testing.T) {
+	tests := []struct {
+		name      string
+		objective time.Duration
+		choice    affinity.Choice
+		least     time.Duration
+		most      time.Duration
+	}{
+		{"a call without a prompt", 100 * time.Millisecond, affinity.Choice{}, 100 * time.Millisecond, 100 * time.Millisecond},
+		{"a route without an objective", 0, affinity.Choice{}, 100 * time.Millisecond, 100 * time.Millisecond},
+		{
+			// 30,000 tokens take an engine about 0.9 s.
+			"a prompt behind long ones", 600 * time.Millisecond, affinity.Choice{Ahead: 20000, Unread: 10000},
+			1500 * time.Millisecond, 3 * time.Second,
+		},
+		{
+			"a prompt that is held", 600 * time.Millisecond, affinity.Choice{Unread: 500},
+			600 * time.Millisecond, 700 * time.Millisecond,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := overdueAfter(test.objective, test.choice)
+			qt.Assert(t, got >= test.least && got <= test.most, qt.IsTrue, qt.Commentf("%v", got))
+		})
+	}
+}
--- a/internal/node/edge/recall.go
+++ b/internal/node/edge/recall.go
@@ -88,7 +88,7 @@
 	}
 	holdings := make([]affinity.Holding, len(parts))
 	for i, p := range parts {
-		holdings[i] = affinity.Holding{Part: p.Hash, Target: t.Hash}
+		holdings[i] = affinity.Holding{Part: p.Hash, Target: t.Hash, Read: true}
 	}
 	r.parts.Recall(holdings, time.Now())
 	r.log.Info().Str("target", t.ID).Int("parts", len(parts)).Msg("cache recalled from its engine")
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -97,7 +97,9 @@
 func encodeHoldings(holdings []affinity.Holding) []*peerv1.PromptHome {
 	out := make([]*peerv1.PromptHome, len(holdings))
 	for i, h := range holdings {
-		out[i] = &peerv1.PromptHome{Part: h.Part, Target: h.Target, UnreadTokens: uint32(h.Unread)}
+		out[i] = &peerv1.PromptHome{
+			Part: h.Part, Target: h.Target, UnreadTokens: uint32(h.Unread), Read: h.Read,
+		}
 	}
 	return out
 }
@@ -105,7 +107,9 @@
 func decodeHoldings(homes []*peerv1.PromptHome) []affinity.Holding {
 	out := make([]affinity.Holding, len(homes))
 	for i, h := range homes {
-		out[i] = affinity.Holding{Part: h.GetPart(), Target: h.GetTarget(), Unread: int(h.GetUnreadTokens())}
+		out[i] = affinity.Holding{
+			Part: h.GetPart(), Target: h.GetTarget(), Unread: int(h.GetUnreadTokens()), Read: h.GetRead(),
+		}
 	}
 	return out
 }
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -27,11 +27,8 @@
 	// prompt without a home chooses: many routers that know loads late would
 	// otherwise all choose the same one.
 	firstChoices = 4
-	// readPerMillisecond is a cautious number of tokens that an engine reads in a
-	// millisecond; others may fetch a part only after it has been read.
-	readPerMillisecond = 30
-	// learnedWait is when a part is taken to be read that another router told of.
-	learnedWait = 200 * time.Millisecond
+	// readMost is when a part is taken to be read of which nothing more was heard.
+	readMost = 2 * time.Second
 	// boundShare keeps below the bound on a target's calls: other routers'
 	// calls are known only with a delay.
 	boundShare = 0.75
@@ -100,7 +97,9 @@
 		Reason Reason
 		// Unread is the number of tokens that the target has to read.
 		Unread int
-		// Reread is the number of them that another target holds.
+		// Ahead is the number of tokens that it has to read before.
+		Ahead int
+		// Reread is the number of those in Unread that another target holds.
 		Reread int
 		// Source is the index of the candidate to fetch from, or -1; Fetched is
 		// the number of tokens that it holds and the chosen target does not.
@@ -114,6 +113,8 @@
 		Target uint64
 		// Unread is the number of tokens that the target has to read first.
 		Unread int
+		// Read is set when the target has read the part, not only been given it to read.
+		Read bool
 	}
 
 	// Map is a router's belief of which targets hold which parts.
@@ -129,7 +130,7 @@
 		target    uint64
 		used      time.Time
 		announced time.Time
-		// ready is when the target is expected to have read the part.
+		// ready is when the target has read the part.
 		ready time.Time
 	}
 )
@@ -147,10 +148,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	shared := r.Parts[:len(r.Parts)-1]
-	if len(shared) == 0 {
-		shared = r.Parts
-	}
+	shared := Shared(r.Parts)
 	held, read := m.depths(shared, candidates, now)
 	sources := deepest(shared, candidates, held, read, r.Fetch)
 	key := shared[len(shared)-1].Hash
@@ -163,7 +161,7 @@
 			continue
 		}
 		choice := sources.read(r.Parts, held[i], c.FailureDomain)
-		choice.Index = i
+		choice.Index, choice.Ahead = i, c.Unread
 		total := float64(c.Unread+choice.Unread) + rereadWeight*float64(choice.Reread) +
 			(fetchShare+fetchWeight)*float64(choice.Fetched) + callTokens*float64(c.Calls)
 		if !c.Near {
@@ -186,18 +184,24 @@
 	default:
 		best.Reason = ReasonNew
 	}
-	chosen := candidates[best.Index]
-	ready := now.Add(time.Duration((chosen.Unread+best.Unread)/readPerMillisecond) * time.Millisecond)
 	for i, p := range shared {
-		h := Holding{Part: p.Hash, Target: chosen.Target}
+		h := Holding{Part: p.Hash, Target: candidates[best.Index].Target}
 		if i == len(shared)-1 {
 			h.Unread = best.Unread // Told once for the whole prompt.
 		}
-		m.use(h, now, ready, true)
+		m.use(h, now, true)
 	}
 	return best
 }
 
+// Shared returns the parts of a prompt that other calls may have, too.
+func Shared(parts []Part) []Part {
+	if len(parts) < 2 {
+		return parts
+	}
+	return parts[:len(parts)-1]
+}
+
 // first marks the allowed candidates that hold a part of the prompt and those
 // that come first by rendezvous hashing.
 func first(key uint64, candidates []Candidate, allowed []bool, held []int) []bool {
--- a/internal/policy/affinity/affinity_test.go
+++ b/internal/policy/affinity/affinity_test.go
@@ -41,6 +41,8 @@
 	c.Assert(again.Index, qt.Equals, first.Index)
 	c.Assert(again.Reason, qt.Equals, affinity.ReasonHeld)
 	c.Assert(again.Unread, qt.Equals, 500)
+	all[first.Index].Unread = 300
+	c.Assert(m.Choose(prompt(1, 2), all, start.Add(time.Second)).Ahead, qt.Equals, 300)
 }
 
 func TestRoutersThatKnowNothingAgree(t *testing.T) {
@@ -58,6 +60,7 @@
 	m := affinity.NewMap()
 	all := candidates(18)
 	home := m.Choose(prompt(1, 2), all, start).Index
+	m.Read(affinity.Shared(prompt(1, 2).Parts), all[home].Target, start.Add(300*time.Millisecond))
 	all[home].Leaving = true
 	moved := m.Choose(prompt(1, 2), all, start.Add(time.Second))
 	c.Assert(moved.Index, qt.Not(qt.Equals), home)
@@ -73,7 +76,9 @@
 	all := candidates(4)
 	for i, domain := range []string{"a", "b", "a"} {
 		all[i].FailureDomain, all[i].Leaving = domain, true
-		m.Recall([]affinity.Holding{{Part: 1, Target: all[i].Target}, {Part: 2, Target: all[i].Target}}, start)
+		m.Recall([]affinity.Holding{
+			{Part: 1, Target: all[i].Target, Read: true}, {Part: 2, Target: all[i].Target, Read: true},
+		}, start)
 	}
 	for _, domain := range []string{"a", "b"} {
 		t.Run("in "+domain, func(t *testing.T) {
@@ -88,15 +93,53 @@
 	}
 }
 
+// Pattern: prompts that are read for the first time by engines with much to
+// read. A fetch from an engine that has not read the prompt makes both read it.
 func TestATargetThatIsStillReadingIsNoSource(t *testing.T) {
-	c := qt.New(t)
-	m := affinity.NewMap()
-	all := candidates(18)
-	home := m.Choose(prompt(1, 2), all, start).Index
-	all[home].Leaving = true
-	moved := m.Choose(prompt(1, 2), all, start.Add(10*time.Millisecond))
-	c.Assert(moved.Source, qt.Equals, -1)
-	c.Assert(moved.Reread, qt.Equals, 8500)
+	setup := func(c *qt.C) (one, other *affinity.Map, all []affinity.Candidate, home uint64) {
+		one, other, all = affinity.NewMap(), affinity.NewMap(), candidates(18)
+		choice := one.Choose(prompt(1, 2), all, start)
+		other.Learn(one.News(30), start)
+		all[choice.Index].Leaving = true
+		return one, other, all, all[choice.Index].Target
+	}
+	late := start.Add(900 * time.Millisecond)
+	assertNoSource := func(c *qt.C, m *affinity.Map, all []affinity.Candidate) {
+		c.Helper()
+		moved := m.Choose(prompt(1, 2), all, late)
+		c.Assert(moved.Source, qt.Equals, -1)
+		c.Assert(moved.Reread, qt.Equals, 8500)
+	}
+	assertSource := func(c *qt.C, m *affinity.Map, all []affinity.Candidate) {
+		c.Helper()
+		moved := m.Choose(prompt(1, 2), all, late)
+		c.Assert(moved.Fetched, qt.Equals, 8500)
+		c.Assert(moved.Reread, qt.Equals, 0)
+	}
+	t.Run("for the router that sent the call", func(t *testing.T) {
+		c := qt.New(t)
+		one, _, all, _ := setup(c)
+		assertNoSource(c, one, all)
+	})
+	t.Run("for a router that was told of it", func(t *testing.T) {
+		c := qt.New(t)
+		_, other, all, _ := setup(c)
+		assertNoSource(c, other, all)
+	})
+	t.Run("until its first event, also for the others", func(t *testing.T) {
+		c := qt.New(t)
+		one, other, all, home := setup(c)
+		one.Read(affinity.Shared(prompt(1, 2).Parts), home, late)
+		other.Learn(one.News(30), late)
+		assertSource(c, one, all)
+		assertSource(c, other, all)
+	})
+	t.Run("unless nothing is heard for long", func(t *testing.T) {
+		c := qt.New(t)
+		_, other, all, _ := setup(c)
+		moved := other.Choose(prompt(1, 2), all, start.Add(3*time.Second))
+		c.Assert(moved.Fetched, qt.Equals, 8500)
+	})
 }
 
 func TestAsideAndTriedTargets(t *testing.T) {
@@ -133,9 +176,15 @@
 	}
 	total := 5 * len(all)
 	reread := 0
+	var chosen []uint64
 	for i := range 100 {
 		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		if i >= 3 {
+			// 300 ms after it was sent, a call has its first event.
+			m.Read(affinity.Shared(prompt(1, 2).Parts), chosen[i-3], now)
+		}
 		choice := m.Choose(prompt(1, 2), all, now)
+		chosen = append(chosen, all[choice.Index].Target)
 		all[choice.Index].Calls++
 		reread += choice.Reread
 		total++
--- a/internal/policy/affinity/holdings.go
+++ b/internal/policy/affinity/holdings.go
@@ -7,7 +7,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range holdings {
-		m.use(h, now, now, false)
+		m.use(h, now, false)
 	}
 }
 
@@ -22,7 +22,20 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range holdings {
-		m.use(h, now, now.Add(learnedWait), false)
+		m.use(h, now, false)
+	}
+}
+
+// Read notes that a target has read parts that were chosen for it.
+func (m *Map) Read(parts []Part, target uint64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range parts {
+		for _, h := range m.parts[p.Hash] {
+			if h.target == target && now.Before(h.ready) {
+				m.use(Holding{Part: p.Hash, Target: target, Read: true}, now, true)
+			}
+		}
 	}
 }
 
@@ -34,7 +47,7 @@
 	for part, holders := range m.parts {
 		for _, h := range holders {
 			if now.Sub(h.used) < holdingAge {
-				all = append(all, Holding{Part: part, Target: h.target})
+				all = append(all, Holding{Part: part, Target: h.target, Read: !now.Before(h.ready)})
 			}
 		}
 	}
@@ -73,8 +86,12 @@
 	}
 }
 
-// use notes that a target holds a part, or will have read it when it is ready.
-func (m *Map) use(h Holding, now, ready time.Time, own bool) {
+// use notes that a target holds a part or will have read it soon.
+func (m *Map) use(h Holding, now time.Time, own bool) {
+	ready := now
+	if !h.Read {
+		ready = now.Add(readMost)
+	}
 	holders := m.parts[h.Part]
 	for i := range holders {
 		known := &holders[i]
@@ -82,11 +99,16 @@
 			continue
 		}
 		known.used = now
-		if own && now.Sub(known.announced) < announceEvery {
+		learnt := h.Read && ready.Before(known.ready)
+		if learnt {
+			known.ready = ready
+		}
+		if own && !learnt && now.Sub(known.announced) < announceEvery {
 			return
 		}
 		known.announced = now
 		if own {
+			h.Read = !now.Before(known.ready)
 			m.news = append(m.news, h)
 		}
 		return
