Send beacons to each failure domain once

Change: a beacon goes to one router of each other failure domain, which passes it on; the receiver changes with each beacon, so that a dead one costs few of them. Beacons name their sender by a hash and carry a number, since they may overtake each other; only every fourth has the full name.

--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,21 +32,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b.Leaving = f.leaving
-	data, err := proto.Marshal(b)
+	b.Sender = senderID(f.self.PeerAddress)
+	f.number++
+	b.Number = f.number
+	data, err := proto.MarshalOptions{}.MarshalAppend([]byte{final}, b)
 	if err != nil {
 		f.log.Error().Err(err).Msg("beacon cannot be encoded")
 		return
 	}
-	for _, p := range f.peers {
-		if time.Since(p.heard) > forgetAfter {
-			if p.skipped++; p.skipped%seldom != 0 {
-				continue
-			}
-		}
-		if _, err := f.conn.WriteToUDPAddrPort(data, p.address); err != nil {
-			metrics.GetOrCreateCounter(`hickoryrock_beacon_errors_total`).Inc()
-		}
-	}
+	f.broadcast(data)
 }
 
 // named reports whether the next beacon says who sends it, and counts it.
@@ -55,7 +48,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sent++
-	return len(f.peers) <= smallFleet || f.sent%namedBeacons == 1 || time.Now().Before(f.introduced)
+	return f.sent%namedBeacons == 1 || time.Now().Before(f.introduced)
 }
 
 func encodeLoads(loads []standing.Load) []*peerv1.TargetLoad {
@@ -117,7 +110,7 @@
 func (f *Fleet) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, from, err := f.conn.ReadFromUDPAddrPort(buffer)
+		n, _, err := f.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if eris.Is(err, net.ErrClosed) {
 				return
@@ -126,11 +119,17 @@
 			continue
 		}
 		b := new(peerv1.Beacon)
-		if err := proto.Unmarshal(buffer[:n], b); err != nil {
+		if n == 0 {
+			continue
+		}
+		if err := proto.Unmarshal(buffer[1:n], b); err != nil {
 			f.log.Warn().Err(err).Msg("beacon cannot be decoded")
 			continue
 		}
-		if b = f.complete(b, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()); b != nil {
+		if buffer[0] == relayed {
+			f.relay(buffer[:n], b.GetSender())
+		}
+		if b = f.complete(b); b != nil {
 			f.take(b)
 		}
 	}
@@ -138,13 +137,13 @@
 
 // complete adds to a light beacon what the sender's last full one said, and
 // returns nil when there was none.
-func (f *Fleet) complete(b *peerv1.Beacon, from string) *peerv1.Beacon {
+func (f *Fleet) complete(b *peerv1.Beacon) *peerv1.Beacon {
 	if b.GetRouter() != "" {
 		return b
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.peers[from]
+	p := f.senders[b.GetSender()]
 	if p == nil || p.beacon == nil || p.beacon.GetIncarnation() != b.GetIncarnation() {
 		return nil
 	}
@@ -166,7 +165,8 @@
 			Results:     float64(l.GetResults()) / hundredths, Failures: float64(l.GetFailures()) / hundredths,
 		})
 	}
-	if b.GetHasLoads() {
+	fresh := f.fresh(b)
+	if b.GetHasLoads() && fresh {
 		f.book.Report(b.GetRouter(), loads, f.known().Targets, now)
 	}
 	holdings := decodeHoldings(b.GetHomes())
@@ -177,7 +177,7 @@
 		}
 	}
 	f.Meet(b.GetPeerAddress())
-	if !f.heard(b, now) {
+	if !fresh || !f.heard(b, now) {
 		return
 	}
 	if b.GetChange() != nil {
@@ -192,6 +192,14 @@
 	}
 }
 
+// fresh reports whether no later beacon of its sender has come before.
+func (f *Fleet) fresh(b *peerv1.Beacon) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[b.GetPeerAddress()]
+	return p == nil || p.beacon.GetIncarnation() != b.GetIncarnation() || b.GetNumber() > p.beacon.GetNumber()
+}
+
 // heard notes a beacon and reports whether its sender is the newest process at its address.
 func (f *Fleet) heard(b *peerv1.Beacon, now time.Time) bool {
 	f.mu.Lock()
@@ -204,7 +212,7 @@
 		f.log.Info().Str("peer", b.GetRouter()).Uint64("incarnation", b.GetIncarnation()).Msg("router heard")
 	}
 	if p.beacon.GetIncarnation() != b.GetIncarnation() {
-		f.hello()
+		f.introduce()
 	}
 	p.beacon, p.heard, p.live = b, now, true
 	return true
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -28,15 +28,15 @@
 	// routers: a router's traffic grows less than the fleet.
 	beaconEvery = 100 * time.Millisecond
 	mediumFleet = 30
-	// smallFleet is the size up to which each beacon says who sends it; in larger
-	// fleets every namedBeacons-th does.
-	smallFleet   = 10
+	// smallFleet is the size up to which routers answer a new one at once.
+	smallFleet = 10
+	// namedBeacons is the share of beacons that say who sends them.
 	namedBeacons = 4
 	// newsEvery is how often news of held prompts are sent ahead of the next
 	// beacon, for each beaconEvery between beacons.
 	newsEvery = 10 * time.Millisecond
-	// introduction is how long after the meeting of a new router every beacon
-	// says who sends it: some beacons of a large fleet.
+	// introduction is how long after the meeting of a new router, or of a new
+	// process of a known one, every beacon says who sends it.
 	introduction = time.Second
 	// helloTime bounds the exchange of the first beacons with routers of a small
 	// fleet: a round trip between failure domains and two turns of the processor.
@@ -116,11 +116,16 @@
 		wakes  chan struct{}
 		client *http.Client
 
-		mu    sync.Mutex
-		peers map[string]*peer
+		mu sync.Mutex
+		// peers are by peer address, senders the same by what light beacons say.
+		peers   map[string]*peer
+		senders map[uint32]*peer
 		// sent counts the regular beacons; until introduced, each says who sends it.
 		sent       int
 		introduced time.Time
+		// number counts the beacons, turn the broadcasts.
+		number uint32
+		turn   int
 		leaving    bool
 	}
 
@@ -147,7 +152,7 @@
 	}
 	f := &Fleet{
 		self: self, known: known, book: book, parts: parts, from: from, log: log, conn: conn,
-		client: &http.Client{Timeout: fetchTimeout}, peers: make(map[string]*peer),
+		client: &http.Client{Timeout: fetchTimeout}, peers: make(map[string]*peer), senders: make(map[uint32]*peer),
 		nudges: make(chan *follow.Change, maxNudges), wakes: make(chan struct{}, 1),
 	}
 	return f, func() { _ = conn.Close() }, nil
@@ -173,15 +178,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.peers[peerAddress] == nil {
-		f.peers[peerAddress] = &peer{address: address, heard: time.Now()}
-		f.introduced = time.Now().Add(introduction)
-		f.hello()
+		p := &peer{address: address, heard: time.Now()}
+		f.peers[peerAddress], f.senders[senderID(peerAddress)] = p, p
+		f.introduce()
 	}
 }
 
-// hello sends a beacon at once to a router that is new to this one; in larger
-// fleets the next regular beacon is soon enough.
-func (f *Fleet) hello() {
+// introduce makes this router known to one that is new to it: at once in small
+// fleets, with the next regular beacon in larger ones.
+func (f *Fleet) introduce() {
+	f.introduced = time.Now().Add(introduction)
 	if len(f.peers) <= smallFleet {
 		f.Nudge(nil)
 	}
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -54,8 +54,12 @@
 	return f
 }
 
-// start runs a router that reaches a store.
+// start runs a router that reaches a store, in a failure domain of its own.
 func (f *fixture) start(name, storeAddress string) *router {
+	return f.startIn("z-"+name, name, storeAddress)
+}
+
+func (f *fixture) startIn(failureDomain, name, storeAddress string) *router {
 	probe, err := net.Listen("tcp4", "127.0.0.1:0")
 	f.Assert(err, qt.IsNil)
 	address := probe.Addr().String()
@@ -66,7 +70,7 @@
 	r.follower = follow.New(store, zerolog.Nop(),
 		func(c *follow.Change) { r.Nudge(c) }, func() bool { return r.StoreServes() })
 	fleet, closeFleet, err := gossip.New(gossip.Self{
-		Router: name, CallerAddress: "callers-of-" + name, PeerAddress: address, FailureDomain: "z-" + name,
+		Router: name, CallerAddress: "callers-of-" + name, PeerAddress: address, FailureDomain: failureDomain,
 		Incarnation: uint64(time.Now().UnixMicro()),
 	}, r.known, r.book, r.parts, r.follower, zerolog.Nop())
 	f.Assert(err, qt.IsNil)
@@ -233,6 +237,43 @@
 	})
 }
 
+// Pattern: two failure domains; a router that passes beacons on is killed.
+func TestLoadsReachAFailureDomainPastADeadRouter(t *testing.T) {
+	f := newFixture(t)
+	f.configure(1)
+	a := f.startIn("x", "a", f.up)
+	others := []*router{f.startIn("y", "b", f.up), f.startIn("y", "c", f.up), f.startIn("y", "d", f.up)}
+	for i, r := range others {
+		r.Meet(a.address)
+		for _, other := range others[:i] {
+			r.Meet(other.address)
+		}
+	}
+	f.eventually("all hear of all", func() bool {
+		for _, r := range others {
+			if r.Live() != 4 {
+				return false
+			}
+		}
+		return a.Live() == 4
+	})
+	time.Sleep(time.Second) // Until routers no longer introduce themselves.
+	others[0].stop()
+	ticket := a.book.Begin(7, 0, time.Now())
+	since := time.Now()
+	f.eventually("the others know the call", func() bool {
+		for _, r := range others[1:] {
+			if r.book.Summaries([]uint64{7}, time.Now())[0].Calls != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	f.Assert(time.Since(since) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(since)))
+	f.Assert(others[1].Live() >= 3, qt.IsTrue)
+	ticket.End()
+}
+
 func TestLoadsAndPromptsAreTold(t *testing.T) {
 	f := newFixture(t)
 	f.configure(1)
