Halve the calls to the store

Change: one router watches, another steps in after about a second; first lists are cached ones, a tenth of the price, made up for by the first watch or by other routers; a router that restarts finds its entry and writes nothing; watches wait as long as the bound of configuration allows. Ruled out: leaving the list after the first write to a cached one (two routers that start together might never meet).

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// defaultWatchWait is the longest time that a watch waits.
+	// defaultWatchWait is how long a watch waits when the platform states no bound.
 	defaultWatchWait = 700 * time.Millisecond
 	// watchShare of the time until a change must be in force is how long a watch
 	// waits at most: one that has gone deaf must end well before.
@@ -26,8 +26,9 @@
 	// retryFirst and retryMost are the waiting times after failed calls.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
-	// idlePoll is how often a router that others keep informed asks the store itself.
-	idlePoll = 30 * time.Second
+	// idlePoll is how often a router that others keep informed asks the store
+	// itself: each call is charged, and beacons tell of all that it misses.
+	idlePoll = 5 * time.Minute
 	// turnPoll is how often such a router checks whether it has to watch itself.
 	turnPoll = 150 * time.Millisecond
 	// outage is the time without the store after which entries may have lapsed.
@@ -150,7 +151,7 @@
 func WithBounds(apply, drain time.Duration) Option {
 	return func(f *Follower) {
 		if apply > 0 {
-			f.watchWait = min(defaultWatchWait, share(watchShare, apply))
+			f.watchWait = share(watchShare, apply)
 		}
 		if drain > 0 {
 			f.lapseMost = share(lapseShare, drain)
@@ -220,12 +221,16 @@
 ) {
 	var revision uint64
 	backoff := objects.Backoff{Base: retryFirst, Max: retryMost}
-	failures := 0
+	failures, started := 0, false
 	for ctx.Err() == nil {
 		var page platform.Page
 		var err error
 		full := revision == 0
 		switch {
+		case full && !started:
+			// A cached list does for the start: what has changed since comes with
+			// the first watch, or from the routers that know it.
+			page, err = f.store.ListCached(ctx, s.kind)
 		case full:
 			page, err = f.store.List(ctx, s.kind)
 		case failures > 0:
@@ -244,7 +249,7 @@
 			_ = objects.Sleep(ctx, backoff.Delay(failures))
 			continue
 		}
-		failures = 0
+		failures, started = 0, true
 		f.succeeded(s)
 		switch {
 		case !apply(page, full):
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -77,8 +77,9 @@
 		server   *ingress.Server
 		bounds   atomic.Pointer[platform.Bounds]
 		leaving  atomic.Bool
-		// listed is closed when the routers' entries have been read once.
-		listed  chan struct{}
+		// settled is closed when the routers' entries have been read once and those
+		// that live have had time to answer.
+		settled chan struct{}
 		closers []func()
 		fronts  []net.Listener
 	}
@@ -86,7 +87,7 @@
 
 // New binds the router's addresses; the returned function frees them.
 func New(path string, s platform.Settings, log zerolog.Logger) (*Router, func(), error) {
-	r := &Router{path: path, settings: s, log: log, parts: affinity.NewMap(), listed: make(chan struct{})}
+	r := &Router{path: path, settings: s, log: log, parts: affinity.NewMap(), settled: make(chan struct{})}
 	r.bounds.Store(&s.Bounds)
 	r.book = standing.NewBook(r.targetChanged)
 	store, closeStore := platform.NewStore(s.StoreAddress)
@@ -194,7 +195,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group sync.WaitGroup
-	group.Go(func() { r.follower.Run(background, r.fleet.Leads) })
+	group.Go(func() { r.follower.Run(background, r.leads) })
 	group.Go(func() { r.fleet.Run(background) })
 	group.Go(func() { r.register(background) })
 	group.Go(func() { r.tidy(background) })
@@ -283,47 +284,76 @@
 	_, _ = w.Write(platform.EncodeLookup(addresses, ttl)) //nolint:gosec // Nothing of the request is in it.
 }
 
-// register writes the router's entry and reads those of the others.
+// register makes sure that the router's entry is in the store and reads those
+// of the others.
 func (r *Router) register(ctx context.Context) {
 	self := platform.Router{
 		Name: r.settings.Router, CallerAddress: r.settings.CallerAddress,
 		PeerAddress:   net.JoinHostPort(r.settings.IP, strconv.Itoa(r.settings.PeerPorts[0])),
 		FailureDomain: r.settings.FailureDomain,
 	}
-	registered, met := false, false
-	for ctx.Err() == nil {
-		wait := routersEvery
-		if !registered {
-			err := r.store.Put(ctx, platform.KindRouters, self.Name, platform.EncodeRouter(self))
-			registered = err == nil
-			if err != nil {
-				r.log.Warn().Err(err).Msg("router entry could not be written")
-				wait = registerRetry
-			}
+	for !r.registered(ctx, self) {
+		if objects.Sleep(ctx, registerRetry) != nil {
+			return
 		}
-		if met && !r.fleet.Leads() {
-			// New routers make themselves known to those that they find listed.
-			_ = objects.Sleep(ctx, wait)
-			continue
+	}
+	_ = objects.Sleep(ctx, r.fleet.MeetingTime())
+	close(r.settled)
+	for objects.Sleep(ctx, routersEvery) == nil {
+		// New routers make themselves known to those that they find listed; the
+		// one that watches the store looks for those that they missed.
+		if r.fleet.Leads() {
+			_, _ = r.meetListed(ctx, r.store.ListCached, self)
 		}
-		page, err := r.store.List(ctx, platform.KindRouters)
+	}
+}
+
+// leads reports whether this router watches the store for the others: not
+// before it knows who else might.
+func (r *Router) leads() bool {
+	select {
+	case <-r.settled:
+		return r.fleet.Leads()
+	default:
+		return false
+	}
+}
+
+// registered reports whether the router has its entry and has met those that
+// were listed at that time.
+func (r *Router) registered(ctx context.Context, self platform.Router) bool {
+	// After a restart the entry is there: routers that came since have met it.
+	if known, err := r.meetListed(ctx, r.store.ListCached, self); err != nil || known {
+		return err == nil
+	}
+	if err := r.store.Put(ctx, platform.KindRouters, self.Name, platform.EncodeRouter(self)); err != nil {
+		r.log.Warn().Err(err).Msg("router entry could not be written")
+		return false
+	}
+	// Only a list after the write is sure to hold all that will not find this one.
+	_, err := r.meetListed(ctx, r.store.List, self)
+	return err == nil
+}
+
+// meetListed meets the routers in a list and reports whether it holds this one as it is.
+func (r *Router) meetListed(
+	ctx context.Context, list func(context.Context, string) (platform.Page, error), self platform.Router,
+) (known bool, err error) {
+	page, err := list(ctx, platform.KindRouters)
+	if err != nil {
+		r.log.Warn().Err(err).Msg("routers could not be listed")
+		return false, err
+	}
+	for _, o := range page.Objects {
+		other, err := platform.DecodeRouter(o)
 		if err != nil {
-			wait = registerRetry
-		}
-		for _, o := range page.Objects {
-			other, err := platform.DecodeRouter(o)
-			if err != nil {
-				r.log.Warn().Err(err).Msg("router entry skipped")
-				continue
-			}
-			r.fleet.Meet(other.PeerAddress)
-		}
-		if err == nil && !met {
-			met = true
-			close(r.listed)
+			r.log.Warn().Err(err).Msg("router entry skipped")
+			continue
 		}
-		_ = objects.Sleep(ctx, wait)
+		known = known || other == self
+		r.fleet.Meet(other.PeerAddress)
 	}
+	return known, nil
 }
 
 // tidy forgets what belongs to targets that are no longer listed.
--- a/internal/node/edge/edge_test.go
+++ b/internal/node/edge/edge_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -146,6 +147,36 @@
 	f.Assert(f.meta.Names(platform.KindRouters), qt.DeepEquals, []string{"edge-a-1"})
 }
 
+// Pattern: a large fleet starts again after a loss of all VMs; the platform
+// charges each call to its store.
+func TestARestartCostsTheStoreLittle(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.eventually("the router is listed", func() bool { return len(f.meta.Names(platform.KindRouters)) == 1 })
+	f.eventually("the router has settled", func() bool {
+		select {
+		case <-f.router.settled:
+			return true
+		default:
+			return false
+		}
+	})
+	f.cancel()
+	<-f.ended
+	f.router.close()
+	before := f.meta.Charged()
+	// The store must not be watched by this one: what is left is the start itself.
+	again, stop, err := New(f.path, f.settings, zerolog.Nop())
+	f.Assert(err, qt.IsNil)
+	defer stop()
+	self := platform.Router{
+		Name: f.settings.Router, CallerAddress: f.settings.CallerAddress,
+		PeerAddress: net.JoinHostPort("127.0.0.1", strconv.Itoa(f.settings.PeerPorts[0])), FailureDomain: "a",
+	}
+	f.Assert(again.registered(context.Background(), self), qt.IsTrue)
+	f.Assert(f.meta.Charged()-before <= 0.11, qt.IsTrue, qt.Commentf("%.1f calls", f.meta.Charged()-before))
+}
+
 func TestALeavingRouterFinishesItsCalls(t *testing.T) {
 	f := newFixture(t)
 	f.configure()
--- a/internal/node/edge/recall.go
+++ b/internal/node/edge/recall.go
@@ -16,9 +16,9 @@
 const (
 	// recallPoll is how often a starting router looks for a view of the fleet.
 	recallPoll = 10 * time.Millisecond
-	// listedWait is how long it waits for the list of routers; those that it
-	// knows from its settings may have been heard by then.
-	listedWait = 300 * time.Millisecond
+	// settledWait is how long it waits for the list of routers and their answers
+	// while the store is away; those in its settings may have been heard by then.
+	settledWait = 600 * time.Millisecond
 	// recallAgain is the time between two tries to learn from an elder, which
 	// may itself be recalling.
 	recallAgain = 30 * time.Millisecond
@@ -40,12 +40,8 @@
 	select {
 	case <-ctx.Done():
 		return
-	case <-time.After(listedWait):
-	case <-r.listed:
-	}
-	meeting := r.fleet.MeetingTime()
-	if objects.Sleep(ctx, meeting) != nil {
-		return
+	case <-time.After(settledWait):
+	case <-r.settled:
 	}
 	for end := time.Now().Add(recallMost); time.Now().Before(end); {
 		name, address := r.fleet.Elder()
@@ -59,7 +55,7 @@
 			r.log.Info().Str("peer", name).Msg("caches recalled from a router")
 			return
 		}
-		if objects.Sleep(ctx, recallAgain+rand.N(meeting)) != nil {
+		if objects.Sleep(ctx, recallAgain+rand.N(r.fleet.MeetingTime())) != nil {
 			return
 		}
 	}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -62,8 +62,9 @@
 	fetchPause = 100 * time.Millisecond
 	// behindFor is how long the store may take to deliver what another router already has.
 	behindFor = 250 * time.Millisecond
-	// leaders is the number of routers that watch the store for all.
-	leaders = 2
+	// leaders is the number of routers that watch the store for all. Another
+	// one steps in well within the time in which a change must be in force.
+	leaders = 1
 	// maxWaiting is the number of routers that wait for an absent store beside
 	// its leaders; each call is charged, refused ones too.
 	maxWaiting = 8
@@ -124,9 +125,9 @@
 		sent       int
 		introduced time.Time
 		// number counts the beacons, turn the broadcasts.
-		number uint32
-		turn   int
-		leaving    bool
+		number  uint32
+		turn    int
+		leaving bool
 	}
 
 	peer struct {
