--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 KNOWN_RED := $(shell sed -n "s/^\(Test[A-Za-z0-9]*\):.*/\1/p" KNOWN-RED.txt 2>/dev/null | paste -sd"|")
 
-.PHONY: build test lint format generate fuzz demo bench bench-policy bench-capacity
+.PHONY: build test lint format generate fuzz soak demo bench bench-policy bench-capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -35,6 +35,14 @@
 fuzz:
 	./scripts/fuzz.sh 600
 
+# Plays random faults on real router processes: make soak SEED=7 DAYS=4 MINUTES=1.
+SEED ?= $(shell date +%s)
+DAYS ?= 1
+MINUTES ?= 1
+soak:
+	go build -race -o bin/hickoryrock-race ./cmd/hickoryrock
+	go run ./cmd/soak -program bin/hickoryrock-race -seed $(SEED) -days $(DAYS) -minutes $(MINUTES)
+
 # Prints how the cost of control grows with the fleet's size, for docs/CAPACITY.md.
 bench-capacity: export GOMAXPROCS = 3
 bench-capacity:
--- /dev/null
+++ b/internal/soak/oracle/oracle.go
@@ -0,0 +1,172 @@
+// Package oracle judges a soak by what callers and targets saw.
+package oracle
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	// Broken promises.
+	Twice    Promise = "a call that runs once ran more than once"
+	Refused  Promise = "a call that was refused as not run has run"
+	Mixed    Promise = "an answer is not the call's own or not whole"
+	Leaving  Promise = "a leaving target got a new call"
+	Applied  Promise = "a configuration is not in force in time"
+	Reverted Promise = "a router went back to an older configuration"
+	Cut      Promise = "a planned stop cut a call"
+	Gone     Promise = "a target works on for a caller that has left"
+	Served   Promise = "calm routers do not serve"
+	Ended    Promise = "a process failed"
+)
+
+// kept is how many examples of each broken promise are kept.
+const kept = 5
+
+type (
+	// Promise is what must hold.
+	Promise string
+
+	// Break is one broken promise.
+	Break struct {
+		Promise Promise
+		At      time.Duration
+		Detail  string
+	}
+
+	// Book collects what callers and targets saw; calls are by id.
+	Book struct {
+		start time.Time
+
+		mu       sync.Mutex
+		runs     map[string]int
+		once     map[string]bool
+		refused  map[string]string
+		counts   map[Promise]int
+		breaks   []Break
+		outcomes map[string]int
+		// left holds when callers have left their calls.
+		left map[string]time.Time
+		// busy counts the faults that have not ended, calmFrom is when the last one did.
+		busy     int
+		calmFrom time.Time
+	}
+)
+
+// New returns an empty book.
+func New() *Book {
+	now := time.Now()
+	return &Book{
+		start: now, calmFrom: now, runs: make(map[string]int), once: make(map[string]bool),
+		refused: make(map[string]string), counts: make(map[Promise]int), outcomes: make(map[string]int),
+		left: make(map[string]time.Time),
+	}
+}
+
+// Trouble says that a fault begins; the returned function says that it ends.
+func (b *Book) Trouble() func() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.busy++
+	return sync.OnceFunc(func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.busy--
+		b.calmFrom = time.Now()
+	})
+}
+
+// Calm returns for how long there has been no fault.
+func (b *Book) Calm() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.busy > 0 {
+		return 0
+	}
+	return time.Since(b.calmFrom)
+}
+
+// Ran notes that a target began to work on a call.
+func (b *Book) Ran(call string, once bool, target string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[call]++
+	if once && b.runs[call] > 1 {
+		b.broken(Twice, "call %s, the last time at %s", call, target)
+	}
+	if status, ok := b.refused[call]; ok && once {
+		b.broken(Refused, "call %s was answered %s and runs at %s later", call, status, target)
+	}
+}
+
+// Runs returns how often a call has run.
+func (b *Book) Runs(call string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[call]
+}
+
+// Refused notes the status by which a router promised that a call that runs once has not run.
+func (b *Book) Refused(call, status string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refused[call] = status
+	if b.runs[call] > 0 {
+		b.broken(Refused, "call %s was answered %s after it had run", call, status)
+	}
+}
+
+// Left notes that a caller has left its call.
+func (b *Book) Left(call string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left[call] = time.Now()
+}
+
+// LeftFor returns how long ago a call's caller has left.
+func (b *Book) LeftFor(call string) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at, ok := b.left[call]
+	return time.Since(at), ok
+}
+
+// Outcome counts how a call ended.
+func (b *Book) Outcome(what string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.outcomes[what]++
+}
+
+// Outcomes returns how calls ended.
+func (b *Book) Outcomes() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]int, len(b.outcomes))
+	for k, v := range b.outcomes {
+		out[k] = v
+	}
+	return out
+}
+
+// Break notes a broken promise.
+func (b *Book) Break(p Promise, format string, args ...any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.broken(p, format, args...)
+}
+
+// Breaks returns the first examples of each broken promise, and how often each was broken.
+func (b *Book) Breaks() ([]Break, map[Promise]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Break(nil), b.breaks...), b.counts
+}
+
+func (b *Book) broken(p Promise, format string, args ...any) {
+	b.counts[p]++
+	if b.counts[p] <= kept {
+		b.breaks = append(b.breaks, Break{Promise: p, At: time.Since(b.start), Detail: fmt.Sprintf(format, args...)})
+	}
+}
