Bound the memory that bodies of calls take up; judge more promises in the soak

Cause: bodies are held whole, up to 4 MB each: some 70 large ones at once would exceed a VM's memory, and the router would be killed with every call that it serves. Change: all bodies share a quarter of the process's memory; a call whose body does not fit is refused with 503 before it is passed on. The soak: broken on purpose, routers that ran a call twice, kept leaving targets, ended at once on SIGTERM or went on after their caller had left were not always caught: planned work now also comes in calm time, some streams are long, and repeats and attempts are judged.

--- a/internal/caller/ingress/answer.go
+++ b/internal/caller/ingress/answer.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -9,8 +10,20 @@
 	"hickoryrock/internal/wire/http1"
 )
 
-// writeTimeout bounds one write to a caller that does not read.
-const writeTimeout = 5 * time.Second
+const (
+	// writeTimeout bounds one write to a caller that does not read.
+	writeTimeout = 5 * time.Second
+	// retryAfterBase and retryAfterSpread say when a refused caller should come
+	// back: soon, since callers wait for a third of their time at most, and spread.
+	retryAfterBase   = 100 * time.Millisecond
+	retryAfterSpread = 200 * time.Millisecond
+)
+
+// RetryLater returns the header that tells a refused caller when to come back.
+func RetryLater() http1.Field {
+	after := retryAfterBase + rand.N(retryAfterSpread)
+	return http1.NewField("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
 
 // Answer writes the answer to one call.
 type Answer struct {
--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/wire/http1"
@@ -29,6 +30,10 @@
 	// closing with unread bytes would reset the connection before the answer is read.
 	lingerTimeout = 300 * time.Millisecond
 	lingerBytes   = 256 << 10
+	// defaultBodyMemory is what all bodies may take up together when no limit is set.
+	defaultBodyMemory = 64 << 20
+	// pieceBytes is the step in which memory for a body of unknown length is taken.
+	pieceBytes = 64 << 10
 )
 
 // ErrGone is the cause of a call whose caller closed its connection.
@@ -45,6 +50,8 @@
 		handler Handler
 		limits  func() state.Limits
 		log     zerolog.Logger
+		// bodies is the memory for bodies, in bytes.
+		bodies *semaphore.Weighted
 
 		draining atomic.Bool
 		// lastAccept is when a connection was accepted last, in Unix nanoseconds.
@@ -65,8 +72,15 @@
 )
 
 // New returns a server that asks limits for the limits in force.
-func New(handler Handler, limits func() state.Limits, log zerolog.Logger) *Server {
-	return &Server{handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{})}
+func New(handler Handler, limits func() state.Limits, log zerolog.Logger, opts ...Option) *Server {
+	s := &Server{
+		handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{}),
+		bodies: semaphore.NewWeighted(defaultBodyMemory),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Serve accepts connections until the listener is closed.
@@ -141,7 +155,8 @@
 		return false
 	}
 	answer := &Answer{conn: c.Conn, closing: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining}
-	body, err := s.readBody(c, req, limits.BodyBytes)
+	body, held, err := s.readBody(c, req, limits.BodyBytes)
+	defer s.bodies.Release(held)
 	if err != nil {
 		s.refuse(c, err)
 		return false
@@ -171,36 +186,70 @@
 	}
 }
 
-func (s *Server) readBody(c *conn, req *http1.Request, limit int64) ([]byte, error) {
+// readBody reads a body whole, since a call may have to be sent again, and
+// returns the memory that it holds.
+func (s *Server) readBody(c *conn, req *http1.Request, limit int64) (body []byte, held int64, err error) {
 	if req.Length == 0 {
-		return nil, nil
+		return nil, 0, nil
 	}
 	if req.Length > limit {
-		return nil, errBodyTooLarge
+		return nil, 0, errBodyTooLarge
+	}
+	first := max(req.Length, 0)
+	if req.Length < 0 {
+		first = min(pieceBytes, limit+1)
+	}
+	if !s.bodies.TryAcquire(first) {
+		return nil, 0, errNoMemory
 	}
 	if req.Continue {
 		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return nil, eris.Wrap(err, "ask for the body")
+			return nil, first, eris.Wrap(err, "ask for the body")
 		}
 	}
 	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
 	reader := http1.Body(c.reader, req.Length)
 	if req.Length > 0 {
-		body := make([]byte, req.Length)
-		_, err := io.ReadFull(reader, body)
-		return body, err
+		body = make([]byte, req.Length)
+		_, err = io.ReadFull(reader, body)
+		return body, first, err
 	}
-	body, err := io.ReadAll(io.LimitReader(reader, limit+1))
-	switch {
-	case err != nil && !isNetwork(err) && !errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, eris.Wrapf(http1.ErrMalformed, "body: %v", err)
-	case err == nil && int64(len(body)) > limit:
-		return nil, errBodyTooLarge
+	return s.readPieces(reader, limit, first)
+}
+
+// readPieces reads a body of unknown length for which held bytes are taken already.
+func (s *Server) readPieces(reader io.Reader, limit, held int64) ([]byte, int64, error) {
+	body := make([]byte, 0, held)
+	for {
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, held, errBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return body, held, nil
+		case err != nil && !isNetwork(err) && !errors.Is(err, io.ErrUnexpectedEOF):
+			return nil, held, eris.Wrapf(http1.ErrMalformed, "body: %v", err)
+		case err != nil:
+			return nil, held, err
+		}
+		if len(body) < cap(body) {
+			continue
+		}
+		// Twice as much, so that large bodies are copied seldom; one byte over the limit shows that it is passed.
+		more := min(held, limit+1-held)
+		if !s.bodies.TryAcquire(more) {
+			return nil, held, errNoMemory
+		}
+		held += more
+		body = append(make([]byte, 0, held), body...)
 	}
-	return body, err
 }
 
-var errBodyTooLarge = errors.New("the body is too large")
+var (
+	errBodyTooLarge = errors.New("the body is too large")
+	errNoMemory     = errors.New("bodies of other calls take up the memory for bodies")
+)
 
 func isNetwork(err error) bool {
 	var n net.Error
@@ -210,6 +259,7 @@
 // refuse answers a call that could not be read; the connection ends with it.
 func (s *Server) refuse(c *conn, err error) {
 	status := 0
+	var fields []http1.Field
 	var timeout net.Error
 	switch {
 	case errors.Is(err, http1.ErrTooLarge):
@@ -218,6 +268,9 @@
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, http1.ErrMalformed):
 		status = http.StatusBadRequest
+	case errors.Is(err, errNoMemory):
+		status = http.StatusServiceUnavailable
+		fields = append(fields, RetryLater())
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status = http.StatusRequestTimeout
 	}
@@ -227,7 +280,7 @@
 		return
 	}
 	a := &Answer{conn: c.Conn, closing: true}
-	a.Whole(status, http.StatusText(status), nil, nil)
+	a.Whole(status, http.StatusText(status), fields, nil)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,10 +24,6 @@
 )
 
 const (
-	// retryAfterBase and retryAfterSpread say when a refused caller should come
-	// back: soon, since callers wait for a third of their time at most, and spread.
-	retryAfterBase   = 100 * time.Millisecond
-	retryAfterSpread = 200 * time.Millisecond
 	// allWorkspaces share one budget: a router of a large fleet sees too few
 	// calls of each to give it one.
 	allWorkspaces = ""
@@ -272,9 +267,7 @@
 
 // refuse answers a call that has not run and will not run.
 func (c *call) refuse(reason string) {
-	after := retryAfterBase + rand.N(retryAfterSpread)
-	c.end(http.StatusServiceUnavailable, reason,
-		http1.NewField("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64)))
+	c.end(http.StatusServiceUnavailable, reason, ingress.RetryLater())
 }
 
 // end answers with a status of the router's own.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -56,6 +56,8 @@
 	// pulseLate is the delay from which on silences of targets say nothing.
 	pulseEvery = 50 * time.Millisecond
 	pulseLate  = 150 * time.Millisecond
+	// bodyShare of the process's memory may be taken up by the bodies of calls.
+	bodyShare = 0.25
 	// defaultLoadFactor holds when the settings state none.
 	defaultLoadFactor = 2
 	readHeaderTimeout = 2 * time.Second
@@ -107,7 +109,8 @@
 		View: r.follower.View, Pool: pool, Book: r.book, Map: r.parts, Budgets: r.budgets,
 		FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 	})
-	r.server = ingress.New(handler, r.limits, log)
+	r.server = ingress.New(handler, r.limits, log,
+		ingress.WithBodyMemory(int64(bodyShare*float64(s.MemoryBytes))))
 	if err := r.listen(); err != nil {
 		r.close()
 		return nil, nil, err
--- a/internal/policy/affinity/affinity_test.go
+++ b/internal/policy/affinity/affinity_test.go
@@ -96,7 +96,7 @@
 // Pattern: prompts that are read for the first time by engines with much to
 // read. A fetch from an engine that has not read the prompt makes both read it.
 func TestATargetThatIsStillReadingIsNoSource(t *testing.T) {
-	setup := func(c *qt.C) (one, other *affinity.Map, all []affinity.Candidate, home uint64) {
+	setup := func() (one, other *affinity.Map, all []affinity.Candidate, home uint64) {
 		one, other, all = affinity.NewMap(), affinity.NewMap(), candidates(18)
 		choice := one.Choose(prompt(1, 2), all, start)
 		other.Learn(one.News(30), start)
@@ -118,17 +118,17 @@
 	}
 	t.Run("for the router that sent the call", func(t *testing.T) {
 		c := qt.New(t)
-		one, _, all, _ := setup(c)
+		one, _, all, _ := setup()
 		assertNoSource(c, one, all)
 	})
 	t.Run("for a router that was told of it", func(t *testing.T) {
 		c := qt.New(t)
-		_, other, all, _ := setup(c)
+		_, other, all, _ := setup()
 		assertNoSource(c, other, all)
 	})
 	t.Run("until its first event, also for the others", func(t *testing.T) {
 		c := qt.New(t)
-		one, other, all, home := setup(c)
+		one, other, all, home := setup()
 		one.Read(affinity.Shared(prompt(1, 2).Parts), home, late)
 		other.Learn(one.News(30), late)
 		assertSource(c, one, all)
@@ -136,7 +136,7 @@
 	})
 	t.Run("unless nothing is heard for long", func(t *testing.T) {
 		c := qt.New(t)
-		_, other, all, _ := setup(c)
+		_, other, all, _ := setup()
 		moved := other.Choose(prompt(1, 2), all, start.Add(3*time.Second))
 		c.Assert(moved.Fetched, qt.Equals, 8500)
 	})
--- a/internal/soak/day/day.go
+++ b/internal/soak/day/day.go
@@ -18,6 +18,8 @@
 	// stormLeast and stormMost bound the time with events between two calm ones.
 	stormLeast = 6 * time.Second
 	stormMost  = 14 * time.Second
+	// plannedSteps is the number of planned events that begin together in calm time.
+	plannedSteps = 4
 	// contact is how long the fleet must have been calm for bounds in time to hold.
 	contact = 3 * time.Second
 	// measured is how long the share of served calls is taken in calm time.
@@ -78,7 +80,7 @@
 	for end := time.Now().Add(o.Lasts); time.Now().Before(end); {
 		w.storm(say)
 		time.Sleep(contact)
-		w.measure(oracle.Served, calmShare, say)
+		w.plannedWork(say)
 	}
 	for _, r := range w.routers {
 		w.try(r.Start)
@@ -102,7 +104,7 @@
 	lasts := stormLeast + time.Duration(w.random.Int64N(int64(stormMost-stormLeast)))
 	var running sync.WaitGroup
 	for spent := time.Duration(0); spent < lasts; {
-		s := w.next()
+		s := w.next(events)
 		time.Sleep(s.pause)
 		w.play(s, &running, say)
 		spent += s.pause
@@ -111,6 +113,18 @@
 	say("calm")
 }
 
+// plannedWork plays planned events in calm time, when all promises in time
+// hold, and measures how calls are served meanwhile.
+func (w *world) plannedWork(say func(string)) {
+	var running sync.WaitGroup
+	for range plannedSteps {
+		w.play(w.next(plannedEvents()), &running, say)
+	}
+	w.measure(oracle.Served, calmShare, say)
+	running.Wait()
+	w.measure(oracle.Served, calmShare, say)
+}
+
 // measure takes the share of calls that are served for some time.
 func (w *world) measure(promise oracle.Promise, least float64, say func(string)) {
 	before := w.book.Outcomes()
--- a/internal/soak/day/faults.go
+++ b/internal/soak/day/faults.go
@@ -28,9 +28,14 @@
 	begin   func(w *world, pick *rand.Rand, lasts time.Duration)
 }
 
+// plannedEvents are the events that are no trouble.
+func plannedEvents() []event {
+	return slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
+}
+
 var events = []event{
 	{name: "kill a router", begin: func(w *world, pick *rand.Rand, lasts time.Duration) { w.kill(w.some(pick, 1), lasts) }},
-	{name: "kill all routers", begin: func(w *world, pick *rand.Rand, lasts time.Duration) { w.kill(w.routers, lasts/3) }},
+	{name: "kill all routers", begin: func(w *world, _ *rand.Rand, lasts time.Duration) { w.kill(w.routers, lasts/3) }},
 	{name: "kill routers one after the other", begin: func(w *world, pick *rand.Rand, _ time.Duration) {
 		for _, r := range w.some(pick, 3) {
 			w.kill([]*router{r}, seriesGap)
@@ -78,14 +83,11 @@
 			w.disturb(pick, lasts, []*link.Link{t.Link})
 		}
 	}},
-	{name: "trouble in a target", begin: func(w *world, pick *rand.Rand, lasts time.Duration) {
-		if t := w.target(pick); t != nil {
-			kinds := []traffic.Trouble{traffic.Losing, traffic.Refusing, traffic.Extra, traffic.Mute, traffic.Failing}
-			t.Set(kinds[pick.IntN(len(kinds))])
-			time.Sleep(lasts)
-			t.Set(traffic.Sound)
-		}
-	}},
+	trouble("a target loses answers", traffic.Losing),
+	trouble("a target refuses calls", traffic.Refusing),
+	trouble("a target sends answers to other calls", traffic.Extra),
+	trouble("a target says nothing", traffic.Mute),
+	trouble("a target fails", traffic.Failing),
 	{name: "crash a target", begin: func(w *world, pick *rand.Rand, _ time.Duration) {
 		if t := w.take(pick); t != nil {
 			t.crash()
@@ -115,6 +117,16 @@
 	}},
 }
 
+func trouble(name string, kind traffic.Trouble) event {
+	return event{name: name, begin: func(w *world, pick *rand.Rand, lasts time.Duration) {
+		if t := w.target(pick); t != nil {
+			t.Set(kind)
+			time.Sleep(lasts)
+			t.Set(traffic.Sound)
+		}
+	}}
+}
+
 // try carries out a step that can fail only when the test machine is out of ports.
 func (w *world) try(step func() error) {
 	if err := step(); err != nil {
@@ -219,8 +231,7 @@
 	}
 }
 
-// schedule is the order of a day: events that begin after a pause and last for
-// some time, each with a random source of its own.
+// step is an event that begins after a pause and lasts for some time.
 type step struct {
 	event event
 	pause time.Duration
@@ -228,10 +239,10 @@
 	pick  *rand.Rand
 }
 
-func (w *world) next() step {
-	e := events[w.random.IntN(len(events))]
+// next draws a step among some events.
+func (w *world) next(among []event) step {
 	return step{
-		event: e, pause: time.Duration(w.random.IntN(1500)) * time.Millisecond,
+		event: among[w.random.IntN(len(among))], pause: time.Duration(w.random.IntN(1500)) * time.Millisecond,
 		lasts: time.Duration(300+w.random.IntN(3000)) * time.Millisecond,
 		pick:  rand.New(rand.NewPCG(w.random.Uint64(), 2)),
 	}
--- a/internal/soak/day/world.go
+++ b/internal/soak/day/world.go
@@ -266,11 +266,6 @@
 
 // ready reports whether the platform would find a router ready.
 func (r *router) ready() bool {
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d/readyz", r.ip, ports.Ready))
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	status, _ := traffic.Get(fmt.Sprintf("http://%s:%d/readyz", r.ip, ports.Ready))
+	return status == http.StatusOK
 }
--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -119,7 +119,7 @@
 		p.reset()
 		return
 	}
-	to, err := net.DialTimeout("tcp4", k.to, dialTimeout)
+	to, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(context.Background(), "tcp4", k.to)
 	if err != nil {
 		p.reset()
 		return
--- a/internal/soak/oracle/oracle.go
+++ b/internal/soak/oracle/oracle.go
@@ -3,13 +3,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
 
+// What must hold.
 const (
-	// Broken promises.
 	Twice    Promise = "a call that runs once ran more than once"
+	Attempts Promise = "a call ran at more targets than its route allows"
+	Budget   Promise = "the fleet repeated more calls than its budget allows"
 	Refused  Promise = "a call that was refused as not run has run"
 	Mixed    Promise = "an answer is not the call's own or not whole"
 	Leaving  Promise = "a leaving target got a new call"
@@ -21,8 +24,15 @@
 	Ended    Promise = "a process failed"
 )
 
-// kept is how many examples of each broken promise are kept.
-const kept = 5
+const (
+	// kept is how many examples of each broken promise are kept.
+	kept = 5
+	// budgetWindow, budgetShare and budgetSlack bound the repeats of the fleet as
+	// the settings of the soak's routers say.
+	budgetWindow = 10 * time.Second
+	budgetShare  = 0.2
+	budgetSlack  = 50
+)
 
 type (
 	// Promise is what must hold.
@@ -41,7 +51,11 @@
 
 		mu       sync.Mutex
 		runs     map[string]int
-		once     map[string]bool
+		arrivals map[string]int
+		// sent and repeats are the times of callers' calls and of arrivals beyond
+		// the first of each call, in two windows.
+		sent     []time.Time
+		repeats  []time.Time
 		refused  map[string]string
 		counts   map[Promise]int
 		breaks   []Break
@@ -58,7 +72,7 @@
 func New() *Book {
 	now := time.Now()
 	return &Book{
-		start: now, calmFrom: now, runs: make(map[string]int), once: make(map[string]bool),
+		start: now, calmFrom: now, runs: make(map[string]int), arrivals: make(map[string]int),
 		refused: make(map[string]string), counts: make(map[Promise]int), outcomes: make(map[string]int),
 		left: make(map[string]time.Time),
 	}
@@ -87,13 +101,48 @@
 	return time.Since(b.calmFrom)
 }
 
-// Ran notes that a target began to work on a call.
-func (b *Book) Ran(call string, once bool, target string) {
+// Sent notes that a caller sends a call.
+func (b *Book) Sent() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.sent = append(since(b.sent, now.Add(-2*budgetWindow)), now)
+}
+
+// Arrived notes that a call has reached a target, run there or not.
+func (b *Book) Arrived(call string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals[call]++
+	if b.arrivals[call] == 1 {
+		return
+	}
+	now := time.Now()
+	b.repeats = append(since(b.repeats, now.Add(-budgetWindow)), now)
+	last := len(since(b.sent, now.Add(-budgetWindow)))
+	// The window that counts is this one or the one before, whichever has more calls.
+	calls := max(last, len(b.sent)-last)
+	if most := budgetShare*float64(calls) + budgetSlack; float64(len(b.repeats)) > most {
+		b.broken(Budget, "%d repeats in %v beside %d calls", len(b.repeats), budgetWindow, calls)
+	}
+}
+
+func since(times []time.Time, from time.Time) []time.Time {
+	i, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	return times[i:]
+}
+
+// Ran notes that a target began to work on a call that may run at some targets.
+func (b *Book) Ran(call string, most int, target string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runs[call]++
-	if once && b.runs[call] > 1 {
+	once := most == 1
+	switch {
+	case b.runs[call] > most && once:
 		b.broken(Twice, "call %s, the last time at %s", call, target)
+	case b.runs[call] > most:
+		b.broken(Attempts, "call %s ran %d times, the last time at %s", call, b.runs[call], target)
 	}
 	if status, ok := b.refused[call]; ok && once {
 		b.broken(Refused, "call %s was answered %s and runs at %s later", call, status, target)
--- a/internal/soak/oracle/oracle_test.go
+++ b/internal/soak/oracle/oracle_test.go
@@ -22,30 +22,37 @@
 		qt.Assert(t, counts[want], qt.Equals, 1)
 	}
 	t.Run("may run once", func(t *testing.T) {
-		assertBroken(t, "", func(b *oracle.Book) { b.Ran("c", true, "t") })
+		assertBroken(t, "", func(b *oracle.Book) { b.Ran("c", 1, "t") })
 	})
 	t.Run("must not run twice", func(t *testing.T) {
 		assertBroken(t, oracle.Twice, func(b *oracle.Book) {
-			b.Ran("c", true, "t")
-			b.Ran("c", true, "u")
+			b.Ran("c", 1, "t")
+			b.Ran("c", 1, "u")
+		})
+	})
+	t.Run("others may not run at more targets than allowed", func(t *testing.T) {
+		assertBroken(t, oracle.Attempts, func(b *oracle.Book) {
+			for _, target := range []string{"t", "u", "v"} {
+				b.Ran("c", 2, target)
+			}
 		})
 	})
 	t.Run("others may", func(t *testing.T) {
 		assertBroken(t, "", func(b *oracle.Book) {
-			b.Ran("c", false, "t")
-			b.Ran("c", false, "u")
+			b.Ran("c", 2, "t")
+			b.Ran("c", 2, "u")
 		})
 	})
 	t.Run("must not have run when they are refused", func(t *testing.T) {
 		assertBroken(t, oracle.Refused, func(b *oracle.Book) {
-			b.Ran("c", true, "t")
+			b.Ran("c", 1, "t")
 			b.Refused("c", "503")
 		})
 	})
 	t.Run("must not run later either", func(t *testing.T) {
 		assertBroken(t, oracle.Refused, func(b *oracle.Book) {
 			b.Refused("c", "503")
-			b.Ran("c", true, "t")
+			b.Ran("c", 1, "t")
 		})
 	})
 }
@@ -62,3 +69,20 @@
 	time.Sleep(20 * time.Millisecond)
 	c.Assert(b.Calm() >= 20*time.Millisecond, qt.IsTrue)
 }
+
+func TestRepeatsOverTheFleet(t *testing.T) {
+	broken := func(calls, repeats int) int {
+		b := oracle.New()
+		for i := range calls {
+			b.Sent()
+			b.Arrived(string(rune('a' + i)))
+		}
+		for range repeats {
+			b.Arrived("a")
+		}
+		_, counts := b.Breaks()
+		return counts[oracle.Budget]
+	}
+	qt.Assert(t, broken(100, 70), qt.Equals, 0)
+	qt.Assert(t, broken(100, 71), qt.Equals, 1)
+}
--- a/internal/soak/process/process.go
+++ b/internal/soak/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -51,7 +52,9 @@
 	if err != nil {
 		return fmt.Errorf("log of %q: %w", p.name, err)
 	}
-	r := &run{cmd: exec.Command(p.command[0], p.command[1:]...), ended: make(chan struct{})}
+	// The soak's own program; Stop ends it.
+	cmd := exec.CommandContext(context.Background(), p.command[0], p.command[1:]...) //nolint:gosec
+	r := &run{cmd: cmd, ended: make(chan struct{})}
 	r.cmd.Stdout, r.cmd.Stderr = out, out
 	if err := r.cmd.Start(); err != nil {
 		_ = out.Close()
--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -47,11 +47,10 @@
 
 	// Caller is one client.
 	Caller struct {
-		name   string
-		fleet  Fleet
-		book   *oracle.Book
-		client *http.Client
-		calls  int
+		name  string
+		fleet Fleet
+		book  *oracle.Book
+		calls int
 
 		addresses []string
 		until     time.Time
@@ -67,7 +66,7 @@
 
 // NewCaller returns a caller with a name that no other one has.
 func NewCaller(name string, fleet Fleet, book *oracle.Book) *Caller {
-	return &Caller{name: name, fleet: fleet, book: book, client: &http.Client{Timeout: connectMost}}
+	return &Caller{name: name, fleet: fleet, book: book}
 }
 
 // Run makes calls until ctx ends.
@@ -88,6 +87,7 @@
 		c.book.Outcome("no connection")
 		return
 	}
+	c.book.Sent()
 	begun := time.Now()
 	_ = c.conn.SetDeadline(begun.Add(patience))
 	if _, err := io.WriteString(c.conn, platformtest.Call(id, http.MethodPost, path+"x", deadlineMS, "body")); err != nil {
@@ -173,7 +173,7 @@
 		return false
 	}
 	address := c.addresses[rand.IntN(len(c.addresses))]
-	n, err := net.DialTimeout("tcp4", c.fleet.Dial(address), connectMost)
+	n, err := dial(c.fleet.Dial(address))
 	if err != nil {
 		return false
 	}
@@ -187,13 +187,8 @@
 		return
 	}
 	for _, url := range c.fleet.LookupURLs() {
-		resp, err := c.client.Get(url)
-		if err != nil {
-			continue
-		}
-		body, err := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		if err != nil || resp.StatusCode != http.StatusOK {
+		status, body := Get(url)
+		if status != http.StatusOK {
 			continue
 		}
 		addresses, ttl, err := platformtest.Lookup(body)
@@ -204,9 +199,33 @@
 	}
 }
 
+// Get asks a router with a new connection and returns the status, zero without a whole answer.
+func Get(url string) (status int, body []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), connectMost)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, nil
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if body, err = io.ReadAll(resp.Body); err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, body
+}
+
+func dial(address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: connectMost}).DialContext(context.Background(), "tcp4", address)
+}
+
 // Probe asks for the path of a version and returns the status, or zero.
 func Probe(fleet Fleet, address string, version int) int {
-	n, err := net.DialTimeout("tcp4", fleet.Dial(address), connectMost)
+	n, err := dial(fleet.Dial(address))
 	if err != nil {
 		return 0
 	}
--- a/internal/soak/traffic/target.go
+++ b/internal/soak/traffic/target.go
@@ -36,10 +36,13 @@
 const (
 	// troubled is the share of calls that a target's trouble strikes.
 	troubled = 0.3
-	// events is the length of a stream, eventGap the pause between its events.
-	events   = 10
-	eventGap = 25 * time.Millisecond
-	workMost = 20 * time.Millisecond
+	// events is the length of a stream, eventGap the pause between its events;
+	// one stream in slowStreams takes long enough for its caller to have left.
+	events       = 10
+	eventGap     = 20 * time.Millisecond
+	slowEventGap = 200 * time.Millisecond
+	slowStreams  = 10
+	workMost     = 20 * time.Millisecond
 	// drainBound is when a leaving target must get no more calls, with a margin
 	// for the clocks of busy processes.
 	drainBound = 2*time.Second + 300*time.Millisecond
@@ -129,11 +132,12 @@
 		return t.write(c, platformtest.Replaced(r))
 	}
 	t.judgeArrival(sent, leaving)
+	t.book.Arrived(sent.Call)
 	trouble := t.struck()
 	if trouble == Refusing {
 		return t.write(c, platformtest.NotRun(r))
 	}
-	t.book.Ran(sent.Call, runsOnce(r.Target), t.ID)
+	t.book.Ran(sent.Call, mostTargets(r.Target), t.ID)
 	time.Sleep(rand.N(workMost))
 	switch trouble {
 	case Losing:
@@ -170,6 +174,10 @@
 	if !t.write(c, platformtest.StreamHead(r)) {
 		return false
 	}
+	gap := eventGap
+	if rand.IntN(slowStreams) == 0 {
+		gap = slowEventGap
+	}
 	last, _ := strconv.Atoi(sent.LastEvent) // A stream that is not resumed starts at the first event.
 	for n := last + 1; n <= events; n++ {
 		event := Event(sent.Call, n)
@@ -179,7 +187,7 @@
 		if left, ok := t.book.LeftFor(sent.Call); ok && left > goneBound && t.book.Calm() > left+contact {
 			t.book.Break(oracle.Gone, "%s still writes call %s %v after its caller left", t.ID, sent.Call, left)
 		}
-		time.Sleep(eventGap)
+		time.Sleep(gap)
 	}
 	return t.write(c, "0\r\n\r\n")
 }
@@ -205,6 +213,14 @@
 	return strings.HasPrefix(path, platformtest.PathStream) || strings.HasPrefix(path, platformtest.PathResume)
 }
 
+// mostTargets is the number of targets that the configuration allows a call.
+func mostTargets(path string) int {
+	if strings.HasPrefix(path, platformtest.PathSafe) || strings.HasPrefix(path, platformtest.PathResume) {
+		return 2
+	}
+	return 1
+}
+
 func runsOnce(path string) bool {
 	return strings.HasPrefix(path, platformtest.PathStream) || strings.HasPrefix(path, platformtest.PathOnce)
 }
