--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -218,6 +218,9 @@
 // relay passes a target's answer on.
 func (c *call) relay(ctx context.Context, target *state.Target, ticket *standing.Ticket, a *exchange.Answer) {
 	verdict := platform.DecodeVerdict(a.Head.Status, a.Head.Fields)
+	if verdict.HasLoad {
+		c.load, c.hasLoad = verdict.Load, true
+	}
 	ticket.Sign(time.Now())
 	if verdict.NotRun {
 		c.drain(a)
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -93,6 +93,9 @@
 		status int
 		// readAt is the hash of the last target that has read the prompt.
 		readAt uint64
+		// load is what the last target said of itself, if it did.
+		load    platform.Load
+		hasLoad bool
 		// first is when the first part of a stream came.
 		first time.Time
 	}
@@ -308,7 +311,11 @@
 		strconv.Itoa(c.status) + `"}`).Inc()
 	metrics.GetOrCreateHistogram(`hickoryrock_call_duration_seconds{service="` + c.service + `"}`).
 		Update(took.Seconds())
-	c.h.Log.Info().Str("call", c.info.ID).Str("route", route).Str("service", c.service).
+	line := c.h.Log.Info()
+	if c.hasLoad {
+		line = line.Int("target-running", c.load.Running).Int("target-waiting", c.load.Waiting)
+	}
+	line.Str("call", c.info.ID).Str("route", route).Str("service", c.service).
 		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
 		Uint64("targets-revision", c.targets.Revision).Strs("targets", c.sentTo).
 		Str("placement", string(c.choice.Reason)).Int("unread", c.choice.Unread).Int("reread", c.choice.Reread).
