Wait for a watch's end before the next attempt; fetch a first configuration at once

Cause 1 (found on reading): the watch of an attempt reads which targets were tried; it could still do so while the next attempt writes it, which ends the process. The end of a watch is awaited now.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -156,8 +156,9 @@
 		begun := time.Now()
 		silent = func(now time.Time) bool { return now.Sub(begun) >= limit }
 	}
-	done := make(chan struct{})
+	done, ended := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(ended)
 		ticker := time.NewTicker(watchEvery)
 		defer ticker.Stop()
 		for {
@@ -172,7 +173,10 @@
 			}
 		}
 	}()
-	return func() { close(done) }
+	return func() {
+		close(done)
+		<-ended // The next attempt changes what the watch goes by.
+	}
 }
 
 // another reports whether a target that has not had the call can take it.
--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -70,6 +70,8 @@
 		}
 		wait := time.Duration(0)
 		switch {
+		case !f.known().Serving:
+			// Callers are refused until there is a configuration.
 		case f.Leads():
 			wait = behindFor
 		case f.Live() > smallFleet:
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -249,6 +249,25 @@
 	f.Assert(time.Since(since) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(since)))
 }
 
+// Pattern: inc-810d of sarung-kaki. A router starts while the store is away; it
+// refuses its callers until another one has told it a configuration.
+func TestARouterThatStartsWithoutTheStoreFetchesAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.configure(1)
+	a := f.start("a", f.up)
+	f.eventually("the other one knows a configuration", func() bool { return a.known().Serving })
+	f.meta.Fail(503)
+	time.Sleep(2 * time.Second) // Until nobody counts as served.
+	for range 3 {
+		late := f.start("late", f.down)
+		begun := time.Now()
+		late.Meet(a.address)
+		f.eventually("it knows the configuration", func() bool { return late.known().Serving })
+		f.Assert(time.Since(begun) < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+		late.stop()
+	}
+}
+
 // Pattern: two failure domains; a router that passes beacons on is killed.
 func TestLoadsReachAFailureDomainPastADeadRouter(t *testing.T) {
 	f := newFixture(t)
--- a/internal/peer/gossip/spread.go
+++ b/internal/peer/gossip/spread.go
@@ -49,7 +49,7 @@
 		}
 		first := domain[0]
 		for _, address := range domain {
-			if later(address, first, turn) {
+			if before(address, first, turn) {
 				first = address
 			}
 		}
@@ -58,8 +58,8 @@
 	return out
 }
 
-// later orders the routers of a domain differently in each turn.
-func later(a, b netip.AddrPort, turn int) bool {
+// before orders the routers of a domain differently in each turn.
+func before(a, b netip.AddrPort, turn int) bool {
 	return turnRank(a, turn) > turnRank(b, turn)
 }
 
