--- a/internal/soak/day/faults.go
+++ b/internal/soak/day/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hickoryrock/internal/soak/link"
+	"hickoryrock/internal/soak/oracle"
 	"hickoryrock/internal/soak/traffic"
 )
 
@@ -19,8 +20,8 @@
 	seriesGap = 400 * time.Millisecond
 )
 
-// event is something that happens to the fleet for some time. It draws all
-// its choices from the day's random source before it begins.
+// event is something that happens to the fleet for some time. What it strikes
+// follows from a random source of its own, which the day's seed determines.
 type event struct {
 	name string
 	// planned events are no trouble: promises about planned work hold through them.
@@ -28,11 +29,6 @@
 	begin   func(w *world, pick *rand.Rand, lasts time.Duration)
 }
 
-// plannedEvents are the events that are no trouble.
-func plannedEvents() []event {
-	return slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
-}
-
 var events = []event{
 	{name: "kill a router", begin: func(w *world, pick *rand.Rand, lasts time.Duration) { w.kill(w.some(pick, 1), lasts) }},
 	{name: "kill all routers", begin: func(w *world, _ *rand.Rand, lasts time.Duration) { w.kill(w.routers, lasts/3) }},
@@ -117,6 +113,11 @@
 	}},
 }
 
+// plannedEvents are the events that are no trouble.
+func plannedEvents() []event {
+	return slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
+}
+
 func trouble(name string, kind traffic.Trouble) event {
 	return event{name: name, begin: func(w *world, pick *rand.Rand, lasts time.Duration) {
 		if t := w.target(pick); t != nil {
@@ -130,7 +131,7 @@
 // try carries out a step that can fail only when the test machine is out of ports.
 func (w *world) try(step func() error) {
 	if err := step(); err != nil {
-		w.book.Break("the soak cannot go on", "%v", err)
+		w.book.Break(oracle.Stuck, "%v", err)
 	}
 }
 
--- a/internal/soak/oracle/oracle.go
+++ b/internal/soak/oracle/oracle.go
@@ -22,6 +22,8 @@
 	Gone     Promise = "a target works on for a caller that has left"
 	Served   Promise = "calm routers do not serve"
 	Ended    Promise = "a process failed"
+	// Stuck is no promise of the product: the soak itself could not go on.
+	Stuck Promise = "the soak could not carry out a step"
 )
 
 const (
