--- a/internal/platform/objects/follow_test.go
+++ b/internal/platform/objects/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -64,11 +65,16 @@
 }
 
 func TestFollower(t *testing.T) {
-	s, c := start(t)
+	s := platform.New()
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	followed := newClient(t, srv.URL)
+	c, closeClient := objects.New(objects.WithBaseURLs(srv.URL), objects.WithName("writer"))
+	t.Cleanup(closeClient)
 	run, cancel := context.WithCancel(ctx)
 	m := newMirror()
 	ended := make(chan error, 1)
-	f := objects.NewFollower(c, []string{"service"}, m, objects.WithBackoff(time.Millisecond, time.Millisecond))
+	f := objects.NewFollower(followed, []string{"service"}, m, objects.WithBackoff(time.Millisecond, time.Millisecond))
 	go func() { ended <- f.Run(run) }()
 	put := func(name string, version uint64, data json.RawMessage) uint64 {
 		obj, err := c.Update(ctx, objects.Key{Kind: "service", Name: name}, version, data)
@@ -85,9 +91,9 @@
 	wantMirror(t, m, map[string]string{"a": string(two)})
 	lists := m.lists
 
-	// The gap hides a deletion; only listing again can show it.
-	s.SetFaults(platform.Faults{SplitClients: nil, WatchGap: true, Down: true})
-	s.SetFaults(platform.Faults{})
+	// The gap hides a deletion, of which the follower hears nothing; only listing
+	// again can show it.
+	s.SetFaults(platform.Faults{SplitClients: []string{"a"}, WatchGap: true})
 	_, err := c.Delete(ctx, objects.Key{Kind: "service", Name: "a"}, v)
 	qt.Assert(t, err, qt.IsNil)
 	s.SetFaults(platform.Faults{WatchGap: true})
