--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -120,7 +120,7 @@
 		}
 	}
 	choice := c.h.Map.Choose(affinity.Request{
-		Parts: c.parts(), Seed: xxhash.Sum64String(c.info.ID), Factor: c.h.LoadFactor,
+		Parts: c.parts, Seed: xxhash.Sum64String(c.info.ID), Factor: c.h.LoadFactor,
 		Fetch: c.view.Configuration.Services[c.service].Fetch,
 	}, candidates, now)
 	if choice.Index < 0 {
@@ -303,12 +303,16 @@
 // relayStream passes events on as they arrive, whole ones only.
 func (c *call) relayStream(ctx context.Context, target *state.Target, ticket *standing.Ticket, a *exchange.Answer) {
 	buffer := make([]byte, readBytes)
+	promptRead := false
 	for {
 		n, err := a.Body.Read(buffer)
 		if n > 0 {
 			now := time.Now()
 			ticket.Sign(now)
-			c.read(target, now)
+			if !promptRead {
+				promptRead = true
+				c.h.Map.Read(affinity.Shared(c.parts), target.Hash, now)
+			}
 			c.pass(a.Head, c.events.add(buffer[:n]))
 		}
 		if c.answer.Failed() {
@@ -332,14 +336,6 @@
 	}
 }
 
-// read notes, at the first event, that the target has read the call's prompt.
-func (c *call) read(target *state.Target, now time.Time) {
-	if c.readAt != target.Hash {
-		c.readAt = target.Hash
-		c.h.Map.Read(affinity.Shared(c.parts()), target.Hash, now)
-	}
-}
-
 func (c *call) pass(head *http1.Response, data []byte) {
 	if len(data) == 0 {
 		return
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -73,8 +73,10 @@
 		route     *state.Route
 		workspace state.Workspace
 		service   string
-		start     time.Time
-		deadline  time.Time
+		// parts are those of the prompt, nil on routes that do not place by them.
+		parts    []affinity.Part
+		start    time.Time
+		deadline time.Time
 
 		progress Progress
 		tried    map[uint64]bool
@@ -91,8 +93,6 @@
 		// source is the target whose cache the next attempt's target fetches from, or nil.
 		source *state.Target
 		status int
-		// readAt is the hash of the last target that has read the prompt.
-		readAt uint64
 		// load is what the last target said of itself, if it did.
 		load    platform.Load
 		hasLoad bool
@@ -159,7 +159,7 @@
 // awaitRecall holds a call with a prompt for a moment while the router does
 // not know yet which targets hold it.
 func (c *call) awaitRecall(ctx context.Context) {
-	if len(c.parts()) == 0 {
+	if len(c.parts) == 0 {
 		return
 	}
 	select {
@@ -196,41 +196,40 @@
 		}
 		c.workspace = w
 	}
+	c.parts = promptParts(c.route, c.info)
 	c.service = c.route.Service(c.shareKey())
 	return true
 }
 
 // shareKey keeps the calls that share a prompt on one service of a split route.
 func (c *call) shareKey() uint64 {
-	if parts := c.parts(); len(parts) > 1 {
-		return parts[len(parts)-2].Hash
+	if len(c.parts) > 1 {
+		return c.parts[len(c.parts)-2].Hash
 	}
 	return xxhash.Sum64String(c.info.ID)
 }
 
-// promptName identifies the deepest part that the call shares with others, for the log.
-func (c *call) promptName() string {
-	if c.route == nil {
-		return ""
-	}
-	parts := c.parts()
-	if len(parts) == 0 {
-		return ""
-	}
-	return strconv.FormatUint(parts[max(len(parts)-2, 0)].Hash, 16)
-}
-
-func (c *call) parts() []affinity.Part {
-	if !c.route.Sticky {
+// promptParts returns the parts of a call's prompt on a route that places by them.
+func promptParts(route *state.Route, info platform.Call) []affinity.Part {
+	if !route.Sticky {
 		return nil
 	}
-	parts := make([]affinity.Part, len(c.info.Parts))
-	for i, p := range c.info.Parts {
+	parts := make([]affinity.Part, len(info.Parts))
+	for i, p := range info.Parts {
 		parts[i] = affinity.Part(p)
 	}
 	return parts
 }
 
+// promptName identifies the deepest part that the call shares with others, for the log.
+func (c *call) promptName() string {
+	shared := affinity.Shared(c.parts)
+	if len(shared) == 0 {
+		return ""
+	}
+	return strconv.FormatUint(shared[len(shared)-1].Hash, 16)
+}
+
 // budget takes from the retry budget, except for attempts that no target has
 // seen and for repeats that were reserved.
 func (c *call) budget() bool {
--- /dev/null
+++ b/internal/fleet/forward/stream_test.go
@@ -0,0 +1,150 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hickoryrock/internal/policy/retries"
+	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/internal/wire/http1"
+	"hickoryrock/platform/platformtest"
+)
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// events streams events from the one after Last-Event-Id on, and stops in the
+// middle of an event when it comes to cut.
+func events(last, cut int) rawserver.Script {
+	return func(c net.Conn, r rawserver.Request) bool {
+		from := 0
+		_, _ = fmt.Sscan(platformtest.DecodeSent(r).LastEvent, &from)
+		_, _ = io.WriteString(c, platformtest.StreamHead(r))
+		for i := from + 1; i <= last; i++ {
+			if i == cut && from == 0 {
+				_, _ = io.WriteString(c, chunk(fmt.Sprintf("id: %d\nda", i)))
+				return false
+			}
+			_, _ = io.WriteString(c, chunk(fmt.Sprintf("id: %d\ndata: x\n\n", i)))
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+func wholeStream(last int) string {
+	var b strings.Builder
+	for i := 1; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
+
+// pausing streams two events with a pause between them.
+func pausing(pause time.Duration) rawserver.Script {
+	return func(c net.Conn, r rawserver.Request) bool {
+		_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk("id: 1\ndata: x\n\n"))
+		time.Sleep(pause)
+		_, err := io.WriteString(c, chunk("id: 2\ndata: x\n\n")+"0\r\n\r\n")
+		return err == nil
+	}
+}
+
+// spendBudget leaves nothing for repeats.
+func (f *fixture) spendBudget() {
+	for f.budgets.Retry(time.Now(), "", "s") == retries.Allowed {
+	}
+	f.budgets.SetBurst(0)
+}
+
+// Pattern: seed 206 of the soak. Failures have used the budget for repeats up
+// when a sound target pauses.
+func TestSilentTargetsAreLeftOnlyForAnother(t *testing.T) {
+	t.Run("not while the pause is one that the route allows", func(t *testing.T) {
+		f := newFixture(t, 2, pausing(200*time.Millisecond))
+		f.assertReply(f.call("/resume/a"), 200, wholeStream(2))
+		f.Assert(f.arrivals(), qt.Equals, 1)
+	})
+	t.Run("not a stream without budget", func(t *testing.T) {
+		f := newFixture(t, 2, pausing(600*time.Millisecond))
+		f.spendBudget()
+		f.assertReply(f.call("/resume/a"), 200, wholeStream(2))
+		f.Assert(f.arrivals(), qt.Equals, 1)
+	})
+	t.Run("not a stream without another target", func(t *testing.T) {
+		f := newFixture(t, 1, pausing(600*time.Millisecond))
+		f.assertReply(f.call("/resume/a"), 200, wholeStream(2))
+	})
+	slow := func(c net.Conn, r rawserver.Request) bool {
+		time.Sleep(150 * time.Millisecond)
+		return always("200 OK", "", "late")(c, r)
+	}
+	t.Run("not a call without budget", func(t *testing.T) {
+		f := newFixture(t, 2, slow)
+		f.spendBudget()
+		f.assertReply(f.call("/safe/a"), 200, "late")
+		f.Assert(f.arrivals(), qt.Equals, 1)
+	})
+	t.Run("not a call without another target", func(t *testing.T) {
+		f := newFixture(t, 1, slow)
+		f.assertReply(f.call("/safe/a"), 200, "late")
+	})
+}
+
+func TestStreams(t *testing.T) {
+	t.Run("are passed on whole", func(t *testing.T) {
+		f := newFixture(t, 1, events(9, 0))
+		f.assertReply(f.call("/stream/a"), 200, wholeStream(9))
+	})
+	t.Run("that are cut look cut", func(t *testing.T) {
+		f := newFixture(t, 2, events(9, 4))
+		got := f.call("/stream/a")
+		f.Assert(got.err, qt.IsNotNil)
+		f.Assert(strings.HasPrefix(wholeStream(9), got.body), qt.IsTrue)
+		f.Assert(f.arrivals(), qt.Equals, 1)
+	})
+	t.Run("that may be resumed go on at another target", func(t *testing.T) {
+		f := newFixture(t, 2, events(9, 4))
+		f.assertReply(f.call("/resume/a"), 200, wholeStream(9))
+		f.Assert(f.arrivals(), qt.Equals, 2)
+	})
+	t.Run("go on when their target falls silent", func(t *testing.T) {
+		f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
+			if platformtest.DecodeSent(r).LastEvent != "" {
+				return events(5, 0)(c, r)
+			}
+			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk("id: 1\ndata: x\n\n"))
+			_, _ = c.Read(make([]byte, 1))
+			return false
+		})
+		start := time.Now()
+		f.assertReply(f.call("/resume/a"), 200, wholeStream(5))
+		f.Assert(time.Since(start) < time.Second, qt.IsTrue)
+	})
+	t.Run("arrive event by event", func(t *testing.T) {
+		more := make(chan struct{})
+		f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
+			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk("id: 1\ndata: x\n\n"))
+			<-more
+			_, _ = io.WriteString(c, chunk("id: 2\ndata: x\n\n")+"0\r\n\r\n")
+			return true
+		})
+		c, r := f.dial()
+		_, _ = io.WriteString(c, platformtest.Request("/stream/a", platformtest.Key, ""))
+		head, err := http1.ReadResponse(r, 16<<10, "POST")
+		f.Assert(err, qt.IsNil)
+		body := http1.Body(r, head.Length)
+		first := make([]byte, 15)
+		_, err = io.ReadFull(body, first)
+		f.Assert(err, qt.IsNil)
+		close(more)
+		rest, err := io.ReadAll(body)
+		f.Assert(err, qt.IsNil)
+		f.Assert(string(first)+string(rest), qt.Equals, wholeStream(2))
+	})
+}
--- a/internal/soak/day/day.go
+++ b/internal/soak/day/day.go
@@ -20,8 +20,6 @@
 	stormMost  = 14 * time.Second
 	// plannedSteps is the number of planned events that begin together in calm time.
 	plannedSteps = 4
-	// contact is how long the fleet must have been calm for bounds in time to hold.
-	contact = 3 * time.Second
 	// measured is how long the share of served calls is taken in calm time.
 	measured = 3 * time.Second
 	// calmShare of the calls must be served in calm time, recoveredShare after the last fault.
@@ -79,13 +77,13 @@
 	time.Sleep(startTime)
 	for end := time.Now().Add(o.Lasts); time.Now().Before(end); {
 		w.storm(say)
-		time.Sleep(contact)
+		time.Sleep(oracle.Contact)
 		w.plannedWork(say)
 	}
 	for _, r := range w.routers {
 		w.try(r.Start)
 	}
-	time.Sleep(recovery - contact)
+	time.Sleep(recovery - oracle.Contact)
 	w.measure(oracle.Served, recoveredShare, say)
 	cancel()
 	clients.Wait()
@@ -154,12 +152,12 @@
 
 func (w *world) probeOne(r *router) {
 	incarnation := r.Incarnation()
-	due, newest, calm := w.version(applyBound), w.version(0), w.book.Calm()
+	due, newest, inTouch := w.version(applyBound), w.version(0), w.book.InTouch(applyBound)
 	if incarnation == 0 || due == 0 {
 		return
 	}
 	version := newest
-	if calm > contact+applyBound {
+	if inTouch {
 		version = due
 	}
 	status := traffic.Probe(w, r.address(), version)
@@ -172,7 +170,7 @@
 	switch {
 	case status == 404 && version <= served:
 		w.book.Break(oracle.Reverted, "%s served version %d and not version %d later", r.name, served, version)
-	case status == 404 && version <= due && calm > contact+applyBound:
+	case status == 404 && version <= due && inTouch:
 		w.book.Break(oracle.Applied, "%s does not serve version %d after %v", r.name, version, applyBound)
 	case status == 200:
 		r.served[incarnation] = max(served, version)
--- a/internal/soak/oracle/oracle.go
+++ b/internal/soak/oracle/oracle.go
@@ -36,6 +36,9 @@
 	budgetSlack  = 50
 )
 
+// Contact is how long the fleet must have been calm for bounds in time to hold.
+const Contact = 3 * time.Second
+
 type (
 	// Promise is what must hold.
 	Promise string
@@ -134,6 +137,9 @@
 	return times[i:]
 }
 
+// InTouch reports whether the fleet has been calm for a time and in touch before it.
+func (b *Book) InTouch(through time.Duration) bool { return b.Calm() > through+Contact }
+
 // Ran notes that a target began to work on a call that may run at some targets.
 func (b *Book) Ran(call string, most int, target string) {
 	b.mu.Lock()
--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -150,7 +150,7 @@
 	address := c.conn.address
 	c.hangUp()
 	c.book.Outcome("cut")
-	if c.fleet.Stopping(address) && c.book.Calm() > time.Since(begun)+contact && c.book.Runs(id) > 0 {
+	if c.fleet.Stopping(address) && c.book.InTouch(time.Since(begun)) && c.book.Runs(id) > 0 {
 		c.book.Break(oracle.Cut, "call %s on %s at %s, %v after it was sent: %v", id, path, address, time.Since(begun), err)
 	}
 }
--- a/internal/soak/traffic/target.go
+++ b/internal/soak/traffic/target.go
@@ -46,8 +46,6 @@
 	// drainBound is when a leaving target must get no more calls, with a margin
 	// for the clocks of busy processes.
 	drainBound = 2*time.Second + 300*time.Millisecond
-	// contact is how long the fleet must have been calm for bounds in time to hold.
-	contact = 3 * time.Second
 	// goneBound is when a target must see that a caller has left, with the same margin.
 	goneBound = 800 * time.Millisecond
 )
@@ -164,7 +162,7 @@
 		return
 	}
 	since := time.Since(leaving)
-	if since > drainBound && t.book.Calm() > since+contact {
+	if since > drainBound && t.book.InTouch(since) {
 		t.book.Break(oracle.Leaving, "call %s reached %s %v after it was told to leave", sent.Call, t.ID, since)
 	}
 }
@@ -184,7 +182,7 @@
 		if !t.write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event)) {
 			return false
 		}
-		if left, ok := t.book.LeftFor(sent.Call); ok && left > goneBound && t.book.Calm() > left+contact {
+		if left, ok := t.book.LeftFor(sent.Call); ok && left > goneBound && t.book.InTouch(left) {
 			t.book.Break(oracle.Gone, "%s still writes call %s %v after its caller left", t.ID, sent.Call, left)
 		}
 		time.Sleep(gap)
