Give up bytes that cannot become an answer

Cause, each shown by a test that fails on the code before (checked by undoing one mechanism at a time on a scratch copy):

- a resumable stream whose target sends an event and then single bytes was never resumed: every byte counted as progress.
- an event without an end was buffered without a bound and searched from its start at each read; 64 KiB is the bound, and only new bytes are searched (TestEndlessBytes, TestEventBufferBoundsIncompleteEvent);
- interim responses were skipped without end; eight is the bound (TestEndlessBytes, TestResponses);
- a response that proves that a call was not executed was acted on only after its body (TestNotExecutedResponseWithSlowBody): the connection is now drained in the background for 100 ms;
- a slow stream on an idempotent route that cannot be resumed was cancelled, which cut it (TestSlowStreamThatCannotBeResumedIsNotCut);
- buffered responses of more than 32 KiB share a bounded memory (TestBufferedResponsesShareMemory);

Ruled out: a late second copy of an answer on a reused connection reaches no other caller; TestResponseToEarlierCallIsSkipped holds on the code before, too.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -24,26 +24,12 @@
 	reasonSilent   = "target-silent"
 	reasonTimeout  = "timeout"
 
-	// silenceFraction is how long a target with calls in flight may send nothing
-	// before it counts as failed, as a fraction of the latency objective.
-	// minSilence, the lower bound, is many decoding steps of an engine.
-	silenceFraction = 0.5
-	minSilence      = 100 * time.Millisecond
-	// eventGapFactor is the lower bound on that time as a multiple of the longest
-	// gap between a stream's events that the route allows.
-	eventGapFactor = 1.2
-	// retryDelayFraction is how long an idempotent call waits for a response before
-	// it is sent to another target, as a fraction of the latency objective, so that
-	// the other target can still respond in time.
-	retryDelayFraction = 0.5
 	// minOverdue is the shortest time after which a call without any response bytes
 	// counts as a failure of its target.
 	minOverdue = 100 * time.Millisecond
 	// prefillTokensPerMillisecond is a conservative estimate of an engine's prompt
 	// processing (prefill) rate.
 	prefillTokensPerMillisecond = 20
-	// silenceCheckInterval is how often a waiting attempt checks for silence.
-	silenceCheckInterval = 25 * time.Millisecond
 	// streamReadBytes is the buffer size for reads from a stream.
 	streamReadBytes = 8 << 10
 )
@@ -66,6 +52,7 @@
 
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	c.lastProgress.Store(0)
 	stop := c.watchSilence(target, cancel)
 	defer stop()
 
@@ -139,65 +126,6 @@
 	return targets[choice.Index]
 }
 
-// silenceLimit returns how long a target may send nothing. It is longer than the
-// gap between events that the route allows.
-func (c *call) silenceLimit() time.Duration {
-	limit := max(minSilence, time.Duration(silenceFraction*float64(c.route.LatencyObjective)))
-	return max(limit, time.Duration(eventGapFactor*float64(c.route.MaxEventGap)))
-}
-
-// watchSilence cancels an attempt that may be retried when its target is silent for
-// too long, another target is available and the retry budget allows it. For calls
-// that are not streams, it goes by the time since the attempt began. The caller
-// must call the returned function to stop it.
-func (c *call) watchSilence(target *state.Target, cancel context.CancelCauseFunc) func() {
-	if c.route.AtMostOnce() || c.progress.PossibleExecutions+1 >= c.route.MaxAttempts {
-		return func() {}
-	}
-	silent := func(now time.Time) bool { return c.h.TargetHealth.SilentFor(target.Hash, now) > c.silenceLimit() }
-	if !c.route.Streaming {
-		limit := time.Duration(retryDelayFraction * float64(c.route.LatencyObjective))
-		if limit <= 0 {
-			return func() {}
-		}
-		started := time.Now()
-		silent = func(now time.Time) bool { return now.Sub(started) >= limit }
-	}
-	done, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(silenceCheckInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case now := <-ticker.C:
-				if silent(now) && c.hasAlternative(now) && c.reserveRetry(now) {
-					cancel(errSilent)
-					return
-				}
-			}
-		}
-	}()
-	return func() {
-		close(done)
-		<-ended // The next attempt modifies fields that the goroutine reads.
-	}
-}
-
-// hasAlternative reports whether an untried target is available for the call.
-func (c *call) hasAlternative(now time.Time) bool {
-	targets := c.h.View().Targets.ByService[c.service]
-	summaries := c.h.TargetHealth.Summaries(state.Hashes(targets), now)
-	for i, t := range targets {
-		if !t.Draining && !c.tried[t.Hash] && !summaries[i].Ejected {
-			return true
-		}
-	}
-	return false
-}
-
 // recordFailure records an attempt without a complete response.
 func (c *call) recordFailure(ctx context.Context, target *state.Target, notExecuted bool, reason string) {
 	c.reason = reason
@@ -234,9 +162,10 @@
 	if headers.HasLoad {
 		c.load, c.hasLoad = headers.Load, true
 	}
-	tracked.Progress(time.Now())
+	c.recordProgress(tracked, time.Now())
 	if headers.NotExecuted {
-		c.discardBody(response)
+		// The head is the proof: its body may be slow and must not delay a retry.
+		c.h.Pool.Drain(response)
 		c.recordNotExecuted(target, response.Head.Status)
 		return
 	}
@@ -250,10 +179,10 @@
 		c.relayStream(ctx, target, tracked, response)
 		return
 	}
-	body, err := http1client.ReadBody(response, maxBufferedBodyBytes)
+	body, err := c.readBody(response)
 	if err != nil {
 		c.h.Pool.Discard(response)
-		c.recordFailure(ctx, target, false, "answer-cut")
+		c.recordBodyError(ctx, target, err)
 		return
 	}
 	c.h.Pool.Release(response)
@@ -297,34 +226,44 @@
 	c.h.TargetHealth.RecordFailure(target.Hash, now)
 }
 
-// discardBody reads and discards a response body so that its connection can be reused.
-func (c *call) discardBody(response *http1client.Response) {
-	if response.Head.Length == http1.UntilClose {
-		c.h.Pool.Discard(response)
+// recordBodyError records a response whose body could not be read completely.
+func (c *call) recordBodyError(ctx context.Context, target *state.Target, err error) {
+	if errors.Is(err, errResponseMemory) {
+		// The target is not at fault.
+		c.progress.PossibleExecutions++
+		c.progress.Outcome = Unknown
+		c.reason = "response-memory"
 		return
 	}
-	if _, err := http1client.ReadBody(response, maxBufferedBodyBytes); err != nil {
-		c.h.Pool.Discard(response)
-		return
+	reason := "answer-cut"
+	if errors.Is(err, http1client.ErrBodyTooLarge) {
+		reason = "answer-too-large"
 	}
-	c.h.Pool.Release(response)
+	c.recordFailure(ctx, target, false, reason)
 }
 
 // relayStream relays events as they arrive, complete ones only, so that a stream
-// can be resumed after the last one.
+// can be resumed after the last one. Only a complete event counts as progress.
 func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) {
 	buffer := make([]byte, streamReadBytes)
 	prefilled := false
 	for {
 		n, err := response.Body.Read(buffer)
-		if n > 0 {
+		events, tooLarge := c.stream.add(buffer[:n])
+		if tooLarge != nil {
+			c.stream.reset()
+			c.h.Pool.Discard(response)
+			c.recordFailure(ctx, target, false, "event-too-large")
+			return
+		}
+		if len(events) > 0 {
 			now := time.Now()
-			tracked.Progress(now)
+			c.recordProgress(tracked, now)
 			if !prefilled {
 				prefilled = true
 				c.h.CacheIndex.MarkPrefilled(affinity.Shared(c.parts), target.Hash, now)
 			}
-			c.writeEvents(response.Head, c.stream.add(buffer[:n]))
+			c.writeEvents(response.Head, events)
 		}
 		if c.writer.WriteFailed() {
 			c.h.Pool.Discard(response)
@@ -360,6 +299,7 @@
 // target's response is kept when a stream is resumed on another target.
 func (c *call) writeHead(head *http1.Response) {
 	if !c.writer.Started() {
+		c.begun.Store(true)
 		c.status, c.firstEvent = head.Status, time.Now()
 		c.writer.StartChunked(head.Status, head.Reason, endToEndFields(head))
 	}
--- a/internal/fleet/forward/decide_test.go
+++ b/internal/fleet/forward/decide_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -133,14 +134,32 @@
 func TestEventBufferSplitsAtEventBoundaries(t *testing.T) {
 	c := qt.New(t)
 	var e eventBuffer
-	c.Assert(string(e.add([]byte("id: 1\ndata: a\n"))), qt.Equals, "")
-	c.Assert(string(e.add([]byte("\nid: 2\nda"))), qt.Equals, "id: 1\ndata: a\n\n")
+	assertAdd := func(data, want string) {
+		c.Helper()
+		got, err := e.add([]byte(data))
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(got), qt.Equals, want)
+	}
+	assertAdd("id: 1\ndata: a\n", "")
+	assertAdd("\nid: 2\nda", "id: 1\ndata: a\n\n")
 	c.Assert(e.lastID, qt.Equals, "1")
-	c.Assert(string(e.add([]byte("ta: b\r\n\r\nid: 3"))), qt.Equals, "id: 2\ndata: b\r\n\r\n")
+	assertAdd("ta: b\r\n\r\nid: 3", "id: 2\ndata: b\r\n\r\n")
 	c.Assert(e.lastID, qt.Equals, "2")
 	c.Assert(string(e.rest()), qt.Equals, "id: 3")
 }
 
+func TestEventBufferBoundsIncompleteEvent(t *testing.T) {
+	c := qt.New(t)
+	var e eventBuffer
+	piece := []byte(strings.Repeat("d", 4<<10))
+	for range maxEventBytes / len(piece) {
+		_, err := e.add(piece)
+		c.Assert(err, qt.IsNil)
+	}
+	_, err := e.add(piece)
+	c.Assert(err, qt.Equals, errEventTooLarge)
+}
+
 // A stream that arrives in arbitrary pieces is returned unchanged.
 func TestEventBufferPreservesStream(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -149,7 +168,11 @@
 		out := ""
 		for rest := stream; rest != ""; {
 			n := rapid.IntRange(1, len(rest)).Draw(t, "n")
-			out += string(e.add([]byte(rest[:n])))
+			events, err := e.add([]byte(rest[:n]))
+			if err != nil {
+				t.Fatal(err)
+			}
+			out += string(events)
 			rest = rest[n:]
 		}
 		if out+string(e.rest()) != stream {
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -1,6 +1,20 @@
 package forward
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+)
+
+const (
+	// maxEventBytes bounds the buffered bytes of an incomplete event. It is far above
+	// the size of an event with tokens, and many calls fit into the memory of a small VM.
+	maxEventBytes = 64 << 10
+	// boundaryOverlap is the number of bytes before a read at which the end of an
+	// event may begin.
+	boundaryOverlap = 2
+)
+
+var errEventTooLarge = errors.New("event exceeds the size limit")
 
 // eventBuffer splits a server-sent event stream at event boundaries.
 type eventBuffer struct {
@@ -10,19 +24,25 @@
 }
 
 // add appends bytes of the stream and returns the complete events among all
-// pending bytes. The result is a copy.
-func (e *eventBuffer) add(data []byte) []byte {
+// pending bytes. The result is a copy. It returns errEventTooLarge when more than
+// maxEventBytes are pending.
+func (e *eventBuffer) add(data []byte) ([]byte, error) {
+	searched := max(len(e.pending)-boundaryOverlap, 0)
 	e.pending = append(e.pending, data...)
-	end := lastBoundary(e.pending)
+	end := lastBoundary(e.pending[searched:])
 	if end == 0 {
-		return nil
+		if len(e.pending) > maxEventBytes {
+			return nil, errEventTooLarge
+		}
+		return nil, nil
 	}
+	end += searched
 	complete := bytes.Clone(e.pending[:end])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
 	if id, ok := lastEventID(complete); ok {
 		e.lastID = id
 	}
-	return complete
+	return complete, nil
 }
 
 // rest returns the bytes after the last complete event.
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"hickoryrock/internal/caller/ingress"
 	"hickoryrock/internal/fleet/state"
@@ -36,11 +37,19 @@
 	cacheIndexWaitFraction = 0.25
 	// maxBufferedBodyBytes is the largest response body that is buffered.
 	maxBufferedBodyBytes = 1 << 20
+	// smallBodyBytes is the size up to which a response body is buffered without a
+	// reservation of memory.
+	smallBodyBytes = 32 << 10
+	// defaultResponseMemory is the default limit of the memory of all buffered large
+	// responses, in bytes.
+	defaultResponseMemory = 32 << 20
 )
 
 var (
 	errDeadline = errors.New("the call's deadline is exceeded")
 	errSilent   = errors.New("the target has stopped sending")
+
+	errResponseMemory = errors.New("memory limit of buffered responses reached")
 )
 
 type (
@@ -55,12 +64,17 @@
 		FailureDomain string
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
 		LoadFactor float64
-		Log        zerolog.Logger
+		// ResponseMemory limits the memory of all buffered large responses, in bytes.
+		// Zero means defaultResponseMemory.
+		ResponseMemory int64
+		Log            zerolog.Logger
 	}
 
 	// Handler forwards calls to targets. It is safe for concurrent use.
 	Handler struct {
 		Config
+		// responseMemory limits the memory of all buffered large responses, in bytes.
+		responseMemory *semaphore.Weighted
 	}
 
 	// call is the state of one call from a caller.
@@ -85,6 +99,13 @@
 		// retryReserved is set when a retry has been taken from the budget and not used yet.
 		retryReserved atomic.Bool
 		stream        eventBuffer
+		// lastProgress is when the response's head or its last complete event was
+		// received, in Unix nanoseconds; zero before. begun is set when a stream's
+		// first events have been relayed.
+		lastProgress atomic.Int64
+		begun        atomic.Bool
+		// reserved is the part of the response memory that this call holds, in bytes.
+		reserved int64
 		// buffered is a target's complete response, relayed unless a retry follows.
 		buffered *bufferedResponse
 		reason   string
@@ -112,16 +133,22 @@
 
 // New returns a handler.
 func New(config Config) *Handler {
-	return &Handler{Config: config}
+	if config.ResponseMemory <= 0 {
+		config.ResponseMemory = defaultResponseMemory
+	}
+	return &Handler{Config: config, responseMemory: semaphore.NewWeighted(config.ResponseMemory)}
 }
 
 // ServeCall implements ingress.Handler.
 func (h *Handler) ServeCall(ctx context.Context, w *ingress.ResponseWriter, r *http1.Request, body []byte) {
+	start := time.Now()
+	view := h.View()
 	c := &call{
 		h: h, request: r, body: body, writer: w, headers: platform.DecodeCallHeaders(r.Fields),
-		view: h.View(), targets: h.View().Targets, start: time.Now(), tried: make(map[uint64]bool),
+		view: view, targets: view.Targets, start: start, tried: make(map[uint64]bool),
 	}
 	c.serve(ctx)
+	h.responseMemory.Release(c.reserved)
 	c.record()
 }
 
--- a/internal/fleet/forward/forward_test.go
+++ b/internal/fleet/forward/forward_test.go
@@ -33,6 +33,7 @@
 	targets    []*rawserver.Server
 	cacheIndex *affinity.CacheIndex
 	budgets    *retries.Budgets
+	tracker    *targetstats.Tracker
 }
 
 type response struct {
@@ -54,6 +55,10 @@
 			Name: "resume", Host: "h", Prefix: "/resume/", Timeout: 2 * time.Second, LatencyObjective: 300 * time.Millisecond,
 			MaxEventGap: 250 * time.Millisecond, MaxAttempts: 2, Streaming: true, Resumable: true, Services: shares,
 		},
+		{
+			Name: "replay", Host: "h", Prefix: "/replay/", Timeout: 2 * time.Second, LatencyObjective: 300 * time.Millisecond,
+			MaxEventGap: 250 * time.Millisecond, MaxAttempts: 2, Streaming: true, Idempotent: true, Services: shares,
+		},
 		{
 			Name: "chat", Host: "h", Prefix: "/chat/", Timeout: time.Second, LatencyObjective: 400 * time.Millisecond,
 			MaxAttempts: 1, Sticky: true, Services: shares,
@@ -63,8 +68,11 @@
 }
 
 // newFixture starts a router in front of targets that all run the same script.
-func newFixture(t *testing.T, targets int, script rawserver.Handler) *fixture {
-	f := &fixture{C: qt.New(t), cacheIndex: affinity.NewCacheIndex(), budgets: retries.NewBudgets()}
+func newFixture(t *testing.T, targets int, script rawserver.Handler, opts ...func(*forward.Config)) *fixture {
+	f := &fixture{
+		C: qt.New(t), cacheIndex: affinity.NewCacheIndex(), budgets: retries.NewBudgets(),
+		tracker: targetstats.NewTracker(func(targetstats.Change) {}),
+	}
 	var list []*state.Target
 	for i := range targets {
 		server, stop, err := rawserver.New(script)
@@ -81,11 +89,14 @@
 	f.view.Store(&state.View{Configuration: configuration, Targets: state.NewTargets(list)})
 	pool, closePool := http1client.New()
 	t.Cleanup(closePool)
-	handler := forward.New(forward.Config{
-		View: f.view.Load, Pool: pool, TargetHealth: targetstats.NewTracker(func(targetstats.Change) {}),
+	config := forward.Config{
+		View: f.view.Load, Pool: pool, TargetHealth: f.tracker,
 		CacheIndex: f.cacheIndex, Budgets: f.budgets, LoadFactor: 2, Log: zerolog.Nop(),
-	})
-	f.server = ingress.New(handler, platform.DefaultLimits, zerolog.Nop())
+	}
+	for _, opt := range opts {
+		opt(&config)
+	}
+	f.server = ingress.New(forward.New(config), platform.DefaultLimits, zerolog.Nop())
 	var err error
 	f.listener, err = net.Listen("tcp4", "127.0.0.1:0")
 	f.Assert(err, qt.IsNil)
@@ -94,6 +105,10 @@
 	return f
 }
 
+func withResponseMemory(bytes int64) func(*forward.Config) {
+	return func(c *forward.Config) { c.ResponseMemory = bytes }
+}
+
 func (f *fixture) dial() (net.Conn, *bufio.Reader) {
 	c, err := net.Dial("tcp4", f.listener.Addr().String())
 	f.Assert(err, qt.IsNil)
@@ -130,6 +145,14 @@
 	return n
 }
 
+// awaitRequests waits until the targets have received n requests.
+func (f *fixture) awaitRequests(n int) {
+	f.Helper()
+	for deadline := time.Now().Add(2 * time.Second); f.targetRequests() < n; time.Sleep(time.Millisecond) {
+		f.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%d of %d requests", f.targetRequests(), n))
+	}
+}
+
 func (f *fixture) assertResponse(got response, status int, body string) {
 	f.Helper()
 	f.Assert(got.err, qt.IsNil)
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/rotisserie/eris"
 
 	"hickoryrock/internal/wire/http1"
 )
@@ -42,8 +41,15 @@
 	// response is read. A larger one could deadlock if the target responds before it
 	// has read the call.
 	maxInlineWriteBytes = 2 << 10
+	// drainTimeout and maxDrainBytes bound the body that is read only to reuse the
+	// connection.
+	drainTimeout  = 100 * time.Millisecond
+	maxDrainBytes = 64 << 10
 )
 
+// ErrBodyTooLarge means that a response body exceeds the limit.
+var ErrBodyTooLarge = errors.New("response body exceeds the size limit")
+
 type (
 	// CallStatus says whether a failed call may have run.
 	CallStatus uint8
@@ -193,6 +199,33 @@
 	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
+// Drain reads and discards the body in the background, so that the connection can be
+// reused. It gives up after drainTimeout or maxDrainBytes.
+func (p *Pool) Drain(resp *Response) {
+	c := resp.conn
+	if resp.Head.Length == http1.UntilClose || !c.stopCancel() {
+		c.discard()
+		return
+	}
+	c.stopCancel = func() bool { return true } // The end of the call no longer aborts the read.
+	_ = c.SetReadDeadline(time.Now().Add(drainTimeout))
+	if resp.Head.Length >= 0 && resp.Head.Length <= int64(c.reader.Buffered()) {
+		p.drain(resp)
+		return
+	}
+	go p.drain(resp)
+}
+
+func (p *Pool) drain(resp *Response) {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
+	if err != nil || n == maxDrainBytes {
+		resp.conn.discard()
+		return
+	}
+	_ = resp.conn.SetReadDeadline(time.Time{})
+	p.Release(resp)
+}
+
 // Discard closes the connection of a response that was not read completely.
 func (p *Pool) Discard(resp *Response) { resp.conn.discard() }
 
@@ -338,7 +371,7 @@
 	return "connection-lost"
 }
 
-// ReadBody reads a complete body of at most limit bytes.
+// ReadBody reads a complete body. It returns ErrBodyTooLarge for more than limit bytes.
 func ReadBody(resp *Response, limit int64) ([]byte, error) {
 	if resp.Head.Length >= 0 && resp.Head.Length <= limit {
 		body := make([]byte, resp.Head.Length)
@@ -347,7 +380,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
-		return body, eris.Errorf("response body exceeds %d bytes", limit)
+		return nil, ErrBodyTooLarge
 	}
 	return body, err
 }
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -33,6 +33,9 @@
 	maxTrailerBytes = 4 << 10
 	// maxContentLengthDigits prevents overflow of an int64.
 	maxContentLengthDigits = 18
+	// maxInterimResponses bounds the interim (1xx) responses before a final one. A
+	// server may send several, but one that sends them without end never responds.
+	maxInterimResponses = 8
 )
 
 var (
@@ -186,9 +189,10 @@
 }
 
 // ReadResponse reads the head of the final response to a request with the given
-// method. It skips interim (1xx) responses; limit in bytes applies to each head.
+// method. It skips up to maxInterimResponses interim (1xx) responses and returns an
+// error that wraps ErrMalformed after more; limit in bytes applies to each head.
 func ReadResponse(r *bufio.Reader, limit int, method string) (*Response, error) {
-	for {
+	for range maxInterimResponses + 1 {
 		resp, err := readResponse(r, limit, method)
 		if err != nil || resp.Status >= 200 {
 			return resp, err
@@ -197,6 +201,7 @@
 			return nil, eris.Wrap(ErrMalformed, "unexpected 101 Switching Protocols")
 		}
 	}
+	return nil, eris.Wrapf(ErrMalformed, "more than %d interim responses", maxInterimResponses)
 }
 
 func readResponse(r *bufio.Reader, limit int, method string) (*Response, error) {
--- a/internal/wire/http1/http1_test.go
+++ b/internal/wire/http1/http1_test.go
@@ -141,6 +141,10 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(resp.Status, qt.Equals, 200)
 	})
+	t.Run("interim responses without end are rejected", func(t *testing.T) {
+		_, err := read(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000), "POST")
+		qt.Assert(t, errors.Is(err, http1.ErrMalformed), qt.IsTrue, qt.Commentf("%v", err))
+	})
 	t.Run("without a length the body ends with the connection", func(t *testing.T) {
 		c := qt.New(t)
 		resp, err := read("HTTP/1.1 200 OK\r\n\r\n", "GET")
