Keep the sums of the other routers' loads up to date

Cause: choosing a target read every other router's report for each target. With 295 routers and 240 targets that is 70,000 map lookups and 0.97 ms of processor time a choice, and streams that wait ask again.

Ruled out: fewer candidates. The bound on a target's calls needs the mean over all.

--- a/internal/policy/targetstats/targetstats.go
+++ b/internal/policy/targetstats/targetstats.go
@@ -53,7 +53,7 @@
 
 		mu      sync.Mutex
 		targets map[uint64]*entry
-		peers   map[string]peerReport
+		peers   map[string]*peerReport
 	}
 
 	// Load is what one router has in flight at a target and the results that it
@@ -110,24 +110,15 @@
 		ejectedFor    time.Duration
 		ejectedAt     time.Time
 		outlier       bool
-	}
-
-	peerReport struct {
-		at    time.Time
-		loads map[uint64]Load
-		// announcedTokens holds the prompt tokens by target that have been announced
-		// since the report.
-		announcedTokens map[uint64]int
-		// isolated is set when the router reports so many targets as
-		// unreachable that it is assumed to be cut off itself.
-		isolated bool
+		// peers is the sum of the other routers' reports.
+		peers peerSums
 	}
 )
 
 // NewTracker returns an empty tracker. It calls onChange, without holding a lock,
 // when failures eject a target or no longer do.
 func NewTracker(onChange func(Change)) *Tracker {
-	return &Tracker{onChange: onChange, targets: make(map[uint64]*entry), peers: make(map[string]peerReport)}
+	return &Tracker{onChange: onChange, targets: make(map[uint64]*entry), peers: make(map[string]*peerReport)}
 }
 
 // Begin counts a call to a target. The caller must call End on the result.
@@ -229,37 +220,22 @@
 // service, in their order.
 func (tr *Tracker) Summaries(targets []uint64, now time.Time) []Summary {
 	tr.mu.Lock()
+	tr.expireReports(now)
 	out := make([]Summary, len(targets))
 	results := make([]float64, len(targets))
 	failures := make([]float64, len(targets))
 	for i, t := range targets {
-		if e := tr.targets[t]; e != nil {
-			e.decay(now)
-			out[i] = Summary{Calls: e.calls, PendingTokens: e.pendingTokens, Ejected: now.Before(e.ejectedUntil)}
-			results[i], failures[i] = e.results, e.failures
-		}
-	}
-	for name, p := range tr.peers {
-		age := now.Sub(p.at)
-		if age > peerReportTTL {
-			delete(tr.peers, name)
+		e := tr.targets[t]
+		if e == nil {
 			continue
 		}
-		weight := math.Exp2(-float64(age) / float64(failureHalfLife))
-		for i, t := range targets {
-			out[i].PendingTokens += p.announcedTokens[t]
-			l, ok := p.loads[t]
-			if !ok {
-				continue
-			}
-			out[i].Calls += l.Calls
-			out[i].PendingTokens += l.PendingTokens
-			results[i] += weight * l.Results
-			failures[i] += weight * l.Failures
-			if l.Unreachable && !p.isolated && !tr.recentlyActive(t, now) {
-				out[i].Ejected = true
-			}
+		e.decay(now)
+		e.peers.decay(now)
+		out[i] = Summary{
+			Calls: e.calls + e.peers.calls, PendingTokens: e.pendingTokens + e.peers.pendingTokens,
+			Ejected: now.Before(e.ejectedUntil) || (e.peers.unreachable > 0 && !tr.recentlyActive(t, now)),
 		}
+		results[i], failures[i] = e.results+e.peers.results, e.failures+e.peers.failures
 	}
 	changes := tr.detectOutliers(targets, out, results, failures)
 	tr.mu.Unlock()
@@ -305,12 +281,13 @@
 	return changes
 }
 
-// Prune removes the targets that are not listed and have no calls in flight.
+// Prune removes the targets that are not listed and have no calls in flight at any
+// router.
 func (tr *Tracker) Prune(listed map[uint64]bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	for t, e := range tr.targets {
-		if !listed[t] && e.calls == 0 {
+		if !listed[t] && e.calls == 0 && e.peers.reports == 0 {
 			delete(tr.targets, t)
 		}
 	}
@@ -334,13 +311,18 @@
 
 func (e *entry) decay(now time.Time) {
 	if since := now.Sub(e.resultsAt); since > 0 {
-		f := math.Exp2(-float64(since) / float64(failureHalfLife))
+		f := decayFactor(since)
 		e.results *= f
 		e.failures *= f
 		e.resultsAt = now
 	}
 }
 
+// decayFactor returns the weight of a result of the given age.
+func decayFactor(age time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(failureHalfLife))
+}
+
 func (e *entry) eject(now time.Time) {
 	if now.Before(e.ejectedUntil) {
 		return
