Make control traffic grow slower than the fleet

Counted before: 16,251 beacons received by one router in its first 5 s, then 1,200 to 1,500 a second with traffic.

- a new process made every router send each of its beacons to all others for a second: a new process is now greeted alone, and answers alone (TestNewProcessIsGreetedAlone);
- each router announced each change that it had from another router to all others, so that one change took a datagram for each pair of routers: only changes from the store are announced (TestOnlyChangesFromTheStoreAreAnnounced).
Two routers of each failure domain fetch a new configuration from the one that read it, the others from them (TestConfigurationIsFetchedFromNearRouters);
- a beacon went to each router of the own failure domain, and relays sent each beacon on by itself: above 32 peers a router sends one datagram for each domain, to relays that all routers of a domain choose alike for a second and that send batches on (TestBroadcastCrossesToEachFailureDomainOnce, TestRelaySendsBatches);
- every use of a holding that others know was announced at once: it waits for the next regular beacon (TestUpdatesReachOtherRouters);
- the sender woke 100 times a second to look for something to send.

Ruled out: the contents of beacons as the cost. Not tried: sums by one aggregator a domain. Routers of this build and older ones do not understand each other's batches: replace a fleet of more than 32 at once.

--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -64,7 +64,6 @@
 	}
 	w.log.Info().Uint64("targets-revision", d.Revision).Bool("all", full).Str("from", from).
 		Msg("targets received from another router")
-	w.onChange(nil)
 	return true
 }
 
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -51,6 +51,8 @@
 	defaultDrainTime = 2 * time.Second
 	// maxRecentDeltas is the number of deltas of targets kept for other routers.
 	maxRecentDeltas = 256
+	// originStore names the store as the origin of a configuration.
+	originStore = "store"
 	// sweepInterval is how often entries past their retention are removed.
 	sweepInterval = 200 * time.Millisecond
 )
@@ -138,9 +140,10 @@
 )
 
 // New returns a Watcher that calls onChange for each new configuration and each
-// change of targets from a watch or from another router. onChange gets the delta
-// that a watch returned, nil otherwise; it runs with the internal lock held and
-// must not block. When calls to the store fail, servesPeers reports whether the
+// change of targets that the store returned, and not for those of other routers: in a
+// large fleet, each router announcing each change to all others would take more
+// messages than everything else. onChange gets the delta that a watch returned, nil for
+// a configuration; it runs with the internal lock held and must not block. When calls to the store fail, servesPeers reports whether the
 // store still serves other routers.
 func New(store *platform.Store, log zerolog.Logger, onChange func(*Delta), servesPeers func() bool, opts ...Option) *Watcher {
 	w := &Watcher{
@@ -279,6 +282,22 @@
 	}
 }
 
+// Confirm brings the view up to date with one read of each kind from the store, for a
+// router that does not know whether it missed changes.
+func (w *Watcher) Confirm(ctx context.Context) error {
+	configurations, err := w.store.List(ctx, platform.KindConfigurations)
+	if err != nil {
+		return err
+	}
+	targets, err := w.store.List(ctx, platform.KindTargets)
+	if err != nil {
+		return err
+	}
+	w.handleConfigurations(configurations, true)
+	w.handleTargets(targets, true)
+	return nil
+}
+
 func (w *Watcher) recordFailure(s *watchState, err error) {
 	now := time.Now()
 	servesPeers := w.servesPeers()
@@ -312,7 +331,7 @@
 func (w *Watcher) handleConfigurations(page platform.Page, _ bool) bool {
 	for _, o := range page.Objects {
 		if o.Name == platform.CurrentConfiguration && !o.Deleted {
-			w.ApplyConfiguration(o.Spec, "store")
+			w.ApplyConfiguration(o.Spec, originStore)
 		}
 	}
 	return true
@@ -335,7 +354,9 @@
 	}
 	w.configuration = spec
 	w.view.Store(&state.View{Configuration: configuration, Targets: current.Targets})
-	w.onChange(nil)
+	if from == originStore {
+		w.onChange(nil)
+	}
 	metrics.GetOrCreateCounter(`hickoryrock_configurations_total{from="` + from + `"}`).Inc()
 	w.log.Info().Int64("configuration", configuration.Version).Int("routes", len(configuration.Routes)).
 		Str("from", from).Msg("configuration in force")
--- a/internal/fleet/storewatch/watcher_test.go
+++ b/internal/fleet/storewatch/watcher_test.go
@@ -262,3 +262,26 @@
 	f.store.Set(platformtest.KindTargets, "i-1", platformtest.Target("10.0.0.1:80", "ready", 2))
 	f.eventually("the restart is known", func() bool { return f.View().Targets.ByService["s"][0].Hash != before })
 }
+
+// In a fleet of hundreds, a router that announced what it received from another one
+// would make each change take a datagram for each pair of routers.
+func TestOnlyChangesFromTheStoreAreAnnounced(t *testing.T) {
+	c := qt.New(t)
+	store := platformtest.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	client, stop := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	t.Cleanup(stop)
+	announced := 0
+	w := storewatch.New(client, zerolog.Nop(), func(*storewatch.Delta) { announced++ }, func() bool { return false })
+	w.ApplyConfiguration([]byte(platformtest.Configuration(3)), "router")
+	w.ApplyTargets(storewatch.Delta{Revision: 7, Items: []storewatch.TargetChange{
+		{Entry: platformtest.Entry("i-1", target("ready"))},
+	}}, true, "router")
+	c.Assert(w.View().Configuration.Version, qt.Equals, int64(3))
+	c.Assert(len(w.View().Targets.ByService["s"]), qt.Equals, 1)
+	c.Assert(announced, qt.Equals, 0)
+	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.Configuration(4))
+	c.Assert(w.Confirm(context.Background()), qt.IsNil)
+	c.Assert(announced, qt.Equals, 1)
+}
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,42 +15,77 @@
 	"hickoryrock/internal/policy/targetstats"
 )
 
-func (f *Fleet) send(holdings []affinity.Holding, change *storewatch.Delta) {
+// sendRegular sends all peers this router's loads and the holdings in use. Every
+// identityRatio-th beacon carries the identity for all; peers that are not live get
+// it in each.
+func (f *Fleet) sendRegular() {
+	b := f.newBeacon()
+	b.HasLoads, b.Loads = true, encodeLoads(f.tracker.Loads(time.Now()))
+	b.Homes = encodeHoldings(f.cacheIndex.TakeRefreshes(maxRefreshes))
+	f.regularBeacons++
+	if f.regularBeacons%identityRatio == 1 {
+		f.setIdentity(b)
+	}
+	f.broadcast(b)
+}
+
+// sendChange sends all peers a change of targets, or this router's revisions without
+// one. A change of more than maxChangeBytes is left out, and receivers fetch it.
+func (f *Fleet) sendChange(change *storewatch.Delta) {
+	b := f.newBeacon()
+	if b.Change = encodeChange(change); b.Change == nil {
+		f.setIdentity(b)
+	}
+	f.broadcast(b)
+}
+
+// sendHoldings sends all peers holdings that they do not know.
+func (f *Fleet) sendHoldings(holdings []affinity.Holding) {
+	b := f.newBeacon()
+	b.Homes = encodeHoldings(holdings)
+	f.broadcast(b)
+}
+
+// sendGreeting introduces this router to one peer.
+func (f *Fleet) sendGreeting(address netip.AddrPort) {
+	b := f.newBeacon()
+	f.setIdentity(b)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if data := f.encode(b); data != nil {
+		f.write(destination{address, kindDirect}, data)
+	}
+}
+
+// newBeacon returns a beacon with this router's state.
+func (f *Fleet) newBeacon() *peerv1.Beacon {
 	local := f.localState()
-	b := &peerv1.Beacon{
+	return &peerv1.Beacon{
 		Incarnation: f.self.Incarnation, Serving: local.Serving, ConfigurationVersion: local.ConfigurationVersion,
 		TargetsRevision: local.TargetsRevision, TargetsDigest: local.TargetsDigest,
-		TargetsListed: local.TargetsListRevision, Change: encodeChange(change),
-		StoreAgeMs: uint32(min(local.StoreAge, time.Hour).Milliseconds()), Homes: encodeHoldings(holdings),
-	}
-	if b.Change == nil && len(holdings) == 0 {
-		b.HasLoads, b.Loads = true, encodeLoads(f.tracker.Loads(time.Now()))
-		if f.nextHasIdentity() {
-			b.Router, b.CallerAddress, b.PeerAddress = f.self.Router, f.self.CallerAddress, f.self.PeerAddress
-			b.FailureDomain = f.self.FailureDomain
-		}
+		TargetsListed: local.TargetsListRevision,
+		StoreAgeMs:    uint32(min(local.StoreAge, time.Hour).Milliseconds()),
+		Sender:        f.senderID,
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
+}
+
+func (f *Fleet) setIdentity(b *peerv1.Beacon) {
+	b.Router, b.CallerAddress, b.PeerAddress = f.self.Router, f.self.CallerAddress, f.self.PeerAddress
+	b.FailureDomain = f.self.FailureDomain
+}
+
+// encode numbers and encodes a beacon; it returns nil on an error, which it logs. The
+// first byte is left for the datagram's kind. The caller must hold f.mu.
+func (f *Fleet) encode(b *peerv1.Beacon) []byte {
 	b.Leaving = f.leaving
-	b.Sender = senderID(f.self.PeerAddress)
 	f.sequence++
 	b.Number = f.sequence
 	data, err := proto.MarshalOptions{}.MarshalAppend([]byte{kindDirect}, b)
 	if err != nil {
 		f.log.Error().Err(err).Msg("failed to encode beacon")
-		return
+		return nil
 	}
-	f.broadcast(data)
-}
-
-// nextHasIdentity counts a regular beacon and reports whether it carries the
-// sender's identity.
-func (f *Fleet) nextHasIdentity() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.regularBeacons++
-	return f.regularBeacons%identityRatio == 1 || time.Now().Before(f.introduceUntil)
+	return data
 }
 
 func encodeLoads(loads []targetstats.Load) []*peerv1.TargetLoad {
@@ -119,23 +155,40 @@
 			metrics.GetOrCreateCounter(`hickoryrock_beacon_errors_total`).Inc()
 			continue
 		}
-		b := new(peerv1.Beacon)
-		if n == 0 {
-			continue
-		}
-		if err := proto.Unmarshal(buffer[1:n], b); err != nil {
-			f.log.Warn().Err(err).Msg("failed to decode beacon")
-			continue
-		}
-		if buffer[0] == kindRelay {
-			f.relay(buffer[:n], b.GetSender())
-		}
-		if b = f.restoreIdentity(b); b != nil {
-			f.handleBeacon(b)
+		if n > 0 {
+			f.handleDatagram(buffer[:n])
 		}
 	}
 }
 
+func (f *Fleet) handleDatagram(data []byte) {
+	f.received.Inc()
+	if data[0] != kindBatch {
+		f.handleEncoded(data[1:], data[0] == kindRelay)
+		return
+	}
+	if !splitBatch(data[1:], func(beacon []byte) { f.handleEncoded(beacon, false) }) {
+		f.log.Warn().Int("bytes", len(data)).Msg("failed to decode batch of beacons")
+	}
+}
+
+func (f *Fleet) handleEncoded(data []byte, relay bool) {
+	b := new(peerv1.Beacon)
+	if err := proto.Unmarshal(data, b); err != nil {
+		f.log.Warn().Err(err).Msg("failed to decode beacon")
+		return
+	}
+	if b.GetSender() == f.senderID && b.GetIncarnation() == f.self.Incarnation {
+		return // A relay sends a batch to all routers whose beacons it holds.
+	}
+	if relay {
+		f.relay(data, b)
+	}
+	if b = f.restoreIdentity(b); b != nil {
+		f.handleBeacon(b)
+	}
+}
+
 // restoreIdentity fills in the identity of a beacon without one from the sender's
 // last beacon. It returns nil when the sender's process is unknown.
 func (f *Fleet) restoreIdentity(b *peerv1.Beacon) *peerv1.Beacon {
@@ -215,7 +268,7 @@
 		f.log.Info().Str("peer", b.GetRouter()).Uint64("incarnation", b.GetIncarnation()).Msg("router is live")
 	}
 	if p.beacon.GetIncarnation() != b.GetIncarnation() {
-		f.introduce()
+		f.greet(p.address)
 	}
 	p.beacon, p.lastContact, p.live = b, now, true
 	return true
--- a/internal/peer/gossip/broadcast.go
+++ b/internal/peer/gossip/broadcast.go
@@ -1,20 +1,25 @@
 package gossip
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
+
+	peerv1 "hickoryrock/api/peer/v1"
 )
 
-// The first byte of a datagram tells the receiver whether to relay it.
+// The first byte of a datagram tells the receiver what it holds.
 const (
-	// kindDirect datagrams are not relayed.
+	// kindDirect datagrams hold one beacon that is not relayed.
 	kindDirect byte = iota
-	// kindRelay datagrams are forwarded to the other routers in the receiver's
+	// kindRelay datagrams hold one beacon for the receiver and the other routers in its
 	// failure domain, because traffic between failure domains is expensive.
 	kindRelay
+	// kindBatch datagrams hold several beacons from a relay, each after its length.
+	kindBatch
 )
 
 // destination is the receiver of one datagram and the datagram's kind.
@@ -23,71 +28,130 @@
 	kind    byte
 }
 
-// destinations returns the datagrams that deliver a beacon to all peers: one to
-// each peer in this router's failure domain, and one to a relay in each other
-// domain. The relay changes with every round, so that the loss of a router costs
-// few beacons. If direct is set, every peer is sent its own datagram; it is set
-// while a new router is introduced.
-func destinations(peers map[string]*peer, failureDomain string, round int, direct bool, now time.Time) []destination {
-	var out []destination
-	remote := make(map[string][]netip.AddrPort)
+// route says how a beacon reaches all peers.
+type route struct {
+	// known are the datagrams for live peers, some of them through relays.
+	known []destination
+	// unknown are the datagrams for peers that are not live: they may have restarted
+	// and not know this router, so that the beacon must carry its identity.
+	unknown []destination
+	// relaySelf is set when this router is the relay of its own failure domain.
+	relaySelf bool
+}
+
+// newRoute returns the datagrams that deliver a beacon to all peers. Up to
+// directFleetSize peers, each peer in this router's failure domain gets one, and so
+// does a relay in each other domain; in a larger fleet also the own domain has a relay,
+// so that a router sends one datagram for each domain. The relay follows from seed,
+// which changes often, so that the loss of a router costs few beacons.
+func newRoute(peers map[string]*peer, self netip.AddrPort, failureDomain string, seed uint64, now time.Time) route {
+	var r route
+	domains := make(map[string][]netip.AddrPort)
+	direct := len(peers) <= directFleetSize
 	for _, p := range peers {
 		if now.Sub(p.lastContact) > backoffAfter {
 			if p.backoffRounds++; p.backoffRounds%backoffRatio != 0 {
 				continue
 			}
 		}
-		if domain := p.beacon.GetFailureDomain(); !direct && p.live && domain != failureDomain {
-			remote[domain] = append(remote[domain], p.address)
-			continue
+		switch domain := p.beacon.GetFailureDomain(); {
+		case !p.live:
+			r.unknown = append(r.unknown, destination{p.address, kindDirect})
+		case direct && domain == failureDomain:
+			r.known = append(r.known, destination{p.address, kindDirect})
+		default:
+			domains[domain] = append(domains[domain], p.address)
 		}
-		out = append(out, destination{p.address, kindDirect})
 	}
-	for _, addresses := range remote {
+	for domain, addresses := range domains {
 		if len(addresses) == 1 {
-			out = append(out, destination{addresses[0], kindDirect})
+			r.known = append(r.known, destination{addresses[0], kindDirect})
 			continue
 		}
-		relay := addresses[0]
-		for _, address := range addresses {
-			if relaysBefore(address, relay, round) {
-				relay = address
-			}
+		if domain == failureDomain {
+			addresses = append(addresses, self)
+		}
+		if relay := pickRelay(addresses, seed); relay == self {
+			r.relaySelf = true
+		} else {
+			r.known = append(r.known, destination{relay, kindRelay})
 		}
-		out = append(out, destination{relay, kindRelay})
 	}
-	return out
+	return r
 }
 
-// relaysBefore orders the routers of a failure domain differently in each round.
-func relaysBefore(a, b netip.AddrPort, round int) bool {
-	return relayRank(a, round) > relayRank(b, round)
+// relaySeed returns the seed for the choice of relays. In a large fleet all routers of a
+// failure domain choose the same relays for relayPeriod, so that these receive many
+// beacons to send on together; in a small one each beacon takes another.
+func (f *Fleet) relaySeed(now time.Time) uint64 {
+	if len(f.peers) <= directFleetSize {
+		f.round++
+		return f.round
+	}
+	return xxhash.Sum64String(f.self.FailureDomain) + uint64(now.Unix()/int64(relayPeriod/time.Second))
 }
 
-func relayRank(a netip.AddrPort, round int) uint64 {
-	ip := a.Addr().As4()
-	return xxhash.Sum64([]byte{ip[0], ip[1], ip[2], ip[3], byte(a.Port() >> 8), byte(a.Port()), byte(round), byte(round >> 8)})
+// pickRelay returns the address that a seed selects.
+func pickRelay(addresses []netip.AddrPort, seed uint64) netip.AddrPort {
+	relay, best := addresses[0], uint64(0)
+	var key [14]byte
+	binary.LittleEndian.PutUint64(key[6:], seed)
+	for _, a := range addresses {
+		ip := a.Addr().As4()
+		copy(key[:], ip[:])
+		binary.LittleEndian.PutUint16(key[4:], a.Port())
+		if rank := xxhash.Sum64(key[:]); rank >= best {
+			relay, best = a, rank
+		}
+	}
+	return relay
 }
 
-// broadcast sends an encoded beacon to all peers. The caller must hold f.mu.
-func (f *Fleet) broadcast(data []byte) {
-	f.round++
+// broadcast sends a beacon to all peers, with the identity to those that are not live.
+func (f *Fleet) broadcast(b *peerv1.Beacon) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	now := time.Now()
-	for _, d := range destinations(f.peers, f.self.FailureDomain, f.round, now.Before(f.introduceUntil), now) {
-		f.write(d, data)
+	r := newRoute(f.peers, f.address, f.self.FailureDomain, f.relaySeed(now), now)
+	f.writeAll(r.known, b)
+	if r.relaySelf {
+		if data := f.encode(b); data != nil {
+			f.addToBatch(data[1:], b.GetChange() != nil)
+		}
+	}
+	if len(r.unknown) > 0 {
+		f.setIdentity(b)
+		f.writeAll(r.unknown, b)
 	}
 }
 
-// relay forwards a beacon to the live peers in this router's failure domain,
-// except its sender.
-func (f *Fleet) relay(data []byte, sender uint32) {
+// announceNear sends this router's revisions to the live peers of its failure domain.
+func (f *Fleet) announceNear() {
+	b := f.newBeacon()
+	f.setIdentity(b)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for key, p := range f.peers {
-		if p.live && p.beacon.GetFailureDomain() == f.self.FailureDomain && senderID(key) != sender {
-			f.write(destination{p.address, kindDirect}, data)
+	var near []destination
+	for _, p := range f.peers {
+		if p.live && p.beacon.GetFailureDomain() == f.self.FailureDomain {
+			near = append(near, destination{p.address, kindDirect})
 		}
 	}
+	f.writeAll(near, b)
+}
+
+// writeAll sends a beacon to several peers. The caller must hold f.mu.
+func (f *Fleet) writeAll(to []destination, b *peerv1.Beacon) {
+	if len(to) == 0 {
+		return
+	}
+	data := f.encode(b)
+	if data == nil {
+		return
+	}
+	for _, d := range to {
+		f.write(d, data)
+	}
 }
 
 func (f *Fleet) write(d destination, data []byte) {
@@ -96,7 +160,8 @@
 		metrics.GetOrCreateCounter(`hickoryrock_beacon_errors_total`).Inc()
 		return
 	}
-	metrics.GetOrCreateCounter(`hickoryrock_beacon_bytes_sent_total`).Add(len(data))
+	f.sent.Inc()
+	f.sentBytes.Add(len(data))
 }
 
 // senderID returns the hash that identifies the sender of a beacon without an identity.
--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -14,12 +14,33 @@
 	"hickoryrock/internal/platform/objects"
 )
 
-var errCachesNotLoaded = errors.New("the contents of the targets' prefix caches are not loaded yet")
+const (
+	// firstFetchers is the number of routers of a failure domain that fetch a change
+	// from another domain.
+	firstFetchers = 2
+	// nearSourceTimeout is how long the others wait for a router of their failure
+	// domain to have the change.
+	nearSourceTimeout = 300 * time.Millisecond
+	// maxFetchSources is the number of peers that are asked for a change before the
+	// store is.
+	maxFetchSources = 3
+	// remoteConfirmRatio: one in remoteConfirmRatio confirmations asks a peer of another
+	// failure domain.
+	remoteConfirmRatio = 3
+)
+
+var (
+	errCachesNotLoaded = errors.New("the contents of the targets' prefix caches are not loaded yet")
+	errNotConfirmed    = errors.New("the router's state is not confirmed yet")
+)
 
 // GetSnapshot implements peerv1connect.FleetServiceHandler.
 func (f *Fleet) GetSnapshot(
 	_ context.Context, r *connect.Request[peerv1.GetSnapshotRequest],
 ) (*connect.Response[peerv1.Snapshot], error) {
+	if r.Msg.GetConfirmed() && !f.localState().Confirmed {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotConfirmed)
+	}
 	if r.Msg.GetHomes() {
 		select {
 		case <-f.cacheIndex.Restored():
@@ -68,35 +89,81 @@
 			return
 		case <-f.fetchRequests:
 		}
-		wait := time.Duration(0)
-		switch {
-		case !f.localState().Serving:
-			// Fetch immediately: callers are refused until there is a configuration.
-		case f.WatchesStore():
-			wait = storeGracePeriod
-		case f.LiveCount() > smallFleetSize:
-			wait = rand.N(fetchJitter)
+		if f.awaitTurn(ctx) != nil {
+			return
 		}
-		if objects.Sleep(ctx, wait) != nil {
+		f.fetchFromPeers(ctx)
+		if objects.Sleep(ctx, minFetchInterval) != nil {
 			return
 		}
-		local := f.localState()
-		router, address := f.pickSource(local)
-		if address == "" {
-			continue
+	}
+}
+
+// awaitTurn waits until this router should fetch. In a large fleet the first routers of
+// each failure domain fetch from the one that read the store, and the others from them,
+// so that no router has to send its snapshot to the whole fleet.
+func (f *Fleet) awaitTurn(ctx context.Context) error {
+	local := f.localState()
+	switch {
+	case !local.Serving:
+		return nil // Callers are refused until there is a configuration.
+	case f.WatchesStore():
+		return objects.Sleep(ctx, storeGracePeriod)
+	case f.LiveCount() <= smallFleetSize:
+		return nil
+	}
+	if err := objects.Sleep(ctx, rand.N(fetchJitter)); err != nil || f.fetchesFirst() {
+		return err
+	}
+	for end := time.Now().Add(nearSourceTimeout); time.Now().Before(end); {
+		if _, _, near := f.pickSource(f.localState()); near {
+			return nil
 		}
-		if !f.FetchSnapshot(ctx, router, address) {
-			f.watcher.Refresh()
+		if err := objects.Sleep(ctx, fetchJitter/2); err != nil {
+			return err
 		}
-		if objects.Sleep(ctx, minFetchInterval) != nil {
+	}
+	return nil
+}
+
+// fetchFromPeers fetches from up to maxFetchSources peers that are ahead, and asks for
+// a poll of the store if all of them fail. The first to have a new configuration in its
+// failure domain announces it there.
+func (f *Fleet) fetchFromPeers(ctx context.Context) {
+	for range maxFetchSources {
+		before := f.localState()
+		router, address, near := f.pickSource(before)
+		if address == "" {
+			return
+		}
+		if f.FetchSnapshot(ctx, router, address) {
+			if !near && f.localState().ConfigurationVersion > before.ConfigurationVersion {
+				f.announceNear()
+			}
 			return
 		}
 	}
+	f.watcher.Refresh()
+}
+
+// fetchesFirst reports whether this router is one of the firstFetchers of its failure
+// domain, by a hash that all routers compute alike.
+func (f *Fleet) fetchesFirst() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	self, before := watcherRank(f.self.Router), 0
+	for _, p := range f.peers {
+		if p.live && p.beacon.GetFailureDomain() == f.self.FailureDomain && watcherRank(p.beacon.GetRouter()) < self {
+			before++
+		}
+	}
+	return before < firstFetchers
 }
 
 // pickSource returns a random peer that is ahead of this router, preferring its
-// own failure domain. Both strings are empty when there is none.
-func (f *Fleet) pickSource(local State) (router, address string) {
+// own failure domain, and whether it is in that domain. Both strings are empty when
+// there is none.
+func (f *Fleet) pickSource(local State) (router, address string, inDomain bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var near, remote []*peer
@@ -110,14 +177,15 @@
 			remote = append(remote, p)
 		}
 	}
-	if len(near) == 0 {
+	inDomain = len(near) > 0
+	if !inDomain {
 		near = remote
 	}
 	if len(near) == 0 {
-		return "", ""
+		return "", "", false
 	}
 	b := near[rand.IntN(len(near))].beacon
-	return b.GetRouter(), b.GetPeerAddress()
+	return b.GetRouter(), b.GetPeerAddress(), inDomain
 }
 
 // FetchSnapshot fetches the configuration and targets from a peer and applies
@@ -133,9 +201,54 @@
 	}
 	f.mu.Unlock()
 	snapshot, ok := f.requestSnapshot(ctx, router, address, request)
-	if !ok {
+	return ok && f.applySnapshot(snapshot, router)
+}
+
+// Confirm brings this router's state up to date with a random peer that has confirmed
+// its own, and reports whether it succeeded. It also asks peers that count as lost:
+// after a pause of this router all of them do.
+func (f *Fleet) Confirm(ctx context.Context) bool {
+	router, address := f.pickKnownPeer()
+	if address == "" {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	local := f.localState()
+	snapshot, ok := f.requestSnapshot(ctx, router, address, &peerv1.GetSnapshotRequest{
+		ConfigurationVersion: local.ConfigurationVersion, TargetsRevision: local.TargetsRevision, Confirmed: true,
+	})
+	return ok && f.applySnapshot(snapshot, router)
+}
+
+// pickKnownPeer returns a random peer that has sent a beacon, preferring this router's
+// failure domain. Both strings are empty when there is none.
+func (f *Fleet) pickKnownPeer() (router, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var near, remote []*peer
+	for _, p := range f.peers {
+		switch {
+		case p.beacon.GetRouter() == "" || p.beacon.GetLeaving():
+		case p.beacon.GetFailureDomain() == f.self.FailureDomain:
+			near = append(near, p)
+		default:
+			remote = append(remote, p)
+		}
+	}
+	if len(near) == 0 || (len(remote) > 0 && rand.IntN(remoteConfirmRatio) == 0) {
+		near = remote // A failure domain may have been paused as a whole.
+	}
+	if len(near) == 0 {
+		return "", ""
+	}
+	b := near[rand.IntN(len(near))].beacon
+	return b.GetRouter(), b.GetPeerAddress()
+}
+
+// applySnapshot applies the configuration and targets of a snapshot, and reports
+// whether the targets were applied.
+func (f *Fleet) applySnapshot(snapshot *peerv1.Snapshot, router string) bool {
 	if len(snapshot.GetConfiguration()) > 0 {
 		f.watcher.ApplyConfiguration(snapshot.GetConfiguration(), "router")
 	}
@@ -160,7 +273,7 @@
 ) (*peerv1.Snapshot, bool) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	client := peerv1connect.NewFleetServiceClient(f.client, "http://"+address)
+	client := peerv1connect.NewFleetServiceClient(f.client, "http://"+address, connect.WithReadMaxBytes(maxSnapshotBytes))
 	resp, err := client.GetSnapshot(ctx, connect.NewRequest(request))
 	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
 		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="not-yet"}`).Inc()
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -30,25 +31,28 @@
 	// than the fleet.
 	beaconInterval     = 100 * time.Millisecond
 	routersPerInterval = 30
-	// smallFleetSize is the number of peers up to which a new router is sent a
-	// beacon immediately.
+	// smallFleetSize is the number of peers up to which routers fetch from peers of any
+	// failure domain and without delay.
 	smallFleetSize = 10
 	// identityRatio: one in identityRatio regular beacons carries the sender's
 	// name, addresses and failure domain.
 	identityRatio = 4
-	// holdingsInterval is the time between beacons with new prefix cache
+	// holdingsInterval is the shortest time between beacons with new prefix cache
 	// holdings, which are sent between regular beacons. It is scaled with the
 	// fleet like beaconInterval.
 	holdingsInterval = 10 * time.Millisecond
-	// introductionPeriod is how long every regular beacon carries the sender's
-	// identity after a new router, or a new process of a known one, was found.
-	introductionPeriod = time.Second
-	// smallFleetDiscoveryTime bounds the exchange of the first beacons in a small
-	// fleet: one round trip between failure domains and two scheduling delays.
-	smallFleetDiscoveryTime = 30 * time.Millisecond
-	// maxHoldings and maxLoads keep a datagram below 1,400 bytes.
-	maxHoldings = 30
-	maxLoads    = 40
+	// discoveryTime bounds the exchange of the first beacons with a few routers: one
+	// round trip between failure domains and two scheduling delays. It is multiplied by
+	// 1 + peers/routersPerDiscovery, since each router sends to and receives from all.
+	discoveryTime       = 30 * time.Millisecond
+	routersPerDiscovery = 100
+	// maxHoldings, maxRefreshes and maxLoads keep a datagram below 1,400 bytes.
+	maxHoldings  = 30
+	maxRefreshes = 20
+	maxLoads     = 40
+	// maxQueuedGreetings is the capacity of the queue of introductions to single
+	// routers. Those that are dropped follow with a regular beacon.
+	maxQueuedGreetings = 1024
 	// maxMissedBeacons is the number of consecutive beacons that may be missed
 	// before a router is considered lost and no longer returned to callers.
 	maxMissedBeacons = 5
@@ -81,6 +85,11 @@
 	// storeAgeTolerance is added to the duration of a watch to give the age of a
 	// watcher's last response from the store at which other routers take over.
 	storeAgeTolerance = 200 * time.Millisecond
+	// maxSnapshotBytes bounds a snapshot, maxRequestBytes the request for one.
+	maxSnapshotBytes = 16 << 20
+	maxRequestBytes  = 4 << 10
+	// confirmTimeout bounds the request of a snapshot that confirms this router's state.
+	confirmTimeout = 150 * time.Millisecond
 	// fetchTimeout bounds one snapshot request.
 	fetchTimeout = 800 * time.Millisecond
 	// maxDatagramBytes is the size of the receive buffer.
@@ -109,6 +118,8 @@
 		TargetsListRevision  uint64
 		StoreAge             time.Duration
 		TargetCount          int
+		// Confirmed is set unless the state may be out of date, as after a pause.
+		Confirmed bool
 	}
 
 	// Fleet is one router's view of its peers. It sends and receives beacons.
@@ -121,9 +132,16 @@
 		log        zerolog.Logger
 
 		conn *net.UDPConn
+		// address is self.PeerAddress; senderID identifies it in beacons.
+		address  netip.AddrPort
+		senderID uint32
+		// sent and received count datagrams, sentBytes their bytes without headers.
+		sent, received, sentBytes *metrics.Counter
 		// beaconRequests queues immediate beacons; a non-nil value is a change of
 		// targets to send with the beacon.
 		beaconRequests chan *storewatch.Delta
+		// greetings queues peers that do not know this router's process yet.
+		greetings chan netip.AddrPort
 		// fetchRequests signals that a peer has newer state.
 		fetchRequests chan struct{}
 		client        *http.Client
@@ -131,16 +149,17 @@
 		mu sync.Mutex
 		// peers is keyed by peer address; peersBySender holds the same peers by the
 		// sender ID of beacons without an identity.
-		peers         map[string]*peer
-		peersBySender map[uint32]*peer
-		// regularBeacons counts the regular beacons. Until introduceUntil, each
-		// carries the sender's identity.
+		peers          map[string]*peer
+		peersBySender  map[uint32]*peer
 		regularBeacons int
-		introduceUntil time.Time
-		// sequence is the number of the last beacon; round counts the broadcasts.
+		// sequence is the number of the last beacon; round counts the broadcasts of a
+		// small fleet.
 		sequence uint32
-		round    int
+		round    uint64
 		leaving  bool
+		// batch holds the beacons that this router relays next, as a datagram.
+		batch          []byte
+		flushScheduled bool
 	}
 
 	peer struct {
@@ -169,6 +188,11 @@
 		self: self, localState: localState, tracker: tracker, cacheIndex: cacheIndex, watcher: watcher, log: log, conn: conn,
 		client: &http.Client{Timeout: fetchTimeout}, peers: make(map[string]*peer), peersBySender: make(map[uint32]*peer),
 		beaconRequests: make(chan *storewatch.Delta, maxQueuedBeacons), fetchRequests: make(chan struct{}, 1),
+		greetings: make(chan netip.AddrPort, maxQueuedGreetings),
+		address:   netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port()), senderID: senderID(self.PeerAddress),
+		sent:      metrics.GetOrCreateCounter(`hickoryrock_beacon_datagrams_total{direction="sent"}`),
+		received:  metrics.GetOrCreateCounter(`hickoryrock_beacon_datagrams_total{direction="received"}`),
+		sentBytes: metrics.GetOrCreateCounter(`hickoryrock_beacon_bytes_sent_total`),
 	}
 	return f, func() { _ = conn.Close() }, nil
 }
@@ -176,36 +200,44 @@
 // Handler returns the handler of the FleetService, which peers call.
 func (f *Fleet) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewFleetServiceHandler(f))
+	mux.Handle(peerv1connect.NewFleetServiceHandler(f, connect.WithReadMaxBytes(maxRequestBytes)))
 	return mux
 }
 
-// AddPeer adds a peer, which may or may not be running. It ignores this router's
-// own address and logs addresses that are not IP:port.
+// AddPeer adds a peer, which may or may not be running, and introduces this router to
+// it. It ignores this router's own address and logs addresses that are not IP:port.
 func (f *Fleet) AddPeer(peerAddress string) {
+	if peerAddress == f.self.PeerAddress {
+		return
+	}
+	f.mu.Lock()
+	known := f.peers[peerAddress] != nil
+	f.mu.Unlock()
+	if known {
+		return
+	}
 	address, err := netip.ParseAddrPort(peerAddress)
 	if err != nil {
 		f.log.Warn().Err(err).Str("address", peerAddress).Msg("peer address skipped")
 		return
 	}
-	if peerAddress == f.self.PeerAddress {
-		return
-	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if f.peers[peerAddress] == nil {
 		p := &peer{address: address, lastContact: time.Now()}
 		f.peers[peerAddress], f.peersBySender[senderID(peerAddress)] = p, p
-		f.introduce()
 	}
+	f.mu.Unlock()
+	f.greet(address)
 }
 
-// introduce makes the next regular beacons carry this router's identity, and in
-// small fleets sends one immediately. The caller must hold f.mu.
-func (f *Fleet) introduce() {
-	f.introduceUntil = time.Now().Add(introductionPeriod)
-	if len(f.peers) <= smallFleetSize {
-		f.SendNow(nil)
+// greet queues a beacon with this router's identity to one peer. The peer answers in
+// the same way if this process is new to it, so that both know each other after a
+// round trip, at the cost of two datagrams.
+func (f *Fleet) greet(address netip.AddrPort) {
+	select {
+	case f.greetings <- address:
+	default:
+		metrics.GetOrCreateCounter(`hickoryrock_greetings_dropped_total`).Inc()
 	}
 }
 
@@ -214,10 +246,7 @@
 func (f *Fleet) DiscoveryTime() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.peers) <= smallFleetSize {
-		return smallFleetDiscoveryTime
-	}
-	return f.intervalFor(len(f.peers))
+	return discoveryTime + discoveryTime*time.Duration(len(f.peers))/routersPerDiscovery
 }
 
 // Leave announces that this router takes no new callers.
@@ -225,34 +254,39 @@
 	f.mu.Lock()
 	f.leaving = true
 	f.mu.Unlock()
-	f.send(nil, nil)
+	f.sendRegular()
 }
 
 // Run sends and receives beacons until ctx is done.
 func (f *Fleet) Run(ctx context.Context) {
 	go f.receive()
 	go f.catchUp(ctx)
-	lastBeacon, lastHoldings := time.Time{}, time.Time{}
-	ticker := time.NewTicker(holdingsInterval)
-	defer ticker.Stop()
+	regular := time.NewTimer(0)
+	defer regular.Stop()
+	// updates is set only between a new holding and the beacon that announces it.
+	var updates <-chan time.Time
+	lastUpdates := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case change := <-f.beaconRequests:
-			f.send(nil, change)
-		case now := <-ticker.C:
-			if now.Sub(lastHoldings) >= f.interval()*holdingsInterval/beaconInterval {
-				lastHoldings = now
-				if holdings := f.cacheIndex.TakeUpdates(maxHoldings); len(holdings) > 0 {
-					f.send(holdings, nil)
-				}
+			f.sendChange(change)
+		case address := <-f.greetings:
+			f.sendGreeting(address)
+		case <-f.cacheIndex.Updated():
+			if updates == nil {
+				updates = time.After(time.Until(lastUpdates.Add(f.interval() * holdingsInterval / beaconInterval)))
 			}
-			if now.Sub(lastBeacon) >= f.interval() {
-				lastBeacon = now
-				f.send(nil, nil)
-				f.markLost(now)
+		case now := <-updates:
+			updates, lastUpdates = nil, now
+			if holdings := f.cacheIndex.TakeUpdates(maxHoldings); len(holdings) > 0 {
+				f.sendHoldings(holdings)
 			}
+		case now := <-regular.C:
+			regular.Reset(f.interval())
+			f.sendRegular()
+			f.markLost(now)
 		}
 	}
 }
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -46,6 +46,9 @@
 	// announceInterval is the minimum time between two announcements that a
 	// target still holds a part.
 	announceInterval = 5 * time.Second
+	// maxRefreshes bounds the refreshes that wait for an announcement; further ones are
+	// dropped, since a holding that is in use is refreshed again.
+	maxRefreshes = 200
 )
 
 const (
@@ -138,9 +141,14 @@
 	// CacheIndex is a router's estimate of which targets have which parts cached. It
 	// is safe for concurrent use.
 	CacheIndex struct {
-		mu      sync.Mutex
-		parts   map[uint64][]holder
-		updates []Holding
+		mu    sync.Mutex
+		parts map[uint64][]holder
+		// updates are holdings that other routers do not know, refreshes those that
+		// they know to have been used again.
+		updates   []Holding
+		refreshes []Holding
+		// updated signals that updates is no longer empty.
+		updated chan struct{}
 		// restored is closed once the index contains what targets had cached before
 		// this router started.
 		restored chan struct{}
@@ -158,7 +166,7 @@
 
 // NewCacheIndex returns an empty index.
 func NewCacheIndex() *CacheIndex {
-	return &CacheIndex{parts: make(map[uint64][]holder), restored: make(chan struct{})}
+	return &CacheIndex{parts: make(map[uint64][]holder), restored: make(chan struct{}), updated: make(chan struct{}, 1)}
 }
 
 // Choose picks a candidate for a request. For a call with a prompt it records
--- a/internal/policy/affinity/holdings.go
+++ b/internal/policy/affinity/holdings.go
@@ -56,20 +56,48 @@
 	return all
 }
 
-// TakeUpdates removes and returns at most limit holdings that have not been announced
-// to the other routers.
+// Updated returns a channel that receives a value when there are holdings for
+// TakeUpdates.
+func (x *CacheIndex) Updated() <-chan struct{} { return x.updated }
+
+// TakeUpdates removes and returns at most limit holdings that the other routers do not
+// know. They should be announced at once: until then, routers may have the same prompt
+// prefilled by other targets.
 func (x *CacheIndex) TakeUpdates(limit int) []Holding {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	n := min(limit, len(x.updates))
-	out := append([]Holding(nil), x.updates[:n]...)
-	x.updates = x.updates[n:]
-	if len(x.updates) == 0 {
-		x.updates = nil
+	out := take(&x.updates, limit)
+	if len(x.updates) > 0 {
+		x.signalUpdate()
+	}
+	return out
+}
+
+// TakeRefreshes removes and returns at most limit holdings that the other routers know
+// and that have been used again. Their announcement may wait.
+func (x *CacheIndex) TakeRefreshes(limit int) []Holding {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return take(&x.refreshes, limit)
+}
+
+func take(queue *[]Holding, limit int) []Holding {
+	n := min(limit, len(*queue))
+	out := append([]Holding(nil), (*queue)[:n]...)
+	*queue = (*queue)[n:]
+	if len(*queue) == 0 {
+		*queue = nil
 	}
 	return out
 }
 
+func (x *CacheIndex) signalUpdate() {
+	select {
+	case x.updated <- struct{}{}:
+	default:
+	}
+}
+
 // Expire removes holdings that have not been used for holdingTTL, and those of
 // targets that are not listed.
 func (x *CacheIndex) Expire(listed map[uint64]bool, now time.Time) {
@@ -91,8 +119,9 @@
 }
 
 // record adds or refreshes a holding. With local set the holding comes from
-// this router's own calls and is queued for announcement, at most once per
-// announceInterval unless it reports that the part has been prefilled.
+// this router's own calls and is queued for announcement: as an update if it is new or
+// reports that the part has been prefilled, otherwise as a refresh, at most once per
+// announceInterval.
 func (x *CacheIndex) record(h Holding, now time.Time, local bool) {
 	prefilledAt := now
 	if !h.Prefilled {
@@ -113,14 +142,24 @@
 			return
 		}
 		existing.lastAnnounced = now
-		if local {
-			h.Prefilled = !now.Before(existing.prefilledAt)
-			x.updates = append(x.updates, h)
+		switch {
+		case !local:
+		case newlyPrefilled:
+			x.queueUpdate(h)
+		case len(x.refreshes) < maxRefreshes:
+			// The loads that are announced with it include the prompt's tokens.
+			h.Prefilled, h.PrefillTokens = !now.Before(existing.prefilledAt), 0
+			x.refreshes = append(x.refreshes, h)
 		}
 		return
 	}
 	x.parts[h.Part] = append(holders, holder{target: h.Target, lastUsed: now, lastAnnounced: now, prefilledAt: prefilledAt})
 	if local {
-		x.updates = append(x.updates, h)
+		x.queueUpdate(h)
 	}
 }
+
+func (x *CacheIndex) queueUpdate(h Holding) {
+	x.updates = append(x.updates, h)
+	x.signalUpdate()
+}
