Confirm the view after starts and pauses, and finish accepted calls at a stop

Looked for what went wrong in similar systems; three points happened here.

A restarted router used keys and targets of a cached list that is seconds old until its first watch or beacon (TestRestartDoesNotUseWithdrawnState: 5 calls reached a target that had left). A router that was stopped for seconds served a call that waited in its socket with a key that was withdrawn meanwhile (TestPausedRouterUsesNoWithdrawnState, a real process and SIGSTOP). Calls now wait until a peer with a confirmed view or, on the routers that watch it, the store has been asked, 400 ms at most; a router that reaches neither serves as before. Pauses are seen by a clock that counts suspended time.

A planned stop while callers kept coming ended with the calls that it had accepted last: 20 of 20 (TestDrainUnderLoadCutsNoAcceptedCall). Half of the grace period is now kept for finishing. An idle connection was closed although a request was on its way to it (TestRequestOnClosingIdleConnectionIsAnswered).

Reads of the engines' cache lists at a start are bounded in number and size.

Ruled out: a peer's word without its own confirmation; machines that were frozen together would confirm each other.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -32,6 +32,9 @@
 	// would reset the connection before the caller has read the response.
 	lingerTimeout = 300 * time.Millisecond
 	lingerBytes   = 256 << 10
+	// defaultCloseDelay is the default time in which a request that is under way to an
+	// idle connection is still read before the connection is closed.
+	defaultCloseDelay = 50 * time.Millisecond
 	// defaultBodyMemory is the default limit of the memory of all request bodies
 	// together, in bytes.
 	defaultBodyMemory = 64 << 20
@@ -57,6 +60,7 @@
 		log     zerolog.Logger
 		// bodyMemory limits the memory of all request bodies together, in bytes.
 		bodyMemory *semaphore.Weighted
+		closeDelay time.Duration
 
 		draining atomic.Bool
 		// lastAccept is the time of the last accepted connection, in Unix nanoseconds.
@@ -80,7 +84,7 @@
 func New(handler Handler, limits func() state.Limits, log zerolog.Logger, opts ...Option) *Server {
 	s := &Server{
 		handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{}),
-		bodyMemory: semaphore.NewWeighted(defaultBodyMemory),
+		bodyMemory: semaphore.NewWeighted(defaultBodyMemory), closeDelay: defaultCloseDelay,
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -116,15 +120,17 @@
 	return time.Since(time.Unix(0, s.lastAccept.Load()))
 }
 
-// CloseIdle closes the connections that are not reading or serving a call.
-func (s *Server) CloseIdle() {
+// CloseIdle closes the connections on which no request arrives within a short time,
+// which it returns. A request that has arrived already is still served.
+func (s *Server) CloseIdle() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if c.idle.Load() {
-			_ = c.Close() // An idle connection has no data to lose.
+			_ = c.SetReadDeadline(time.Now().Add(s.closeDelay))
 		}
 	}
+	return 2 * s.closeDelay
 }
 
 func (s *Server) serveConn(c *conn) {
--- a/internal/caller/ingress/ingress_test.go
+++ b/internal/caller/ingress/ingress_test.go
@@ -39,21 +39,22 @@
 type fixture struct {
 	*qt.C
 	blockingHandler
+	server  *ingress.Server
 	address string
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T, opts ...ingress.Option) *fixture {
 	f := &fixture{C: qt.New(t), blockingHandler: blockingHandler{make(chan int, 10), make(chan struct{}, 10)}}
 	limits := func() state.Limits {
 		return state.Limits{
 			HeaderBytes: 1 << 10, BodyBytes: bodyLimit, HeaderTimeout: time.Second, IdleTimeout: time.Second,
 		}
 	}
-	server := ingress.New(f.blockingHandler, limits, zerolog.Nop(), ingress.WithBodyMemory(bodyMemory))
+	f.server = ingress.New(f.blockingHandler, limits, zerolog.Nop(), append(opts, ingress.WithBodyMemory(bodyMemory))...)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	f.Assert(err, qt.IsNil)
 	t.Cleanup(func() { _ = l.Close() })
-	go server.Serve(l)
+	go f.server.Serve(l)
 	f.address = l.Addr().String()
 	return f
 }
@@ -116,3 +117,35 @@
 		})
 	}
 }
+
+// A request may be on its way to an idle connection when a stopping router closes it.
+// It must be answered; connections without a request are closed.
+func TestRequestOnClosingIdleConnectionIsAnswered(t *testing.T) {
+	f := newFixture(t, ingress.WithCloseDelay(time.Second))
+	connect := func() (net.Conn, *bufio.Reader) {
+		f.proceed <- struct{}{}
+		c, err := net.Dial("tcp4", f.address)
+		f.Assert(err, qt.IsNil)
+		f.Cleanup(func() { _ = c.Close() })
+		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+		_, err = io.WriteString(c, sizedRequest(1))
+		f.Assert(err, qt.IsNil)
+		r := bufio.NewReader(c)
+		f.assertStatus(r, 200)
+		<-f.received
+		return c, r
+	}
+	used, usedReader := connect()
+	_, unusedReader := connect()
+	for f.server.Active() > 0 {
+		time.Sleep(time.Millisecond) // Until both connections are idle.
+	}
+	f.server.Drain()
+	f.server.CloseIdle()
+	f.proceed <- struct{}{}
+	_, err := io.WriteString(used, sizedRequest(1))
+	f.Assert(err, qt.IsNil)
+	f.Assert(f.assertStatus(usedReader, 200).Close, qt.IsTrue)
+	_, err = unusedReader.ReadByte()
+	f.Assert(err, qt.Equals, io.EOF)
+}
--- a/internal/caller/ingress/options.go
+++ b/internal/caller/ingress/options.go
@@ -1,6 +1,10 @@
 package ingress
 
-import "golang.org/x/sync/semaphore"
+import (
+	"time"
+
+	"golang.org/x/sync/semaphore"
+)
 
 // Option changes a server's settings.
 type Option func(*Server)
@@ -14,3 +18,9 @@
 		}
 	}
 }
+
+// WithCloseDelay sets the time in which CloseIdle still waits for a request on an idle
+// connection.
+func WithCloseDelay(d time.Duration) Option {
+	return func(s *Server) { s.closeDelay = d }
+}
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -36,6 +36,7 @@
 
 // attempt sends the call to one target and records the outcome.
 func (c *call) attempt(ctx context.Context) {
+	c.h.awaitFreshView(ctx) // The router may have been paused since the last attempt.
 	target := c.choose()
 	if target == nil {
 		c.progress.Outcome = NotExecuted
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -55,11 +55,14 @@
 type (
 	// Config holds the dependencies and settings of a handler.
 	Config struct {
-		View         func() *state.View
-		Pool         *http1client.Pool
-		TargetHealth *targetstats.Tracker
-		CacheIndex   *affinity.CacheIndex
-		Budgets      *retries.Budgets
+		View func() *state.View
+		// AwaitFreshView returns when the view is up to date as far as the router can
+		// know, after a bounded time. Nil means that it always is.
+		AwaitFreshView func(ctx context.Context)
+		Pool           *http1client.Pool
+		TargetHealth   *targetstats.Tracker
+		CacheIndex     *affinity.CacheIndex
+		Budgets        *retries.Budgets
 		// FailureDomain is the router's failure domain.
 		FailureDomain string
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
@@ -142,6 +145,7 @@
 // ServeCall implements ingress.Handler.
 func (h *Handler) ServeCall(ctx context.Context, w *ingress.ResponseWriter, r *http1.Request, body []byte) {
 	start := time.Now()
+	h.awaitFreshView(ctx)
 	view := h.View()
 	c := &call{
 		h: h, request: r, body: body, writer: w, headers: platform.DecodeCallHeaders(r.Fields),
@@ -152,6 +156,14 @@
 	c.record()
 }
 
+// awaitFreshView delays a call while a key or a route may have been withdrawn without
+// this router's knowledge. A router without a configuration rejects calls anyway.
+func (h *Handler) awaitFreshView(ctx context.Context) {
+	if h.AwaitFreshView != nil && h.View().Configuration != nil {
+		h.AwaitFreshView(ctx)
+	}
+}
+
 func (c *call) serve(ctx context.Context) {
 	if !c.admit() {
 		return
--- a/internal/node/edge/caches.go
+++ b/internal/node/edge/caches.go
@@ -4,9 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/platform/objects"
 	"hickoryrock/internal/policy/affinity"
@@ -29,6 +30,8 @@
 	cacheLoadTimeout = 2 * time.Second
 	// engineReadTimeout bounds the request for one engine's cache contents.
 	engineReadTimeout = 500 * time.Millisecond
+	// maxEngineReads bounds the concurrent requests, and with them their memory.
+	maxEngineReads = 64
 )
 
 // loadCaches learns which prompt parts the targets have cached: from a router that started
@@ -67,16 +70,20 @@
 
 func (r *Router) loadCachesFromEngines(ctx context.Context, v *state.View) {
 	client := &http.Client{Timeout: engineReadTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	var group sync.WaitGroup
+	var group errgroup.Group
+	group.SetLimit(maxEngineReads)
 	for service, targets := range v.Targets.ByService {
 		if v.Configuration.Services[service].CacheTokens == 0 {
 			continue
 		}
 		for _, t := range targets {
-			group.Go(func() { r.loadCacheFromEngine(ctx, client, t) })
+			group.Go(func() error {
+				r.loadCacheFromEngine(ctx, client, t)
+				return nil
+			})
 		}
 	}
-	group.Wait()
+	_ = group.Wait() // Failures are logged; the other engines' lists still help.
 }
 
 func (r *Router) loadCacheFromEngine(ctx context.Context, client *http.Client, t *state.Target) {
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"hickoryrock/internal/caller/ingress"
 	"hickoryrock/internal/fleet/forward"
+	"hickoryrock/internal/fleet/freshness"
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/fleet/storewatch"
 	"hickoryrock/internal/peer/gossip"
@@ -31,16 +32,6 @@
 	// lookupTTL is how long callers may cache router addresses. It is short so that they
 	// stop using a dead router quickly.
 	lookupTTL = time.Second
-	// minDrainTime is how long a draining router keeps accepting callers that hold a cached
-	// lookup response. After that it stops once it has had no new connection for
-	// drainIdleTime and has no active call.
-	minDrainTime  = 2500 * time.Millisecond
-	drainIdleTime = 1200 * time.Millisecond
-	// drainMargin is how long before the end of the grace period a draining router stops in
-	// any case.
-	drainMargin = 400 * time.Millisecond
-	// defaultGrace is the grace period for shutdown when the settings specify none.
-	defaultGrace = 8 * time.Second
 	// settingsPollInterval is how often the modification time of the settings file is
 	// checked; the file may change without a signal.
 	settingsPollInterval = time.Second
@@ -59,6 +50,9 @@
 	// bodyMemoryFraction is the part of the process's memory that buffered request bodies
 	// may use.
 	bodyMemoryFraction = 0.25
+	// responseMemoryFraction is the part of the process's memory that buffered large
+	// responses may use.
+	responseMemoryFraction = 0.15
 	// defaultLoadFactor is the load factor when the settings specify none.
 	defaultLoadFactor = 2
 	readHeaderTimeout = 2 * time.Second
@@ -78,6 +72,7 @@
 		cacheIndex   *affinity.CacheIndex
 		retryBudgets *retries.Budgets
 		server       *ingress.Server
+		guard        *freshness.Guard
 		bounds       atomic.Pointer[platform.Bounds]
 		draining     atomic.Bool
 		// joined is closed once this router is registered, the router entries have been
@@ -107,9 +102,15 @@
 		factor = defaultLoadFactor
 	}
 	r.retryBudgets = newRetryBudgets(s.Bounds)
+	var guardOptions []freshness.Option
+	if !s.Bootstrap {
+		guardOptions = append(guardOptions, freshness.WithUnconfirmedStart())
+	}
+	r.guard = freshness.New(r.confirmView, log, guardOptions...)
 	handler := forward.New(forward.Config{
-		View: r.watcher.View, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
+		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
 		FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
+		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	r.server = ingress.New(handler, r.limits, log,
 		ingress.WithBodyMemory(int64(bodyMemoryFraction*float64(s.MemoryBytes))))
@@ -208,6 +209,7 @@
 	group.Go(func() { r.register(background) })
 	group.Go(func() { r.cleanUp(background) })
 	group.Go(func() { r.detectStalls(background) })
+	group.Go(func() { r.guardView(background) })
 	group.Go(func() { r.loadCaches(background) })
 	group.Go(func() { r.watchSettings(background) })
 	r.addSeedPeers(r.settings)
@@ -222,32 +224,6 @@
 	r.log.Info().Int64("calls", r.server.Active()).Msg("router stopped")
 }
 
-// drain keeps serving callers that hold a cached address of this router until they have
-// moved to others, but not beyond the grace period.
-func (r *Router) drain() {
-	r.log.Info().Int64("calls", r.server.Active()).Msg("router draining")
-	r.draining.Store(true)
-	r.server.Drain()
-	r.fleet.Leave()
-	grace := r.bounds.Load().Grace
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	start := time.Now()
-	for {
-		time.Sleep(stallCheckInterval)
-		elapsed := time.Since(start)
-		idle := r.server.Active() == 0 && r.server.SinceAccept() > drainIdleTime
-		if elapsed > grace-drainMargin || (elapsed > minDrainTime && idle) {
-			break
-		}
-	}
-	for _, l := range r.callerListeners {
-		_ = l.Close()
-	}
-	r.server.CloseIdle()
-}
-
 func (r *Router) limits() state.Limits {
 	if c := r.watcher.View().Configuration; c != nil {
 		return c.Limits
@@ -264,6 +240,7 @@
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
 	}
+	s.Confirmed = v.Configuration != nil && r.guard.Confirmed()
 	for _, list := range v.Targets.ByService {
 		s.TargetCount += len(list)
 	}
--- a/internal/node/edge/edge_test.go
+++ b/internal/node/edge/edge_test.go
@@ -44,8 +44,10 @@
 	return l.Addr().String(), l.Addr().(*net.TCPAddr).Port
 }
 
-func newFixture(t *testing.T) *fixture {
-	f := &fixture{C: qt.New(t), store: platformtest.NewStore(), stopped: make(chan struct{})}
+func newFixture(t *testing.T) *fixture { return newFixtureWithStore(t, platformtest.NewStore()) }
+
+func newFixtureWithStore(t *testing.T, store *platformtest.Store) *fixture {
+	f := &fixture{C: qt.New(t), store: store, stopped: make(chan struct{})}
 	storeServer := httptest.NewServer(f.store)
 	t.Cleanup(storeServer.Close)
 	var err error
@@ -109,13 +111,16 @@
 	return resp.StatusCode
 }
 
-func (f *fixture) call(path string) (int, string) {
+func (f *fixture) call(path string) (int, string) { return f.callWith(path, "") }
+
+// callWith makes a call with additional header lines. The status is 0 without a response.
+func (f *fixture) callWith(path, lines string) (int, string) {
 	c, err := net.Dial("tcp4", f.settings.CallerAddress)
 	if err != nil {
 		return 0, ""
 	}
 	defer c.Close()
-	_, err = io.WriteString(c, platformtest.Request(path, "Connection: close\r\n", "x"))
+	_, err = io.WriteString(c, platformtest.Request(path, "Connection: close\r\n"+lines, "x"))
 	f.Assert(err, qt.IsNil)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
