Call the store less often

By purpose: each new router wrote its entry and read an uncached list (ten cached ones); watches waited 0.35 of the time within which a change must be in force; a watch that returned a change was followed at once by another; up to eight routers asked an absent store 2.5 times a second.

Now: cached lists only, twice more after the start, and a few at the first start of a fleet, when all register at once; watches wait half of that time; 100 ms between a change and the next watch; four routers ask an absent store, at most every 0.8 s. Beacons go out twice a second at 295 routers instead of once, which the batches pay for.

Ruled out: longer watches. A watcher that is killed is missed after its watch and one interval of beacons, and a change must be in force in time all the same.

--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -24,10 +24,13 @@
 	// watchWaitFraction is the longest wait of a watch call as a fraction of the
 	// time within which a change must be in force: a watch that no longer
 	// delivers events must end well before that.
-	watchWaitFraction = 0.35
+	watchWaitFraction = 0.5
 	// retryBaseDelay and retryMaxDelay bound the backoff after failed calls.
 	retryBaseDelay = 50 * time.Millisecond
-	retryMaxDelay  = 400 * time.Millisecond
+	retryMaxDelay  = 800 * time.Millisecond
+	// changePause is the pause after a watch that returned changes. Changes often come
+	// in series, and those of the pause arrive with the next call.
+	changePause = 100 * time.Millisecond
 	// idlePollInterval is how often a router that does not watch polls the store:
 	// the platform charges for each call, and beacons of other routers reveal
 	// every change that it has missed.
@@ -278,6 +281,9 @@
 			revision = 0
 		default:
 			revision = max(revision, page.Revision)
+			if !full && len(page.Objects) > 0 {
+				_ = objects.Sleep(ctx, changePause)
+			}
 		}
 	}
 }
--- a/internal/node/edge/confirm.go
+++ b/internal/node/edge/confirm.go
@@ -7,8 +7,13 @@
 	"hickoryrock/internal/platform/objects"
 )
 
-// confirmRetryInterval is the pause between two attempts to confirm the view.
-const confirmRetryInterval = 30 * time.Millisecond
+const (
+	// confirmRetryInterval is the pause between two attempts to confirm the view.
+	confirmRetryInterval = 30 * time.Millisecond
+	// confirmJoinTimeout is how long a confirmation waits until the router knows its
+	// peers. A router without any then asks the store.
+	confirmJoinTimeout = 150 * time.Millisecond
+)
 
 // guardView confirms the view that a restarted router read from a cached list, and then
 // looks for pauses of the process. The first start of a fleet has nothing to confirm.
@@ -30,6 +35,7 @@
 	case <-ctx.Done():
 		return false
 	case <-r.joined:
+	case <-time.After(confirmJoinTimeout):
 	}
 	for {
 		if r.fleet.Confirm(ctx) {
--- a/internal/node/edge/edge_test.go
+++ b/internal/node/edge/edge_test.go
@@ -180,7 +180,9 @@
 		Name: f.settings.Router, CallerAddress: f.settings.CallerAddress,
 		PeerAddress: net.JoinHostPort("127.0.0.1", strconv.Itoa(f.settings.PeerPorts[0])), FailureDomain: "a",
 	}
-	f.Assert(restarted.tryRegister(context.Background(), self), qt.IsTrue)
+	found, ok := restarted.tryRegister(context.Background(), self)
+	f.Assert(ok, qt.IsTrue)
+	f.Assert(found.isNew, qt.IsFalse)
 	f.Assert(f.store.ChargedCalls()-before <= 0.11, qt.IsTrue, qt.Commentf("%.1f calls", f.store.ChargedCalls()-before))
 }
 
--- a/internal/node/edge/register.go
+++ b/internal/node/edge/register.go
@@ -16,8 +16,18 @@
 	registerRetryInterval = 500 * time.Millisecond
 	// routerListInterval is the interval between reads of the router entries in the store.
 	routerListInterval = 10 * time.Second
+	// firstListInterval is the interval between reads of the entries by a router that has
+	// found no other, as at the first start of a fleet: the others register at the same
+	// time, and cached lists are seconds old.
+	firstListInterval = 500 * time.Millisecond
+	// maxFirstLists is the number of such reads.
+	maxFirstLists = 4
 )
 
+// laterLists are the times after its registration at which a new router reads the entries
+// again, for routers that registered at the same time.
+var laterLists = []time.Duration{2 * time.Second, 5 * time.Second}
+
 // register writes this router's entry to the store, retrying until it succeeds, and then
 // periodically reads the entries of the other routers.
 func (r *Router) register(ctx context.Context) {
@@ -26,23 +36,50 @@
 		PeerAddress:   net.JoinHostPort(r.settings.IP, strconv.Itoa(r.settings.PeerPorts[0])),
 		FailureDomain: r.settings.FailureDomain,
 	}
-	for !r.tryRegister(ctx, self) {
+	var found registration
+	for {
+		var ok bool
+		if found, ok = r.tryRegister(ctx, self); ok {
+			break
+		}
 		if objects.Sleep(ctx, registerRetryInterval) != nil {
 			return
 		}
 	}
+	for lists := 0; found.others == 0 && lists < maxFirstLists; lists++ {
+		if objects.Sleep(ctx, firstListInterval) != nil {
+			return
+		}
+		found.others, _, _ = r.addListedPeers(ctx, self) // Logged; the later lists follow.
+	}
 	_ = objects.Sleep(ctx, r.fleet.DiscoveryTime())
 	close(r.joined)
+	if found.isNew {
+		for _, wait := range laterLists {
+			if objects.Sleep(ctx, wait) != nil {
+				return
+			}
+			_, _, _ = r.addListedPeers(ctx, self) // The same.
+		}
+	}
 	for objects.Sleep(ctx, routerListInterval) == nil {
 		// New routers announce themselves to the routers that they find in the list. The
 		// routers that watch the store also look for new ones, in case an announcement was
 		// missed.
 		if r.fleet.WatchesStore() {
-			_, _ = r.addListedPeers(ctx, r.store.ListCached, self)
+			_, _, _ = r.addListedPeers(ctx, self)
 		}
 	}
 }
 
+// registration is what a router finds when it registers.
+type registration struct {
+	// others is the number of other routers in the list.
+	others int
+	// isNew is set when the router was not in the list.
+	isNew bool
+}
+
 // watchesStore reports whether this router watches the store on behalf of the fleet. It is
 // false until the router knows which others could do so.
 func (r *Router) watchesStore() bool {
@@ -55,32 +92,29 @@
 }
 
 // tryRegister makes one attempt to register this router and to add the routers that are
-// listed at that time as peers. It reports whether the attempt succeeded.
-func (r *Router) tryRegister(ctx context.Context, self platform.Router) bool {
+// listed at that time as peers. It returns false if the attempt failed. The lists are
+// cached ones, which the platform charges least for.
+func (r *Router) tryRegister(ctx context.Context, self platform.Router) (registration, bool) {
 	// After a restart the entry still exists, so routers that started since have added this
 	// one.
-	if registered, err := r.addListedPeers(ctx, r.store.ListCached, self); err != nil || registered {
-		return err == nil
+	others, registered, err := r.addListedPeers(ctx, self)
+	if err != nil || registered {
+		return registration{others: others}, err == nil
 	}
 	if err := r.store.Put(ctx, platform.KindRouters, self.Name, platform.EncodeRouter(self)); err != nil {
 		r.log.Warn().Err(err).Msg("failed to write router entry to the store")
-		return false
+		return registration{}, false
 	}
-	// A router that read the list before the write did not find this one. Only a list read
-	// after the write is certain to contain all such routers.
-	_, err := r.addListedPeers(ctx, r.store.List, self)
-	return err == nil
+	return registration{others: others, isNew: true}, true
 }
 
-// addListedPeers adds the listed routers as gossip peers. registered reports whether the
-// list contains this router's own entry unchanged.
-func (r *Router) addListedPeers(
-	ctx context.Context, list func(context.Context, string) (platform.Page, error), self platform.Router,
-) (registered bool, err error) {
-	page, err := list(ctx, platform.KindRouters)
+// addListedPeers adds the listed routers as gossip peers and returns their number.
+// registered reports whether the list contains this router's own entry unchanged.
+func (r *Router) addListedPeers(ctx context.Context, self platform.Router) (others int, registered bool, err error) {
+	page, err := r.store.ListCached(ctx, platform.KindRouters)
 	if err != nil {
 		r.log.Warn().Err(err).Msg("failed to list routers")
-		return false, err
+		return 0, false, err
 	}
 	for _, o := range page.Objects {
 		other, err := platform.DecodeRouter(o)
@@ -88,8 +122,12 @@
 			r.log.Warn().Err(err).Msg("skipping invalid router entry")
 			continue
 		}
-		registered = registered || other == self
+		if other.Name == self.Name {
+			registered = other == self
+			continue
+		}
+		others++
 		r.fleet.AddPeer(other.PeerAddress)
 	}
-	return registered, nil
+	return others, registered, nil
 }
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -30,7 +30,7 @@
 	// 1 + peers/routersPerInterval, so that a router's traffic grows more slowly
 	// than the fleet.
 	beaconInterval     = 100 * time.Millisecond
-	routersPerInterval = 30
+	routersPerInterval = 60
 	// smallFleetSize is the number of peers up to which routers fetch from peers of any
 	// failure domain and without delay.
 	smallFleetSize = 10
@@ -81,7 +81,7 @@
 	// maxUnservedWatchers is the number of routers that keep calling the store
 	// while it does not serve them. It is limited because every call is charged,
 	// refused ones too.
-	maxUnservedWatchers = 8
+	maxUnservedWatchers = 4
 	// storeAgeTolerance is added to the duration of a watch to give the age of a
 	// watcher's last response from the store at which other routers take over.
 	storeAgeTolerance = 200 * time.Millisecond
@@ -342,6 +342,9 @@
 	return all[:min(limit, len(all))]
 }
 
+// ReportInterval returns the time between two reports of a router's loads.
+func (f *Fleet) ReportInterval() time.Duration { return f.interval() }
+
 func (f *Fleet) interval() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
