Measure slow targets, and choose at random when loads are older than calls

Calls without prompts whose usual time is shorter than the interval of reports are now spread at random, by the targets' speed, if the service has half a call a target in flight or more; otherwise as before.

Targets that turn slow: each router measures the time of each call or of four events of a stream against the usual time of its route, the reports add these up, and a target's slowness is against the faster part of its service, so that half of it may be slow (TestSlowTargets).

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -54,6 +54,7 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.lastProgress.Store(0)
+	c.attemptStart = time.Now()
 	stop := c.watchSilence(target, cancel)
 	defer stop()
 
@@ -106,7 +107,7 @@
 	candidates := make([]affinity.Candidate, len(targets))
 	for i, t := range targets {
 		candidates[i] = affinity.Candidate{
-			Target: t.Hash, Calls: summaries[i].Calls, PendingTokens: summaries[i].PendingTokens,
+			Target: t.Hash, Calls: summaries[i].Calls, PendingTokens: summaries[i].PendingTokens, Slowness: summaries[i].Slowness,
 			Ejected: summaries[i].Ejected || c.h.TargetHealth.SilentFor(t.Hash, now) > limit,
 			Tried:   c.tried[t.Hash], Draining: t.Draining,
 			FailureDomain: t.FailureDomain, SameDomain: t.FailureDomain == c.h.FailureDomain,
@@ -114,7 +115,7 @@
 	}
 	choice := c.h.CacheIndex.Choose(affinity.Request{
 		Parts: c.parts, Seed: xxhash.Sum64String(c.headers.ID), Factor: c.h.LoadFactor,
-		Fetch: c.view.Configuration.Services[c.service].CacheTransfer,
+		Fetch: c.view.Configuration.Services[c.service].CacheTransfer, StaleCounts: c.hasStaleCounts(),
 	}, candidates, now)
 	if choice.Index < 0 {
 		return nil
@@ -201,7 +202,11 @@
 		return
 	}
 	c.progress.Outcome = Responded
-	c.h.TargetHealth.RecordSuccess(target.Hash, time.Now())
+	now := time.Now()
+	c.h.TargetHealth.RecordSuccess(target.Hash, now)
+	if response.Head.Status/100 == 2 && !c.route.Streaming {
+		c.recordPace(target, now.Sub(c.attemptStart), now)
+	}
 }
 
 // recordUnusable records a response that must not be relayed.
@@ -248,6 +253,7 @@
 func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) {
 	buffer := make([]byte, streamReadBytes)
 	prefilled := false
+	var pace streamPace
 	for {
 		n, err := response.Body.Read(buffer)
 		events, tooLarge := c.stream.add(buffer[:n])
@@ -265,6 +271,9 @@
 				c.h.CacheIndex.MarkPrefilled(affinity.Shared(c.parts), target.Hash, now)
 			}
 			c.writeEvents(response.Head, events)
+			if perEvent, ok := pace.add(countEvents(events), now); ok {
+				c.recordPace(target, perEvent, now)
+			}
 		}
 		if c.writer.WriteFailed() {
 			c.h.Pool.Discard(response)
--- a/internal/fleet/forward/decide_test.go
+++ b/internal/fleet/forward/decide_test.go
@@ -180,3 +180,37 @@
 		}
 	})
 }
+
+func TestStreamPace(t *testing.T) {
+	c := qt.New(t)
+	var p streamPace
+	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	_, ok := p.add(1, now)
+	c.Assert(ok, qt.IsFalse, qt.Commentf("the time to the first event depends on the prompt"))
+	for i := range 2 * eventsPerPace {
+		now = now.Add(40 * time.Millisecond)
+		perEvent, ok := p.add(1, now)
+		c.Assert(ok, qt.Equals, i%eventsPerPace == eventsPerPace-1)
+		if ok {
+			c.Assert(perEvent, qt.Equals, 40*time.Millisecond)
+		}
+	}
+}
+
+// Routes differ in the time of their calls: a target is slow only against the usual time
+// of the same route.
+func TestUsualTimes(t *testing.T) {
+	c := qt.New(t)
+	var u usualTimes
+	for range 50 {
+		u.ratio("short", 10*time.Millisecond)
+		u.ratio("long", 400*time.Millisecond)
+	}
+	for route, usual := range map[string]time.Duration{"short": 10 * time.Millisecond, "long": 400 * time.Millisecond} {
+		ratio, ok := u.ratio(route, 3*usual)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(ratio > 2.5 && ratio <= 3, qt.IsTrue, qt.Commentf("%s: %.2f", route, ratio))
+	}
+	_, ok := u.ratio("new", time.Millisecond)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -64,6 +64,11 @@
 	return end
 }
 
+// countEvents returns the number of events in complete events.
+func countEvents(b []byte) int {
+	return bytes.Count(b, []byte("\n\n")) + bytes.Count(b, []byte("\n\r\n"))
+}
+
 func lastEventID(b []byte) (string, bool) {
 	for len(b) > 0 {
 		start := bytes.LastIndexByte(b[:len(b)-1], '\n') + 1
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -63,6 +63,9 @@
 		TargetHealth   *targetstats.Tracker
 		CacheIndex     *affinity.CacheIndex
 		Budgets        *retries.Budgets
+		// ReportInterval returns the time between two reports of a router's calls to the
+		// others. Nil means that the calls of all routers are known.
+		ReportInterval func() time.Duration
 		// FailureDomain is the router's failure domain.
 		FailureDomain string
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
@@ -78,6 +81,7 @@
 		Config
 		// responseMemory limits the memory of all buffered large responses, in bytes.
 		responseMemory *semaphore.Weighted
+		usual          usualTimes
 	}
 
 	// call is the state of one call from a caller.
@@ -107,6 +111,7 @@
 		// first events have been relayed.
 		lastProgress atomic.Int64
 		begun        atomic.Bool
+		attemptStart time.Time
 		// reserved is the part of the response memory that this call holds, in bytes.
 		reserved int64
 		// buffered is a target's complete response, relayed unless a retry follows.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -110,6 +110,7 @@
 	handler := forward.New(forward.Config{
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
 		FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
+		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() },
 		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	r.server = ingress.New(handler, r.limits, log,
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -94,6 +94,7 @@
 		out = append(out, &peerv1.TargetLoad{
 			Target: l.Target, Calls: uint32(l.Calls), UnreadTokens: uint32(max(l.PendingTokens, 0)), Unreachable: l.Unreachable,
 			Results: uint32(l.Results * countScale), Failures: uint32(l.Failures * countScale),
+			PaceSum: uint32(l.PaceSum * countScale), PaceCount: uint32(l.PaceCount * countScale),
 		})
 	}
 	return out
@@ -217,6 +218,7 @@
 			Target: l.GetTarget(), Calls: int(l.GetCalls()), PendingTokens: int(l.GetUnreadTokens()),
 			Unreachable: l.GetUnreachable(),
 			Results:     float64(l.GetResults()) / countScale, Failures: float64(l.GetFailures()) / countScale,
+			PaceSum: float64(l.GetPaceSum()) / countScale, PaceCount: float64(l.GetPaceCount()) / countScale,
 		})
 	}
 	newer := f.isNewer(b)
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -4,6 +4,7 @@
 package affinity
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -35,6 +36,9 @@
 	// prefillTimeout is the time after which a part is assumed to be prefilled
 	// if no router has reported it.
 	prefillTimeout = 2 * time.Second
+	// minRandomCalls is the mean number of calls a target from which a service is so busy
+	// that stale counts mislead. Below it, a target in the own failure domain is nearer.
+	minRandomCalls = 0.5
 	// boundMargin scales the bound on a target's calls down, because the calls
 	// of other routers are known only with a delay.
 	boundMargin = 0.75
@@ -62,6 +66,9 @@
 	// ReasonLeastLoaded means that the call has no shared parts and went to the
 	// least loaded target.
 	ReasonLeastLoaded Reason = "least"
+	// ReasonRandom means that the call has no shared parts and that the loads were too
+	// old to compare.
+	ReasonRandom Reason = "random"
 )
 
 type (
@@ -80,6 +87,8 @@
 		// Calls in flight and prompt tokens still to prefill, summed over all routers.
 		Calls         int
 		PendingTokens int
+		// Slowness is how much longer the target takes than usual; 0 means as usual.
+		Slowness float64
 		// Ejected candidates have failed lately and are chosen only if there is no
 		// other.
 		Ejected bool
@@ -104,6 +113,9 @@
 		// Factor bounds a target's calls as a multiple of the mean; 0 means no
 		// bound.
 		Factor float64
+		// StaleCounts is set when the calls in flight at other routers are known with a
+		// delay that is longer than such a call usually takes.
+		StaleCounts bool
 		// Fetch is set when targets can fetch from each other's caches.
 		Fetch bool
 	}
@@ -174,7 +186,7 @@
 func (x *CacheIndex) Choose(r Request, candidates []Candidate, now time.Time) Choice {
 	allowed := allowedCandidates(r.Factor, candidates)
 	if len(r.Parts) == 0 {
-		return chooseLeastLoaded(r, candidates, allowed)
+		return choosePlain(r, candidates, allowed)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -192,7 +204,7 @@
 		}
 		choice := sources.plan(r.Parts, held[i], c.FailureDomain)
 		choice.Index, choice.PendingTokens = i, c.PendingTokens
-		cost := float64(c.PendingTokens+choice.PrefillTokens) + recomputeWeight*float64(choice.RecomputedTokens) +
+		cost := c.slowness()*float64(c.PendingTokens) + float64(choice.PrefillTokens) + recomputeWeight*float64(choice.RecomputedTokens) +
 			(fetchTimeRatio+fetchWeight)*float64(choice.FetchedTokens) + callTokens*float64(c.Calls)
 		if !c.SameDomain {
 			cost += crossDomainTokens
@@ -256,7 +268,8 @@
 }
 
 // allowedCandidates marks the candidates that may be chosen: those that are not
-// ejected and are below the bound. If there are none, it marks those that are
+// ejected and are below the bound. The bound of a slow candidate is lower, down to the
+// mean, at which it gets new calls in proportion to its speed. If there are none, it marks those that are
 // not ejected, and otherwise all. Tried and draining candidates are never
 // marked.
 func allowedCandidates(factor float64, candidates []Candidate) []bool {
@@ -271,8 +284,11 @@
 	if n > 0 && factor > 0 {
 		bound += boundMargin * factor * float64(total) / float64(n)
 	}
+	mean := float64(total) / float64(max(n, 1))
 	filters := []func(Candidate) bool{
-		func(c Candidate) bool { return !c.Ejected && (factor <= 0 || float64(c.Calls) < bound) },
+		func(c Candidate) bool {
+			return !c.Ejected && (factor <= 0 || float64(c.Calls) < max(mean, bound/c.slowness()))
+		},
 		func(c Candidate) bool { return !c.Ejected },
 		func(Candidate) bool { return true },
 	}
@@ -290,6 +306,46 @@
 	return allowed
 }
 
+func (c Candidate) slowness() float64 { return max(c.Slowness, 1) }
+
+// choosePlain picks a candidate for a call without parts. With counts that are older
+// than the calls, routers that compared them would all choose the same target until the
+// next report, so that a busy service is better served by a random choice.
+func choosePlain(r Request, candidates []Candidate, allowed []bool) Choice {
+	if r.StaleCounts && meanCalls(candidates) >= minRandomCalls {
+		return chooseRandom(r, candidates, allowed)
+	}
+	return chooseLeastLoaded(r, candidates, allowed)
+}
+
+func meanCalls(candidates []Candidate) float64 {
+	total := 0
+	for _, c := range candidates {
+		total += c.Calls
+	}
+	return float64(total) / float64(max(len(candidates), 1))
+}
+
+// chooseRandom picks an allowed candidate by the call's seed, each with a probability
+// in proportion to its speed.
+func chooseRandom(r Request, candidates []Candidate, allowed []bool) Choice {
+	best := Choice{Index: -1, Source: -1, Reason: ReasonRandom}
+	var bestScore float64
+	for i, c := range candidates {
+		if !allowed[i] {
+			continue
+		}
+		// The smallest of exponential variates with rates w1, w2, ... is that of
+		// candidate i with probability wi / (w1 + w2 + ...).
+		uniform := (float64(mix(r.Seed^c.Target)>>11) + 1) / (1 << 53)
+		score := -math.Log(uniform) * c.slowness()
+		if best.Index < 0 || score < bestScore {
+			best.Index, bestScore = i, score
+		}
+	}
+	return best
+}
+
 // chooseLeastLoaded picks the allowed candidate with the fewest calls. One in
 // the router's failure domain is preferred to another that has at most one call
 // less.
--- a/internal/policy/targetstats/peers.go
+++ b/internal/policy/targetstats/peers.go
@@ -25,9 +25,11 @@
 		// unreachable counts the reports, but of isolated routers, by which the target
 		// accepts no connection.
 		unreachable int
-		// results and failures decay like an entry's; they are as of decayedAt.
+		// The counts of results and paces decay like an entry's; they are as of decayedAt.
 		results   float64
 		failures  float64
+		paceSum   float64
+		paceCount float64
 		decayedAt time.Time
 		// reports counts the contributions in the sums.
 		reports int
@@ -43,9 +45,10 @@
 		e.decay(now)
 		l := Load{
 			Target: t, Calls: e.calls, PendingTokens: e.pendingTokens, Results: e.results, Failures: e.failures,
+			PaceSum: e.paceSum, PaceCount: e.paceCount,
 			Unreachable: now.Before(e.ejectedUntil),
 		}
-		if l.Calls == 0 && l.Failures < minReportedFailures && !l.Unreachable {
+		if l.Calls == 0 && l.Failures < minReportedFailures && l.PaceCount < minReportedPaces && !l.Unreachable {
 			continue
 		}
 		loads = append(loads, l)
@@ -113,6 +116,8 @@
 	for _, l := range p.loads {
 		l.Results *= weight
 		l.Failures *= weight
+		l.PaceSum *= weight
+		l.PaceCount *= weight
 		tr.entry(l.Target).peers.add(l, -1, p.isolated, now)
 	}
 	for target, tokens := range p.announcedTokens {
@@ -133,18 +138,22 @@
 	}
 	s.results += float64(sign) * l.Results
 	s.failures += float64(sign) * l.Failures
+	s.paceSum += float64(sign) * l.PaceSum
+	s.paceCount += float64(sign) * l.PaceCount
 	s.reports += sign
 	if s.reports == 0 {
-		s.results, s.failures = 0, 0 // Without rounding errors.
+		s.results, s.failures, s.paceSum, s.paceCount = 0, 0, 0, 0 // Without rounding errors.
 	}
 }
 
 func (s *peerSums) decay(now time.Time) {
 	if since := now.Sub(s.decayedAt); since > 0 {
-		if s.results > 0 {
+		if s.results > 0 || s.paceCount > 0 {
 			f := decayFactor(since)
 			s.results *= f
 			s.failures *= f
+			s.paceSum *= f
+			s.paceCount *= f
 		}
 		s.decayedAt = now
 	}
--- a/internal/policy/targetstats/targetstats.go
+++ b/internal/policy/targetstats/targetstats.go
@@ -42,6 +42,9 @@
 	// minReportedFailures is the decayed failure count below which an idle
 	// target is left out of the report to other routers.
 	minReportedFailures = 0.1
+	// minReportedPaces is the same for the decayed count of measured paces: those of the
+	// last second are reported.
+	minReportedPaces = 0.7
 )
 
 type (
@@ -67,6 +70,10 @@
 		// Results and Failures are counts that decay with failureHalfLife.
 		Results  float64
 		Failures float64
+		// PaceSum and PaceCount are the decayed sum and count of the paces that
+		// RecordPace has been given.
+		PaceSum   float64
+		PaceCount float64
 		// Unreachable is set when the target accepts no connection from the router.
 		Unreachable bool
 	}
@@ -78,6 +85,9 @@
 		PendingTokens int `json:"unread-tokens"`
 		// Ejected targets should get no new calls.
 		Ejected bool `json:"aside"`
+		// Slowness is how much longer the target takes than usual in its service, at
+		// least 1.
+		Slowness float64 `json:"slowness"`
 	}
 
 	// Change says that a target's failures have ejected it, or no longer do.
@@ -105,6 +115,8 @@
 		lastActivity  time.Time
 		results       float64
 		failures      float64
+		paceSum       float64
+		paceCount     float64
 		resultsAt     time.Time
 		ejectedUntil  time.Time
 		ejectedFor    time.Duration
@@ -224,6 +236,7 @@
 	out := make([]Summary, len(targets))
 	results := make([]float64, len(targets))
 	failures := make([]float64, len(targets))
+	paces := make([]pace, len(targets))
 	for i, t := range targets {
 		e := tr.targets[t]
 		if e == nil {
@@ -236,7 +249,9 @@
 			Ejected: now.Before(e.ejectedUntil) || (e.peers.unreachable > 0 && !tr.recentlyActive(t, now)),
 		}
 		results[i], failures[i] = e.results+e.peers.results, e.failures+e.peers.failures
+		paces[i] = pace{e.paceSum + e.peers.paceSum, e.paceCount + e.peers.paceCount}
 	}
+	setSlowness(out, paces)
 	changes := tr.detectOutliers(targets, out, results, failures)
 	tr.mu.Unlock()
 	for _, c := range changes {
@@ -314,6 +329,8 @@
 		f := decayFactor(since)
 		e.results *= f
 		e.failures *= f
+		e.paceSum *= f
+		e.paceCount *= f
 		e.resultsAt = now
 	}
 }
--- a/internal/policy/targetstats/targetstats_test.go
+++ b/internal/policy/targetstats/targetstats_test.go
@@ -153,7 +153,7 @@
 		tr.Begin(all[0], 500, start)
 		other.Begin(all[0], 900, start)
 		tr.UpdatePeer("other", other.Loads(start), len(all), start)
-		c.Assert(tr.Summaries(all, start)[0], qt.Equals, targetstats.Summary{Calls: 2, PendingTokens: 1400})
+		c.Assert(tr.Summaries(all, start)[0], qt.Equals, targetstats.Summary{Calls: 2, PendingTokens: 1400, Slowness: 1})
 	})
 	t.Run("expire", func(t *testing.T) {
 		c := qt.New(t)
@@ -179,10 +179,10 @@
 		tr := newTracker()
 		call := tr.Begin(all[0], 500, start)
 		call.Progress(start)
-		c.Assert(tr.Summaries(all, start)[0], qt.Equals, targetstats.Summary{Calls: 1})
+		c.Assert(tr.Summaries(all, start)[0], qt.Equals, targetstats.Summary{Calls: 1, Slowness: 1})
 		call.End()
 		call.End()
-		c.Assert(tr.Summaries(all, start)[0], qt.Equals, targetstats.Summary{})
+		c.Assert(tr.Summaries(all, start)[0], qt.Equals, targetstats.Summary{Slowness: 1})
 	})
 	t.Run("a target with calls that sends no data is silent", func(t *testing.T) {
 		c := qt.New(t)
@@ -209,3 +209,64 @@
 		c.Assert(tr.Loads(start)[0].Failures, qt.Equals, 1.0)
 	})
 }
+
+// Guards against engines that turn slow while they answer and report health. Each of
+// many routers measures few of their calls, so they detect them from their combined
+// reports, and half of a service being slow must not hide it.
+func TestSlowTargets(t *testing.T) {
+	const slowdown = 3.5
+	measure := func(slow int, rounds int) (*targetstats.Tracker, []uint64, time.Time) {
+		all := targets(24)
+		trackers := make([]*targetstats.Tracker, 30)
+		for i := range trackers {
+			trackers[i] = newTracker()
+		}
+		now := start
+		for round := range rounds {
+			now = now.Add(20 * time.Millisecond)
+			for i, target := range all {
+				ratio := 0.8 + 0.1*float64((i+round)%5)
+				if i < slow {
+					ratio *= slowdown
+				}
+				trackers[(round*7+i)%len(trackers)].RecordPace(target, ratio, now)
+			}
+		}
+		exchangeLoads(trackers, all, now)
+		return trackers[0], all, now
+	}
+	assertSlow := func(c *qt.C, slow int) {
+		c.Helper()
+		tr, all, now := measure(slow, 40)
+		for i, s := range tr.Summaries(all, now) {
+			if i < slow {
+				c.Assert(s.Slowness > 0.75*slowdown && s.Slowness < 1.25*slowdown, qt.IsTrue, qt.Commentf("target %d: %.2f", i, s.Slowness))
+				continue
+			}
+			c.Assert(s.Slowness < 1.25, qt.IsTrue, qt.Commentf("target %d: %.2f", i, s.Slowness))
+		}
+	}
+	t.Run("a sixth of the service", func(t *testing.T) { assertSlow(qt.New(t), 4) })
+	t.Run("half of the service", func(t *testing.T) { assertSlow(qt.New(t), 12) })
+	t.Run("none", func(t *testing.T) { assertSlow(qt.New(t), 0) })
+	t.Run("not by a single measurement", func(t *testing.T) {
+		c := qt.New(t)
+		tr, all, now := measure(0, 40)
+		other := targets(25)
+		tr.RecordPace(other[24], 9, now)
+		c.Assert(tr.Summaries(append(all, other[24]), now)[24].Slowness, qt.Equals, 1.0)
+	})
+	t.Run("until it is well again", func(t *testing.T) {
+		c := qt.New(t)
+		tr, all, now := measure(4, 40)
+		for range 20 {
+			now = now.Add(200 * time.Millisecond)
+			for _, target := range all {
+				tr.RecordPace(target, 1, now)
+			}
+		}
+		for i, s := range tr.Summaries(all, now) {
+			c.Assert(s.Slowness < 1.5, qt.IsTrue, qt.Commentf("target %d: %.2f", i, s.Slowness))
+		}
+	})
+}
