Pass cache contents on from router to router after a loss of all VMs

One router of each failure domain reads the engines' caches and all others, 48, fetched them from it: some 4,000 parts on several engines each, 22 bytes a holding, hundreds of kilobytes 48 times over a link of 20 Mbit/s.

Routers now say in their beacons that they have the contents, send them to two others at a time, and a starting router asks any that has them. TestCacheContentsSpreadFromRouterToRouter: 24 routers, each transfer 60 ms, no router sends more than half of them; with the oldest alone it was 23 one after another.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 KNOWN_RED := $(shell sed -n "s/^\(Test[A-Za-z0-9]*\):.*/\1/p" KNOWN-RED.txt 2>/dev/null | paste -sd"|")
 
-.PHONY: build test lint format generate fuzz soak demo bench bench-policy bench-capacity
+.PHONY: build test lint format generate fuzz soak demo regress bench bench-policy bench-capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -43,6 +43,14 @@
 	go build -race -o bin/hickoryrock-race ./cmd/hickoryrock
 	go run ./cmd/soak -program bin/hickoryrock-race -seed $(SEED) -days $(DAYS) -minutes $(MINUTES)
 
+# Scores the deployments of the regression runs with the users' bench: make regress
+# BENCH=PATH SITES="SITE-FILE ..." WHY="...". Commit the entries in journal/. A deployment
+# of hundreds of VMs needs 4 GB of memory and ten minutes for each day and job.
+JOBS ?= 2
+regress:
+	@test -n "$(BENCH)" && test -n "$(SITES)" && test -n "$(WHY)" || { echo 'BENCH, SITES or WHY is not set'; exit 1; }
+	for site in $(SITES); do $(BENCH) score $$site --jobs $(JOBS) --why "$(WHY)" || exit 1; done
+
 # Measures how the control-plane overhead grows with the fleet size, for docs/CAPACITY.md.
 bench-capacity: export GOMAXPROCS = 3
 bench-capacity:
--- a/api/peer/v1/peerv1connect/beacon.connect.go
+++ b/api/peer/v1/peerv1connect/beacon.connect.go
@@ -36,11 +36,16 @@
 	// FleetServiceGetSnapshotProcedure is the fully-qualified name of the FleetService's GetSnapshot
 	// RPC.
 	FleetServiceGetSnapshotProcedure = "/hickoryrock.peer.v1.FleetService/GetSnapshot"
+	// FleetServiceGetCachesProcedure is the fully-qualified name of the FleetService's GetCaches RPC.
+	FleetServiceGetCachesProcedure = "/hickoryrock.peer.v1.FleetService/GetCaches"
 )
 
 // FleetServiceClient is a client for the hickoryrock.peer.v1.FleetService service.
 type FleetServiceClient interface {
 	GetSnapshot(context.Context, *connect.Request[v1.GetSnapshotRequest]) (*connect.Response[v1.Snapshot], error)
+	// Fails with unavailable while other peers are being served, and with
+	// failed-precondition while the router does not know the contents itself.
+	GetCaches(context.Context, *connect.Request[v1.GetCachesRequest]) (*connect.Response[v1.Caches], error)
 }
 
 // NewFleetServiceClient constructs a client for the hickoryrock.peer.v1.FleetService service. By
@@ -60,12 +65,19 @@
 			connect.WithSchema(fleetServiceMethods.ByName("GetSnapshot")),
 			connect.WithClientOptions(opts...),
 		),
+		getCaches: connect.NewClient[v1.GetCachesRequest, v1.Caches](
+			httpClient,
+			baseURL+FleetServiceGetCachesProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("GetCaches")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
 	getSnapshot *connect.Client[v1.GetSnapshotRequest, v1.Snapshot]
+	getCaches   *connect.Client[v1.GetCachesRequest, v1.Caches]
 }
 
 // GetSnapshot calls hickoryrock.peer.v1.FleetService.GetSnapshot.
@@ -73,9 +85,17 @@
 	return c.getSnapshot.CallUnary(ctx, req)
 }
 
+// GetCaches calls hickoryrock.peer.v1.FleetService.GetCaches.
+func (c *fleetServiceClient) GetCaches(ctx context.Context, req *connect.Request[v1.GetCachesRequest]) (*connect.Response[v1.Caches], error) {
+	return c.getCaches.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the hickoryrock.peer.v1.FleetService service.
 type FleetServiceHandler interface {
 	GetSnapshot(context.Context, *connect.Request[v1.GetSnapshotRequest]) (*connect.Response[v1.Snapshot], error)
+	// Fails with unavailable while other peers are being served, and with
+	// failed-precondition while the router does not know the contents itself.
+	GetCaches(context.Context, *connect.Request[v1.GetCachesRequest]) (*connect.Response[v1.Caches], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -91,10 +111,18 @@
 		connect.WithSchema(fleetServiceMethods.ByName("GetSnapshot")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceGetCachesHandler := connect.NewUnaryHandler(
+		FleetServiceGetCachesProcedure,
+		svc.GetCaches,
+		connect.WithSchema(fleetServiceMethods.ByName("GetCaches")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hickoryrock.peer.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceGetSnapshotProcedure:
 			fleetServiceGetSnapshotHandler.ServeHTTP(w, r)
+		case FleetServiceGetCachesProcedure:
+			fleetServiceGetCachesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -107,3 +135,7 @@
 func (UnimplementedFleetServiceHandler) GetSnapshot(context.Context, *connect.Request[v1.GetSnapshotRequest]) (*connect.Response[v1.Snapshot], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hickoryrock.peer.v1.FleetService.GetSnapshot is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) GetCaches(context.Context, *connect.Request[v1.GetCachesRequest]) (*connect.Response[v1.Caches], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hickoryrock.peer.v1.FleetService.GetCaches is not implemented"))
+}
--- a/internal/node/edge/caches.go
+++ b/internal/node/edge/caches.go
@@ -22,8 +22,8 @@
 	// the store is unavailable. By then beacons of the settings' seed routers may have
 	// arrived.
 	joinTimeout = 600 * time.Millisecond
-	// peerRetryInterval is the time between two attempts to fetch cache contents from an
-	// older router, which may itself still be loading them.
+	// peerRetryInterval is the time between two attempts to fetch cache contents from
+	// another router, which may still be loading them or sending them to others.
 	peerRetryInterval = 30 * time.Millisecond
 	// cacheLoadTimeout bounds the attempts to fetch cache contents from other routers.
 	// Afterwards the router learns them only from the calls that it routes.
@@ -37,7 +37,10 @@
 // loadCaches learns which prompt parts the targets have cached: from a router that started
 // earlier or, when there is none, as after a loss of all VMs, from the engines themselves.
 func (r *Router) loadCaches(ctx context.Context) {
-	defer r.cacheIndex.MarkRestored()
+	defer func() {
+		r.cacheIndex.MarkRestored()
+		r.fleet.AnnounceCaches()
+	}()
 	for r.watcher.View().Configuration == nil || len(r.watcher.View().Targets.ByService) == 0 {
 		if objects.Sleep(ctx, viewPollInterval) != nil {
 			return
@@ -50,22 +53,22 @@
 	case <-r.joined:
 	}
 	for deadline := time.Now().Add(cacheLoadTimeout); time.Now().Before(deadline); {
-		name, address := r.fleet.OldestPeer()
-		if address == "" {
+		source := r.fleet.CacheSource()
+		if source.Address == "" && !source.Expected {
 			if !r.settings.Bootstrap {
 				r.loadCachesFromEngines(ctx, r.watcher.View())
 			}
 			return
 		}
-		if r.fleet.FetchCaches(ctx, name, address) {
-			r.log.Info().Str("peer", name).Msg("cache contents loaded from another router")
+		if source.Address != "" && r.fleet.FetchCaches(ctx, source.Router, source.Address) {
+			r.log.Info().Str("peer", source.Router).Msg("cache contents loaded from another router")
 			return
 		}
 		if objects.Sleep(ctx, peerRetryInterval+rand.N(r.fleet.DiscoveryTime())) != nil {
 			return
 		}
 	}
-	r.log.Warn().Msg("cache contents not loaded: no older router provided them in time")
+	r.log.Warn().Msg("cache contents not loaded: no other router provided them in time")
 }
 
 func (r *Router) loadCachesFromEngines(ctx context.Context, v *state.View) {
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -65,7 +65,7 @@
 		TargetsRevision: local.TargetsRevision, TargetsDigest: local.TargetsDigest,
 		TargetsListed: local.TargetsListRevision,
 		StoreAgeMs:    uint32(min(local.StoreAge, time.Hour).Milliseconds()),
-		Sender:        f.senderID,
+		Sender:        f.senderID, CachesLoaded: f.cachesLoaded(),
 	}
 }
 
--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -29,10 +29,7 @@
 	remoteConfirmRatio = 3
 )
 
-var (
-	errCachesNotLoaded = errors.New("the contents of the targets' prefix caches are not loaded yet")
-	errNotConfirmed    = errors.New("the router's state is not confirmed yet")
-)
+var errNotConfirmed = errors.New("the router's state is not confirmed yet")
 
 // GetSnapshot implements peerv1connect.FleetServiceHandler.
 func (f *Fleet) GetSnapshot(
@@ -41,13 +38,6 @@
 	if r.Msg.GetConfirmed() && !f.localState().Confirmed {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotConfirmed)
 	}
-	if r.Msg.GetHomes() {
-		select {
-		case <-f.cacheIndex.Restored():
-		default:
-			return nil, connect.NewError(connect.CodeFailedPrecondition, errCachesNotLoaded)
-		}
-	}
 	s := f.watcher.Snapshot(r.Msg.GetConfigurationVersion(), r.Msg.GetTargetsRevision())
 	snapshot := &peerv1.Snapshot{Configuration: s.Configuration, AllTargets: s.Full, Targets: &peerv1.TargetsChange{
 		AfterRevision: s.Targets.After, Revision: s.Targets.Revision,
@@ -55,9 +45,6 @@
 	for _, item := range s.Targets.Items {
 		snapshot.Targets.Items = append(snapshot.Targets.Items, &peerv1.TargetItem{Entry: item.Entry, Deleted: item.Deleted})
 	}
-	if r.Msg.GetHomes() {
-		snapshot.Homes = encodeHoldings(f.cacheIndex.Holdings(time.Now()))
-	}
 	return connect.NewResponse(snapshot), nil
 }
 
@@ -255,19 +242,6 @@
 	return f.watcher.ApplyTargets(decodeChange(snapshot.GetTargets()), snapshot.GetAllTargets(), router)
 }
 
-// FetchCaches fetches the contents of the targets' prefix caches from a peer, and
-// reports whether the request succeeded.
-func (f *Fleet) FetchCaches(ctx context.Context, router, address string) bool {
-	local := f.localState()
-	snapshot, ok := f.requestSnapshot(ctx, router, address, &peerv1.GetSnapshotRequest{
-		ConfigurationVersion: local.ConfigurationVersion, TargetsRevision: local.TargetsRevision, Homes: true,
-	})
-	if ok {
-		f.cacheIndex.Restore(decodeHoldings(snapshot.GetHomes()), time.Now())
-	}
-	return ok
-}
-
 func (f *Fleet) requestSnapshot(
 	ctx context.Context, router, address string, request *peerv1.GetSnapshotRequest,
 ) (*peerv1.Snapshot, bool) {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -145,6 +145,8 @@
 		// fetchRequests signals that a peer has newer state.
 		fetchRequests chan struct{}
 		client        *http.Client
+		// cacheSends holds a value for each peer that is being sent cache contents.
+		cacheSends chan struct{}
 
 		mu sync.Mutex
 		// peers is keyed by peer address; peersBySender holds the same peers by the
@@ -188,8 +190,8 @@
 		self: self, localState: localState, tracker: tracker, cacheIndex: cacheIndex, watcher: watcher, log: log, conn: conn,
 		client: &http.Client{Timeout: fetchTimeout}, peers: make(map[string]*peer), peersBySender: make(map[uint32]*peer),
 		beaconRequests: make(chan *storewatch.Delta, maxQueuedBeacons), fetchRequests: make(chan struct{}, 1),
-		greetings: make(chan netip.AddrPort, maxQueuedGreetings),
-		address:   netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port()), senderID: senderID(self.PeerAddress),
+		greetings: make(chan netip.AddrPort, maxQueuedGreetings), cacheSends: make(chan struct{}, maxCacheSends),
+		address: netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port()), senderID: senderID(self.PeerAddress),
 		sent:      metrics.GetOrCreateCounter(`hickoryrock_beacon_datagrams_total{direction="sent"}`),
 		received:  metrics.GetOrCreateCounter(`hickoryrock_beacon_datagrams_total{direction="received"}`),
 		sentBytes: metrics.GetOrCreateCounter(`hickoryrock_beacon_bytes_sent_total`),
@@ -201,7 +203,7 @@
 func (f *Fleet) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewFleetServiceHandler(f, connect.WithReadMaxBytes(maxRequestBytes)))
-	return mux
+	return f.limitCacheSends(mux)
 }
 
 // AddPeer adds a peer, which may or may not be running, and introduces this router to
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,7 +34,9 @@
 	address    string
 	// snapshots counts the snapshots that this router's peers have requested from it.
 	snapshots atomic.Int64
-	stop      func()
+	// cacheSends counts the cache contents that it has sent.
+	cacheSends atomic.Int64
+	stop       func()
 }
 
 type fixture struct {
@@ -42,6 +45,8 @@
 	storeAddress string
 	// failingStoreAddress is the address of a store that fails every call with 503.
 	failingStoreAddress string
+	// slowCaches is the time that a router takes to send cache contents.
+	slowCaches time.Duration
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -84,7 +89,7 @@
 	handler := fleet.Handler()
 	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.snapshots.Add(1)
-		handler.ServeHTTP(w, req)
+		handler.ServeHTTP(&slowWriter{ResponseWriter: w, router: r, delay: f.slowCaches, slow: strings.HasSuffix(req.URL.Path, "GetCaches")}, req)
 	})}
 	go func() { _ = server.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,6 +105,29 @@
 	return r
 }
 
+// slowWriter delays a successful response with cache contents, and counts it.
+type slowWriter struct {
+	http.ResponseWriter
+	router *router
+	delay  time.Duration
+	slow   bool
+	status int
+}
+
+func (w *slowWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *slowWriter) Write(data []byte) (int, error) {
+	if w.slow && (w.status == 0 || w.status == http.StatusOK) {
+		w.slow = false
+		w.router.cacheSends.Add(1)
+		time.Sleep(w.delay)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
 func (r *router) localState() gossip.State {
 	v := r.watcher.View()
 	s := gossip.State{
@@ -331,16 +359,67 @@
 	f.eventually("the peer knows the holding", func() bool { return len(b.cacheIndex.Holdings(time.Now())) == 1 })
 	late := f.start("c", f.storeAddress)
 	late.AddPeer(b.address)
-	f.eventually("a later router finds an older one", func() bool { _, address := late.OldestPeer(); return address != "" })
-	_, address := late.OldestPeer()
-	f.Assert(late.FetchCaches(context.Background(), "b", address), qt.IsFalse,
-		qt.Commentf("fetched from a router that has not loaded the caches yet"))
-	a.cacheIndex.MarkRestored()
+	f.eventually("a later router expects the contents from an older one", func() bool { return late.CacheSource().Expected })
+	f.Assert(late.CacheSource().Address, qt.Equals, "", qt.Commentf("no router has loaded the caches yet"))
+	f.Assert(late.FetchCaches(context.Background(), "b", b.address), qt.IsFalse)
 	b.cacheIndex.MarkRestored()
-	f.Assert(late.FetchCaches(context.Background(), "b", address), qt.IsTrue)
+	f.eventually("the later router learns who has the contents", func() bool { return late.CacheSource().Address == b.address })
+	f.Assert(late.FetchCaches(context.Background(), "b", b.address), qt.IsTrue)
 	f.Assert(len(late.cacheIndex.Holdings(time.Now())), qt.Equals, 1)
 }
 
+// After a loss of all VMs, one router of each failure domain reads the engines' caches.
+// Their contents take a good part of a second on a small VM's link, so that the others
+// must pass them on among themselves.
+func TestCacheContentsSpreadFromRouterToRouter(t *testing.T) {
+	const (
+		count    = 24
+		sendTime = 60 * time.Millisecond
+	)
+	f := newFixture(t)
+	f.configure(1)
+	f.slowCaches = sendTime
+	var routers []*router
+	for i := range count {
+		r := f.startIn("x", fmt.Sprint("r-", i), f.storeAddress)
+		for _, other := range routers {
+			r.AddPeer(other.address)
+		}
+		routers = append(routers, r)
+	}
+	f.eventually("every router has discovered all others", func() bool {
+		for _, r := range routers {
+			if r.LiveCount() != count {
+				return false
+			}
+		}
+		return true
+	})
+	request := affinity.Request{Parts: []affinity.Part{{Hash: 1, Tokens: 900}, {Hash: 2, Tokens: 10}}}
+	routers[0].cacheIndex.Choose(request, []affinity.Candidate{{Target: 7}}, time.Now())
+	since := time.Now()
+	routers[0].cacheIndex.MarkRestored()
+	routers[0].AnnounceCaches()
+	var group sync.WaitGroup
+	for _, r := range routers[1:] {
+		group.Go(func() {
+			for {
+				if source := r.CacheSource(); source.Address != "" && r.FetchCaches(context.Background(), source.Router, source.Address) {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			r.cacheIndex.MarkRestored()
+			r.AnnounceCaches()
+		})
+	}
+	group.Wait()
+	f.Assert(time.Since(since) < count/2*sendTime, qt.IsTrue, qt.Commentf("%v", time.Since(since)))
+	for _, r := range routers {
+		f.Assert(r.cacheSends.Load() <= count/2, qt.IsTrue, qt.Commentf("one router sent %d times", r.cacheSends.Load()))
+	}
+}
+
 // In a large fleet, a new configuration that every router fetched from the one that
 // read the store would take seconds on that router's link. The first routers of each
 // failure domain must fetch it from there and the others from them.
--- a/internal/peer/gossip/watcher.go
+++ b/internal/peer/gossip/watcher.go
@@ -50,27 +50,6 @@
 	return false
 }
 
-// OldestPeer returns the live router that started first, if it started before this
-// one: it may know the contents of the targets' prefix caches. In a large fleet only
-// routers of the same failure domain are considered, because the snapshot with
-// these contents is large. Both strings are empty when there is no such router.
-func (f *Fleet) OldestPeer() (router, address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	oldest := f.self.Incarnation
-	for _, p := range f.peers {
-		if !p.live || p.beacon.GetIncarnation() >= oldest {
-			continue
-		}
-		if len(f.peers) > smallFleetSize && p.beacon.GetFailureDomain() != f.self.FailureDomain {
-			continue
-		}
-		oldest = p.beacon.GetIncarnation()
-		router, address = p.beacon.GetRouter(), p.beacon.GetPeerAddress()
-	}
-	return router, address
-}
-
 func storeAge(b *peerv1.Beacon) time.Duration {
 	return time.Duration(b.GetStoreAgeMs()) * time.Millisecond
 }
