--- a/internal/peer/gossip/batch.go
+++ b/internal/peer/gossip/batch.go
@@ -10,8 +10,9 @@
 const (
 	// directFleetSize is the number of peers up to which a router sends its beacons
 	// itself to its whole failure domain, and relays send each beacon on at once. Above
-	// it, the number of datagrams costs more than the delay of batches.
-	directFleetSize = 32
+	// it, the number of datagrams costs more than the delay of batches, in which routers
+	// send prompts to targets that others have just chosen.
+	directFleetSize = 128
 	// relayPeriod is how long the routers of a large fleet keep a relay. The loss of a
 	// relay costs the beacons of one period, and a router counts as lost only after
 	// maxMissedBeacons.
