--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 	@test -n "$(BENCH)" && test -n "$(SITES)" && test -n "$(WHY)" || { echo 'BENCH, SITES or WHY is not set'; exit 1; }
 	for site in $(SITES); do $(BENCH) score $$site --jobs $(JOBS) --why "$(WHY)" || exit 1; done
 
-# Measures how the control-plane overhead grows with the fleet size, for docs/CAPACITY.md.
+# Measures how the control-plane overhead grows with the fleet size, for docs/design/0013.
 bench-capacity: export GOMAXPROCS = 3
 bench-capacity:
 	go test ./internal/capacity/slopes -run . -v -timeout 300s -args -measure
