Let no call pass between the end of a pause and its confirmation

One goroutine recorded the time before it had set the confirmation as pending, and a call that came in between saw neither.

Ruled out: an unconfirmed view after 400 ms; the same call had been refused by the key of the new configuration, which is read in the same confirmation.

--- a/internal/fleet/freshness/freshness.go
+++ b/internal/fleet/freshness/freshness.go
@@ -113,26 +113,29 @@
 // Confirmed reports whether the view is up to date as far as the router can know.
 func (g *Guard) Confirmed() bool { return g.pending.Load() == nil && !g.unconfirmed.Load() }
 
-// tick records that the process runs, and begins a confirmation if it was paused.
+// tick records that the process runs, and begins a confirmation if it was paused. The
+// confirmation is pending before the tick is recorded, so that no other caller of tick
+// can take the view for confirmed in between.
 func (g *Guard) tick(ctx context.Context) {
 	now := g.clock()
-	last := time.Duration(g.lastTick.Swap(int64(now)))
-	if paused := now - last; paused > pauseThreshold {
-		g.begin(ctx, reasonPause, paused)
+	if now-g.last() <= pauseThreshold {
+		g.lastTick.Store(int64(now))
+		return
 	}
-}
-
-func (g *Guard) begin(ctx context.Context, reason string, paused time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.pending.Load() != nil {
-		return
+	if paused := now - g.last(); paused > pauseThreshold {
+		if g.pending.Load() == nil {
+			pending := make(chan struct{})
+			g.pending.Store(&pending)
+			go g.run(ctx, &pending, reasonPause, paused)
+		}
+		g.lastTick.Store(int64(now))
 	}
-	pending := make(chan struct{})
-	g.pending.Store(&pending)
-	go g.run(ctx, &pending, reason, paused)
 }
 
+func (g *Guard) last() time.Duration { return time.Duration(g.lastTick.Load()) }
+
 func (g *Guard) run(ctx context.Context, pending *chan struct{}, reason string, paused time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
--- a/internal/fleet/freshness/freshness_test.go
+++ b/internal/fleet/freshness/freshness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -123,3 +124,31 @@
 	f.Await(ctx)
 	f.result <- true
 }
+
+// Guards against a failure under load: the process resumes, one goroutine notices the
+// pause, and a call passes before that goroutine has begun the confirmation.
+func TestNoCallPassesBetweenPauseAndConfirmation(t *testing.T) {
+	const (
+		pauses = 3000
+		calls  = 8
+	)
+	var now, confirmed, early atomic.Int64
+	guard := freshness.New(func(context.Context) bool {
+		confirmed.Add(1)
+		return true
+	}, zerolog.Nop(), freshness.WithClock(func() time.Duration { return time.Duration(now.Load()) }))
+	for pause := range int64(pauses) {
+		now.Add(int64(3 * time.Second))
+		var group sync.WaitGroup
+		for range calls {
+			group.Go(func() {
+				guard.Await(context.Background())
+				if confirmed.Load() <= pause {
+					early.Add(1)
+				}
+			})
+		}
+		group.Wait()
+	}
+	qt.Assert(t, early.Load(), qt.Equals, int64(0))
+}
