Count regular beacons under the lock, and bound the routes whose usual time is kept

Found while reading the changes: Leave sends a beacon while Run does, and both counted without the lock (TestLeaveWhileRunning under the race detector fails before).

--- a/internal/fleet/forward/pace.go
+++ b/internal/fleet/forward/pace.go
@@ -13,6 +13,9 @@
 	eventsPerPace = 4
 	// usualTimeWeight is the weight of a new measurement in a route's usual time.
 	usualTimeWeight = 0.05
+	// maxUsualRoutes bounds the routes whose usual time is kept; operators rename routes.
+	// All are measured anew beyond it.
+	maxUsualRoutes = 8192
 	// minUsualSamples is the number of measurements after which the usual time is known.
 	minUsualSamples = 3
 )
@@ -43,7 +46,7 @@
 func (u *usualTimes) ratio(route string, took time.Duration) (float64, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.routes == nil {
+	if u.routes == nil || len(u.routes) > maxUsualRoutes {
 		u.routes = make(map[string]*usualTime)
 	}
 	t := u.routes[route]
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -22,13 +22,21 @@
 	b := f.newBeacon()
 	b.HasLoads, b.Loads = true, encodeLoads(f.tracker.Loads(time.Now()))
 	b.Homes = encodeHoldings(f.cacheIndex.TakeRefreshes(maxRefreshes))
-	f.regularBeacons++
-	if f.regularBeacons%identityRatio == 1 {
+	if f.nextHasIdentity() {
 		f.setIdentity(b)
 	}
 	f.broadcast(b)
 }
 
+// nextHasIdentity counts a regular beacon and reports whether it carries the sender's
+// identity for all receivers.
+func (f *Fleet) nextHasIdentity() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regularBeacons++
+	return f.regularBeacons%identityRatio == 1
+}
+
 // sendChange sends all peers a change of targets, or this router's revisions without
 // one. A change of more than maxChangeBytes is left out, and receivers fetch it.
 func (f *Fleet) sendChange(change *storewatch.Delta) {
--- a/internal/peer/gossip/broadcast_test.go
+++ b/internal/peer/gossip/broadcast_test.go
@@ -269,3 +269,22 @@
 	c.Assert(f.recordBeacon(restarted, start), qt.IsTrue)
 	assertGreeted("10.0.0.2:7340")
 }
+
+// Leave is called while Run sends beacons; the race detector watches.
+func TestLeaveWhileRunning(t *testing.T) {
+	c := qt.New(t)
+	f, receiver := newLocalFleet(c, 1)
+	for range 2 {
+		go f.sendRegular()
+	}
+	f.Leave()
+	buffer := make([]byte, maxDatagramBytes)
+	_ = receiver.SetReadDeadline(time.Now().Add(5 * time.Second))
+	for leaving := false; !leaving; {
+		n, err := receiver.Read(buffer)
+		c.Assert(err, qt.IsNil)
+		b := new(peerv1.Beacon)
+		c.Assert(proto.Unmarshal(buffer[1:n], b), qt.IsNil)
+		leaving = b.GetLeaving()
+	}
+}
