Pause a process only once all of its threads have stopped

Its trace: both calls were served within 1.3 ms of the call before the pause, and no check of the view is logged: SIGSTOP had been sent, but the process still ran. So the test withdrew nothing during a pause. It now waits until the kernel shows all threads stopped; checks and bounds are as before.

--- a/internal/soak/process/process.go
+++ b/internal/soak/process/process.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// pauseTimeout bounds the time until all threads have stopped after SIGSTOP.
+const pauseTimeout = 5 * time.Second
+
 type (
 	// Process is one program with its arguments, of which at most one instance runs.
 	Process struct {
@@ -92,6 +95,48 @@
 	_ = p.current.cmd.Process.Signal(s) // It may have exited.
 }
 
+// Pause stops the process with SIGSTOP and returns when all of its threads have
+// stopped: on a busy machine a thread may go on for a while after the signal.
+func (p *Process) Pause() error {
+	p.Signal(syscall.SIGSTOP)
+	p.mu.Lock()
+	current := p.current
+	p.mu.Unlock()
+	if current == nil {
+		return fmt.Errorf("pause %q: not running", p.name)
+	}
+	for end := time.Now().Add(pauseTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		stopped, err := allStopped(current.cmd.Process.Pid)
+		if err != nil {
+			return fmt.Errorf("pause %q: %w", p.name, err)
+		}
+		if stopped {
+			return nil
+		}
+	}
+	return fmt.Errorf("pause %q: threads still run after %v", p.name, pauseTimeout)
+}
+
+// allStopped reports whether all threads of a process are in the stopped state.
+func allStopped(pid int) (bool, error) {
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil {
+		return false, err
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return false, err
+		}
+		// The state follows the program's name, which is in parentheses.
+		_, rest, _ := bytes.Cut(data, []byte(") "))
+		if !bytes.HasPrefix(rest, []byte("T")) {
+			return false, nil
+		}
+	}
+	return len(paths) > 0, nil
+}
+
 // Stop ends the process and waits for its exit. With a grace period it sends
 // SIGTERM first, and SIGKILL only when the grace period has passed.
 func (p *Process) Stop(grace time.Duration) {
--- a/internal/soak/scenario/pause_test.go
+++ b/internal/soak/scenario/pause_test.go
@@ -50,7 +50,7 @@
 	}
 	served := len(old.Requests())
 
-	router.Signal(syscall.SIGSTOP)
+	c.Assert(router.Pause(), qt.IsNil)
 	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.KeyConfiguration(2, "new"))
 	store.Set(platformtest.KindTargets, "old", platformtest.Target(old.Address(), "draining", 1))
 	store.Set(platformtest.KindTargets, "current", platformtest.Target(current.Address(), "ready", 1))
@@ -80,6 +80,11 @@
 	data := platformtest.FleetSettings("edge-p", pauseIP, "a", pausePorts, store, 1)
 	c.Assert(os.WriteFile(settings, data, 0o600), qt.IsNil)
 	router := process.New("edge-p", dir, program, "edge", "-settings", settings)
+	c.Cleanup(func() {
+		if data, err := os.ReadFile(filepath.Join(dir, "edge-p.log")); err == nil && c.Failed() {
+			c.Logf("log of the router:\n%s", data)
+		}
+	})
 	c.Assert(router.Start(), qt.IsNil)
 	c.Cleanup(func() { router.Stop(0) })
 	return router
