Measure stalls by the steady clock

A route that declares no gap between events now allows ten seconds instead of one before its stream is resumed elsewhere.

--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -107,8 +107,8 @@
 		retryReserved atomic.Bool
 		stream        eventBuffer
 		// lastProgress is when the response's head or its last complete event was
-		// received, in Unix nanoseconds; zero before. begun is set when a stream's
-		// first events have been relayed.
+		// received, in nanoseconds after attemptStart by the steady clock; zero before.
+		// begun is set when a stream's first events have been relayed.
 		lastProgress atomic.Int64
 		begun        atomic.Bool
 		attemptStart time.Time
--- a/internal/fleet/forward/silence.go
+++ b/internal/fleet/forward/silence.go
@@ -21,8 +21,10 @@
 	// target serves others, as a multiple of the gap that the route allows. An engine
 	// that preempts a call processes its prompt again before it goes on.
 	stallGapFactor = 4
-	// minStall is the lower bound on that time.
-	minStall = time.Second
+	// minStall is the lower bound on that time, undeclaredStall the time on a route that
+	// declares no gap.
+	minStall        = time.Second
+	undeclaredStall = 10 * time.Second
 	// retryDelayFraction is how long an idempotent call waits for a response before
 	// it is sent to another target, as a fraction of the latency objective, so that
 	// the other target can still respond in time.
@@ -38,7 +40,7 @@
 // recordProgress records that a response head or a complete event was received.
 func (c *call) recordProgress(tracked *targetstats.Call, now time.Time) {
 	tracked.Progress(now)
-	c.lastProgress.Store(now.UnixNano())
+	c.lastProgress.Store(int64(now.Sub(c.attemptStart)) + 1)
 }
 
 // silenceLimit returns how long a target may send nothing. It is longer than the
@@ -51,6 +53,9 @@
 // stallLimit returns how long this call may go without a complete event after the
 // head of its response.
 func (c *call) stallLimit() time.Duration {
+	if c.route.MaxEventGap <= 0 {
+		return undeclaredStall
+	}
 	return max(minStall, stallGapFactor*c.route.MaxEventGap, c.silenceLimit())
 }
 
@@ -63,7 +68,7 @@
 	}
 	remaining := c.silenceLimit() - c.h.TargetHealth.SilentFor(target.Hash, now)
 	if last := c.lastProgress.Load(); last != 0 {
-		remaining = min(remaining, c.stallLimit()-now.Sub(time.Unix(0, last)))
+		remaining = min(remaining, c.stallLimit()-now.Sub(started.Add(time.Duration(last))))
 	}
 	return remaining
 }
@@ -77,10 +82,10 @@
 		return func() {}
 	}
 	done, ended := make(chan struct{}), make(chan struct{})
-	started := time.Now()
+	started := c.attemptStart
 	go func() {
 		defer close(ended)
-		timer := time.NewTimer(max(c.untilSilent(target, started, started), minSilenceCheckInterval))
+		timer := time.NewTimer(max(c.untilSilent(target, started, time.Now()), minSilenceCheckInterval))
 		defer timer.Stop()
 		for {
 			select {
