Keep the e2e tests' free ports from being inherited by children

Traced: a process that is forked while the test holds the port keeps the listener until it executes its program. The test now holds the lock.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -155,8 +156,11 @@
 }
 
 // freeAddress returns a free address below the ephemeral port range, so that no
-// outgoing connection of another test takes the port before it is used.
+// outgoing connection of another test takes the port before it is used. No process is
+// forked meanwhile: until it executes its program, the child would keep the listener open.
 func (f *fleet) freeAddress() string {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for range portCount {
 		port := firstPort + (os.Getpid()*portsPerProcess+int(nextPort.Add(1)))%portCount
 		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
