Build the raw responses of the endless-bytes tests in platformtest

The tests wrote header names of the users' wire themselves; platformtest, which has them, builds both heads now. The bytes sent and the assertions are as before.

--- a/internal/fleet/forward/endless_test.go
+++ b/internal/fleet/forward/endless_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -155,9 +154,7 @@
 	large := strings.Repeat("x", 512<<10)
 	release := make(chan struct{})
 	f := newFixture(t, 1, firstCall(func(c net.Conn, r rawserver.Request) bool {
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: %s\r\nX-Hickoryrock-Response-Seal: s\r\nContent-Length: %d\r\n\r\n",
-			r.HeaderField("x-hickoryrock-attempt-id"), len(large))
-		_, _ = io.WriteString(c, head+large[:1])
+		_, _ = io.WriteString(c, platformtest.ResponseHead(r, len(large))+large[:1])
 		<-release
 		_, err := io.WriteString(c, large[1:])
 		return err == nil
@@ -176,8 +173,7 @@
 // its body arrives, which may be slow or never end.
 func TestNotExecutedResponseWithSlowBody(t *testing.T) {
 	f := newFixture(t, 2, firstCall(func(c net.Conn, r rawserver.Request) bool {
-		head := platformtest.UnsealedResponse(r, "503 Busy", "X-Hickoryrock-Not-Executed: 1\r\n", "")
-		_, _ = io.WriteString(c, strings.Replace(head, "Content-Length: 0", "Content-Length: 100", 1))
+		_, _ = io.WriteString(c, platformtest.NotExecutedHead(r, 100))
 		_, _ = c.Read(make([]byte, 1))
 		return false
 	}, always("200 OK", "", "x")))
