Log the crash of a target with the prompt parts of the calls that it answered

A call's line now has all shared parts (`parts` takes the place of `prompt`). When an answer that has begun is cut and the listed target refuses a new connection, the router logs the target, the parts and the answer's age, and counts it in hickoryrock_target_crashes_total. No decision changes.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -165,6 +165,7 @@
 		c.load, c.hasLoad = headers.Load, true
 	}
 	c.recordProgress(tracked, time.Now())
+	c.headAt = time.Since(c.attemptStart)
 	if headers.NotExecuted {
 		// The head is the proof: its body may be slow and must not delay a retry.
 		c.h.Pool.Drain(response)
@@ -242,6 +243,7 @@
 		return
 	}
 	reason := "answer-cut"
+	c.recordCut(ctx, target)
 	if errors.Is(err, http1client.ErrBodyTooLarge) {
 		reason = "answer-too-large"
 	}
@@ -290,6 +292,7 @@
 		if err != nil {
 			c.stream.reset()
 			c.h.Pool.Discard(response)
+			c.recordCut(ctx, target)
 			c.recordFailure(ctx, target, false, "stream-cut")
 			return
 		}
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -112,6 +112,8 @@
 		lastProgress atomic.Int64
 		begun        atomic.Bool
 		attemptStart time.Time
+		// headAt is the time from attemptStart to the response's head.
+		headAt time.Duration
 		// reserved is the part of the response memory that this call holds, in bytes.
 		reserved int64
 		// buffered is a target's complete response, relayed unless a retry follows.
@@ -270,16 +272,6 @@
 	return parts
 }
 
-// sharedPromptHash returns the hash of the last prompt part that other calls may
-// share, for the log.
-func (c *call) sharedPromptHash() string {
-	shared := affinity.Shared(c.parts)
-	if len(shared) == 0 {
-		return ""
-	}
-	return strconv.FormatUint(shared[len(shared)-1].Hash, 16)
-}
-
 // takeRetry reports whether the call may be retried. It takes the retry from the
 // budget unless one is reserved or the attempt did not reach a target.
 func (c *call) takeRetry() bool {
@@ -368,7 +360,7 @@
 		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
 		Uint64("targets-revision", c.targets.Revision).Strs("targets", c.sentTo).
 		Str("placement", string(c.placement.Reason)).Int("unread", c.placement.PrefillTokens).Int("reread", c.placement.RecomputedTokens).
-		Int("fetched", c.placement.FetchedTokens).Str("prompt", c.sharedPromptHash()).
+		Int("fetched", c.placement.FetchedTokens).Strs("parts", partNames(affinity.Shared(c.parts))).
 		Dur("caller-waits-ms", c.headers.Deadline).Int("sends", c.progress.Attempts).Int("runs", c.progress.PossibleExecutions).
 		Int("status", c.status).Str("reason", reason).Dur("first-event-ms", c.timeToFirstEvent()).
 		Dur("took-ms", elapsed).Msg("call")
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -154,6 +154,17 @@
 	return &Response{Head: head, Body: http1.Body(cn.reader, head.Length), Reused: cn.reused, conn: cn}, nil
 }
 
+// Refuses reports whether a new connection to an endpoint is refused, as it is when no
+// process listens there. An endpoint that does not respond does not count.
+func (p *Pool) Refuses(ctx context.Context, e Endpoint) bool {
+	dialer := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1}
+	c, err := dialer.DialContext(ctx, "tcp", e.Address)
+	if err == nil {
+		_ = c.Close() // Nothing was sent.
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // CloseIdle closes the idle connections to an endpoint.
 func (p *Pool) CloseIdle(e Endpoint) {
 	p.mu.Lock()
