Do not pass on a stream that ends inside an event as complete

What callers saw: an engine's event stream without a length or chunks that was broken off inside an event, or before the first one, came to its caller as a complete answer. Cause: the end of such a body is the end of its connection, and the router took each end for the whole stream and sent the bytes after the last event along. A stream now is whole if its framing allows it and it ends after an event; otherwise it is resumed where the route allows it, and aborted elsewhere. The same holds for a stream in chunks. Ruled out: reuse of such a connection (it is closed, and a late one without an id is no answer on a kept connection).

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -285,8 +285,7 @@
 			c.progress.Outcome = Responded
 			return
 		}
-		if errors.Is(err, io.EOF) {
-			c.writeEvents(response.Head, c.stream.rest())
+		if errors.Is(err, io.EOF) && c.isWhole(response.Head, prefilled) {
 			c.finishStream(target, response)
 			c.recordComplete(ctx, target, response.Head)
 			return
@@ -301,6 +300,13 @@
 	}
 }
 
+// isWhole reports whether a stream that has ended as its framing requires is complete. It
+// is not if it ends inside an event. Without a length or chunks, one without events may
+// also have been broken off.
+func (c *call) isWhole(head *http1.Response, hasEvents bool) bool {
+	return !c.stream.isInsideEvent() && (head.Length != http1.UntilClose || hasEvents)
+}
+
 // writeEvents sends complete events to the caller, with the response head first if needed.
 func (c *call) writeEvents(head *http1.Response, data []byte) {
 	if len(data) == 0 {
--- a/internal/fleet/forward/decide_test.go
+++ b/internal/fleet/forward/decide_test.go
@@ -149,7 +149,7 @@
 	c.Assert(e.lastID, qt.Equals, "1")
 	assertAdd("ta: b\r\n\r\nid: 3", "id: 2\ndata: b\r\n\r\n")
 	c.Assert(e.lastID, qt.Equals, "2")
-	c.Assert(string(e.rest()), qt.Equals, "id: 3")
+	c.Assert(string(e.pending), qt.Equals, "id: 3")
 }
 
 func TestEventBufferBoundsIncompleteEvent(t *testing.T) {
@@ -179,8 +179,8 @@
 			out += string(events)
 			rest = rest[n:]
 		}
-		if out+string(e.rest()) != stream {
-			t.Fatalf("%q came out as %q and %q", stream, out, e.rest())
+		if out+string(e.pending) != stream {
+			t.Fatalf("%q came out as %q and %q", stream, out, e.pending)
 		}
 	})
 }
--- a/internal/fleet/forward/stream_test.go
+++ b/internal/fleet/forward/stream_test.go
@@ -149,3 +149,54 @@
 		f.Assert(string(first)+string(rest), qt.Equals, wholeStream(2))
 	})
 }
+
+// unframed returns a script that streams the events after Last-Event-Id up to last with
+// neither a length nor chunks. Without that header, it ends the stream after the bytes cut.
+func unframed(last int, cut string) rawserver.Handler {
+	return func(c net.Conn, r rawserver.Request) bool {
+		_, _ = io.WriteString(c, platformtest.UnframedStreamHead(r))
+		from := 0
+		if _, err := fmt.Sscan(platformtest.DecodeForwarded(r).LastEventID, &from); err != nil && r.Sequence == 1 && cut != "whole" {
+			_, _ = io.WriteString(c, cut)
+			return false
+		}
+		_, _ = io.WriteString(c, strings.TrimPrefix(wholeStream(last), wholeStream(from)))
+		return false
+	}
+}
+
+// Guards against a stream that ends inside an event and is passed on as complete. Without
+// a length or chunks, only its events show that.
+func TestStreamsThatEndInsideAnEvent(t *testing.T) {
+	t.Run("a stream that ends with its connection after an event is whole", func(t *testing.T) {
+		f := newFixture(t, 1, unframed(3, "whole"))
+		f.assertResponse(f.call("/stream/a"), 200, wholeStream(3))
+	})
+	cuts := map[string]string{"inside an event": wholeStream(1) + "id: 2\nda", "before the first event": ""}
+	for name, cut := range cuts {
+		t.Run(name+" it is resumed", func(t *testing.T) {
+			first := true
+			f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
+				script := unframed(3, "whole")
+				if first {
+					script, first = unframed(3, cut), false
+				}
+				return script(c, r)
+			})
+			f.assertResponse(f.call("/resume/a"), 200, wholeStream(3))
+		})
+		t.Run(name+" it is aborted if it may be executed once", func(t *testing.T) {
+			f := newFixture(t, 1, unframed(3, cut))
+			got := f.call("/stream/a")
+			f.Assert(got.err != nil || got.Status == 502, qt.IsTrue, qt.Commentf("%+v", got))
+			f.Assert(strings.Contains(got.body, "id: 2"), qt.IsFalse)
+		})
+	}
+	t.Run("a stream in chunks that ends inside an event is aborted", func(t *testing.T) {
+		f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
+			_, err := io.WriteString(c, platformtest.StreamHead(r)+chunk(wholeStream(1)+"id: 2\nda")+"0\r\n\r\n")
+			return err == nil
+		})
+		f.Assert(f.call("/stream/a").err, qt.IsNotNil)
+	})
+}
