--- a/internal/node/edge/crash_test.go
+++ b/internal/node/edge/crash_test.go
@@ -1,256 +1,31 @@
 package edge
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptest"
-	"os"
-	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/rs/zerolog"
 
 	"hickoryrock/internal/policy/quarantine"
-	"hickoryrock/internal/standin/rawserver"
-	"hickoryrock/internal/wire/http1"
 	"hickoryrock/platform"
 	"hickoryrock/platform/platformtest"
 )
 
-const (
-	crashingPart = "c0ffee"
-	// contactTime is the platform's bound contact_ms.
-	contactTime = 3 * time.Second
-	// maxLateSends is the number of calls with a part that crashes targets that may be
-	// sent later than contactTime after the fifth crash.
-	maxLateSends = 3
-)
-
-type (
-	// crashFleet is a fleet of routers on loopback before engines that end when they
-	// begin an answer to a call with crashingPart, and start again under a new name.
-	crashFleet struct {
-		*qt.C
-		store   *platformtest.Store
-		routers []string
-		stops   []context.CancelFunc
-
-		mu sync.Mutex
-		// crashes are the times at which engines ended; sends those at which calls with
-		// crashingPart reached one.
-		crashes []time.Time
-		sends   []time.Time
-		stopped bool
-	}
-
-	crashEngine struct {
-		fleet    *crashFleet
-		number   int
-		started  int
-		listener net.Listener
-		mu       sync.Mutex
-		conns    map[net.Conn]bool
-	}
-)
-
-func newCrashFleet(t *testing.T, routers, engines int) *crashFleet {
-	f := &crashFleet{C: qt.New(t), store: platformtest.NewStore()}
-	storeServer := httptest.NewServer(f.store)
-	t.Cleanup(storeServer.Close)
-	t.Cleanup(func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.stopped = true
-	})
-	f.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.PromptConfiguration(1))
-	for i := range engines {
-		(&crashEngine{fleet: f, number: i}).start()
-	}
-	for i := range routers {
-		f.startRouter(t, fmt.Sprint("edge-", i), fmt.Sprint("d-", i%2), strings.TrimPrefix(storeServer.URL, "http://"))
-	}
-	return f
-}
-
-func (f *crashFleet) startRouter(t *testing.T, name, domain, store string) {
-	var ports platformtest.Ports
-	for _, port := range []*int{&ports.Callers, &ports.Ready, &ports.Lookup, &ports.Peers} {
-		_, *port = freeAddress(f.C)
-	}
-	path := filepath.Join(t.TempDir(), "boot.json")
-	f.Assert(os.WriteFile(path, platformtest.FleetSettings(name, "127.0.0.1", domain, ports, store, 1), 0o600), qt.IsNil)
-	settings, err := platform.LoadSettings(path)
-	f.Assert(err, qt.IsNil)
-	router, closeRouter, err := New(path, settings, zerolog.Nop())
-	f.Assert(err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() { router.Run(ctx) })
-	f.routers = append(f.routers, settings.CallerAddress)
-	// Routers take their time to stop, so all are told before the first is awaited.
-	f.stops = append(f.stops, cancel)
-	t.Cleanup(func() {
-		for _, stop := range f.stops {
-			stop()
-		}
-		running.Wait()
-		closeRouter()
-	})
-}
-
-// start lets the engine listen at a new address and registers it.
-func (e *crashEngine) start() {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	e.fleet.Check(err, qt.IsNil)
-	if err != nil {
-		return
-	}
-	e.started++
-	e.listener, e.conns = l, make(map[net.Conn]bool)
-	e.fleet.store.Set(platformtest.KindTargets, e.name(), platformtest.Target(l.Addr().String(), "ready", 0))
-	go e.accept(l)
-}
-
-func (e *crashEngine) name() string { return fmt.Sprintf("i-%d-%d", e.number, e.started) }
-
-func (e *crashEngine) accept(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		e.mu.Lock()
-		e.conns[c] = true
-		e.mu.Unlock()
-		go e.serve(c)
-	}
-}
-
-func (e *crashEngine) serve(c net.Conn) {
-	defer c.Close()
-	reader := bufio.NewReader(c)
-	for {
-		head, err := http1.ReadRequest(reader, 16<<10)
-		if err != nil {
-			return
-		}
-		if _, err := io.ReadAll(http1.Body(reader, head.Length)); err != nil {
-			return
-		}
-		r := rawserver.Request{Request: head}
-		crashes := slices.Contains(platformtest.Parts(r), crashingPart)
-		if crashes {
-			e.fleet.mu.Lock()
-			e.fleet.sends = append(e.fleet.sends, time.Now())
-			e.fleet.mu.Unlock()
-		}
-		if _, err := io.WriteString(c, platformtest.StreamHead(r)); err != nil {
-			return
-		}
-		if crashes {
-			time.Sleep(20 * time.Millisecond)
-			e.crash()
-			return
-		}
-		for event := range 5 {
-			time.Sleep(20 * time.Millisecond)
-			text := fmt.Sprintf("id: %d\ndata: x\n\n", event+1)
-			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
-				return
-			}
-		}
-		if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
-			return
-		}
-	}
-}
-
-// crash ends the engine, which resets its connections, and lets it start again later.
-func (e *crashEngine) crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.listener == nil {
-		return
-	}
-	_ = e.listener.Close()
-	e.listener = nil
-	for c := range e.conns {
-		rawserver.Reset(c)
-	}
-	e.fleet.mu.Lock()
-	defer e.fleet.mu.Unlock()
-	e.fleet.crashes = append(e.fleet.crashes, time.Now())
-	time.AfterFunc(700*time.Millisecond, func() {
-		e.fleet.mu.Lock()
-		stopped := e.fleet.stopped
-		e.fleet.mu.Unlock()
-		if stopped {
-			return
-		}
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.fleet.store.Remove(platformtest.KindTargets, e.name())
-		e.start()
-	})
-}
-
-// call makes a call with the given prompt parts through a random router and returns the
-// status, or 0 if the response is not complete.
-func (f *crashFleet) call(path string, parts ...string) int {
-	c, err := net.Dial("tcp4", f.routers[rand.IntN(len(f.routers))])
-	if err != nil {
-		return 0
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(4 * time.Second))
-	lines := "Connection: close\r\nX-Hickoryrock-Deadline-Ms: 3000\r\n" + platformtest.AuthorizationLine + platformtest.PartsLine(parts...)
-	if _, err := io.WriteString(c, platformtest.Request(path, lines, "x")); err != nil {
-		return 0
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	if _, err := io.ReadAll(resp.Body); err != nil {
-		return 0
-	}
-	return resp.StatusCode
-}
-
-// repeat runs f in its own goroutine at each interval until ctx is done, and returns when
-// all have returned.
-func repeat(ctx context.Context, interval time.Duration, f func(i int)) {
-	var group sync.WaitGroup
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-ctx.Done():
-			group.Wait()
-			return
-		case <-ticker.C:
-			group.Go(func() { f(i) })
-		}
-	}
-}
+// maxLateSends is the number of calls with a part that crashes targets that may be sent
+// later than contactTime after the fifth crash.
+const maxLateSends = 3
 
 // Guards against a prompt part that crashes each target that begins an answer to it, and
 // that routers keep sending from target to target.
 func TestPartThatCrashesTargets(t *testing.T) {
 	for _, path := range []string{platformtest.PathChat, platformtest.PathChatOnce} {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
-			f := newCrashFleet(t, 3, 8)
+			f := newEngineFleet(t, 3, 8)
 			f.warmUp(path)
 			ctx, cancel := context.WithTimeout(context.Background(), 8500*time.Millisecond)
 			defer cancel()
@@ -282,23 +57,8 @@
 	}
 }
 
-// warmUp waits until calls through all routers are served.
-func (f *crashFleet) warmUp(path string) {
-	f.Helper()
-	streak := 0
-	for end := time.Now().Add(eventuallyTimeout); streak < 4*len(f.routers); {
-		f.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("calls are not served"))
-		if f.call(path, "aa", fmt.Sprint("b", streak%6), "w") != http.StatusOK {
-			streak = 0
-			time.Sleep(20 * time.Millisecond)
-			continue
-		}
-		streak++
-	}
-}
-
 // lateBy reports whether the first crash is longer ago than d.
-func (f *crashFleet) lateBy(d time.Duration) bool {
+func (f *engineFleet) lateBy(d time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return len(f.crashes) > 0 && time.Since(f.crashes[min(len(f.crashes), 5)-1]) > d
@@ -306,7 +66,7 @@
 
 // assertContained fails if more than maxLateSends calls with crashingPart were sent later
 // than contactTime after the fifth crash.
-func (f *crashFleet) assertContained() {
+func (f *engineFleet) assertContained() {
 	f.Helper()
 	f.mu.Lock()
 	defer f.mu.Unlock()
