Keep to the limits that targets name, over all routers together

Cause: nothing read the limit; a target in need was one more slow target. Change: routers tell each other the limits in beacons; some of them, chosen by rendezvous hashing, may send to a limited target, and share the limit by counting each other's calls, or have equal parts where reports are too rare for that. Calls beyond it go to other targets; if all are limited they are refused at once, with the time at which to return. Fetches from a target's cache count as well.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -287,7 +287,7 @@
 		status = http.StatusBadRequest
 	case errors.Is(err, errBodyMemory):
 		status = http.StatusServiceUnavailable
-		fields = append(fields, RetryAfterField())
+		fields = append(fields, RetryAfterField(0))
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status = http.StatusRequestTimeout
 	}
--- a/internal/caller/ingress/response.go
+++ b/internal/caller/ingress/response.go
@@ -20,10 +20,11 @@
 	retryAfterJitter = 200 * time.Millisecond
 )
 
-// RetryAfterField returns a Retry-After header, in fractional seconds with jitter,
-// for a rejected call.
-func RetryAfterField() http1.Field {
-	after := retryAfterBase + rand.N(retryAfterJitter)
+// RetryAfterField returns a Retry-After header, in fractional seconds with jitter, for a
+// rejected call that would be rejected again before atLeast.
+func RetryAfterField(atLeast time.Duration) http1.Field {
+	// Callers that wait longer return spread over a longer time.
+	after := max(retryAfterBase, atLeast) + rand.N(retryAfterJitter+atLeast)
 	return http1.NewField("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -23,6 +23,11 @@
 	reasonNoTarget = "no-target"
 	reasonSilent   = "target-silent"
 	reasonTimeout  = "timeout"
+	reasonLimits   = "target-limits"
+
+	// otherRouterDelay is the time after which a caller should try another router if this
+	// one may not send to any target that has named a limit.
+	otherRouterDelay = 100 * time.Millisecond
 
 	// minOverdue is the shortest time after which a call without any response bytes
 	// counts as a failure of its target.
@@ -41,6 +46,9 @@
 	if target == nil {
 		c.progress.Outcome = NotExecuted
 		c.reason = reasonNoTarget
+		if wait, limited := c.untilLimitAllows(time.Now()); limited {
+			c.reason, c.retryAfter = reasonLimits, wait
+		}
 		return
 	}
 	c.tried[target.Hash] = true
@@ -109,7 +117,7 @@
 		candidates[i] = affinity.Candidate{
 			Target: t.Hash, Calls: summaries[i].Calls, PendingTokens: summaries[i].PendingTokens, Slowness: summaries[i].Slowness,
 			Ejected: summaries[i].Ejected || c.h.TargetHealth.SilentFor(t.Hash, now) > limit,
-			Tried:   c.tried[t.Hash], Draining: t.Draining,
+			Tried:   c.tried[t.Hash], Draining: t.Draining, Exhausted: !c.h.Limits.Allows(t.Hash, now),
 			FailureDomain: t.FailureDomain, SameDomain: t.FailureDomain == c.h.FailureDomain,
 		}
 	}
@@ -121,13 +129,31 @@
 		return nil
 	}
 	c.placement = choice
+	c.h.Limits.Take(targets[choice.Index].Hash, now)
 	c.cacheSource = nil
 	if choice.Source >= 0 {
 		c.cacheSource = targets[choice.Source]
+		c.h.Limits.Take(c.cacheSource.Hash, now)
 	}
 	return targets[choice.Index]
 }
 
+// untilLimitAllows reports whether the call cannot be sent because of the limits that
+// targets name, and the time until one of them allows it.
+func (c *call) untilLimitAllows(now time.Time) (time.Duration, bool) {
+	var limited []uint64
+	for _, t := range c.targets.ByService[c.service] {
+		if !t.Draining && !c.tried[t.Hash] && !c.h.Limits.Allows(t.Hash, now) {
+			limited = append(limited, t.Hash)
+		}
+	}
+	wait, ok := c.h.Limits.Wait(limited, now)
+	if !ok {
+		wait = otherRouterDelay
+	}
+	return wait, len(limited) > 0
+}
+
 // recordFailure records an attempt without a complete response.
 func (c *call) recordFailure(ctx context.Context, target *state.Target, notExecuted bool, reason string) {
 	c.reason = reason
@@ -164,6 +190,9 @@
 	if headers.HasLoad {
 		c.load, c.hasLoad = headers.Load, true
 	}
+	if response.Head.Status != http.StatusMisdirectedRequest && !headers.HasInvalidLimit {
+		c.h.Limits.Observe(target.Hash, headers.Limit, time.Now())
+	}
 	c.recordProgress(tracked, time.Now())
 	c.headAt = time.Since(c.attemptStart)
 	if headers.NotExecuted {
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -20,6 +20,7 @@
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/retries"
+	"hickoryrock/internal/policy/targetlimits"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/target/http1client"
 	"hickoryrock/internal/wire/http1"
@@ -67,6 +68,8 @@
 		// Quarantine knows the prompt parts that crash targets. Nil means a tracker of the
 		// handler's own.
 		Quarantine *quarantine.Tracker
+		// Limits knows the limits that targets name. Nil means a tracker of the handler's own.
+		Limits *targetlimits.Tracker
 		// ReportInterval returns the time between two reports of a router's calls to the
 		// others. Nil means that the calls of all routers are known.
 		ReportInterval func() time.Duration
@@ -132,6 +135,8 @@
 		// cacheSource is the target from whose cache the selected target fetches, or nil.
 		cacheSource *state.Target
 		status      int
+		// retryAfter is the time before which a rejected call would be rejected again.
+		retryAfter time.Duration
 		// crashed is set when the last attempt's target has crashed; quarantined is the
 		// record for which the call was refused.
 		crashed     bool
@@ -159,6 +164,9 @@
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewTracker()
 	}
+	if config.Limits == nil {
+		config.Limits = targetlimits.NewTracker(func() (uint64, []uint64) { return 0, nil })
+	}
 	return &Handler{Config: config, responseMemory: semaphore.NewWeighted(config.ResponseMemory)}
 }
 
@@ -303,7 +311,7 @@
 // budget unless one is reserved or the attempt did not reach a target.
 func (c *call) takeRetry() bool {
 	switch c.reason {
-	case reasonNoTarget:
+	case reasonNoTarget, reasonLimits:
 		return false
 	case http1client.ReasonRefused, http1client.ReasonNoConnection:
 		return true
@@ -349,7 +357,7 @@
 
 // reject responds with 503 and Retry-After to a call that did not and will not execute.
 func (c *call) reject(reason string) {
-	c.respond(http.StatusServiceUnavailable, reason, ingress.RetryAfterField())
+	c.respond(http.StatusServiceUnavailable, reason, ingress.RetryAfterField(c.retryAfter))
 }
 
 // respond sends a response without a body that the router itself generates.
--- a/internal/fleet/forward/stream_test.go
+++ b/internal/fleet/forward/stream_test.go
@@ -150,9 +150,9 @@
 	})
 }
 
-// unframed returns a script that streams the events after Last-Event-Id up to last with
+// unframed returns a script that streams three events, those after Last-Event-Id, with
 // neither a length nor chunks. Without that header, it ends the stream after the bytes cut.
-func unframed(last int, cut string) rawserver.Handler {
+func unframed(cut string) rawserver.Handler {
 	return func(c net.Conn, r rawserver.Request) bool {
 		_, _ = io.WriteString(c, platformtest.UnframedStreamHead(r))
 		from := 0
@@ -160,7 +160,7 @@
 			_, _ = io.WriteString(c, cut)
 			return false
 		}
-		_, _ = io.WriteString(c, strings.TrimPrefix(wholeStream(last), wholeStream(from)))
+		_, _ = io.WriteString(c, strings.TrimPrefix(wholeStream(3), wholeStream(from)))
 		return false
 	}
 }
@@ -169,7 +169,7 @@
 // a length or chunks, only its events show that.
 func TestStreamsThatEndInsideAnEvent(t *testing.T) {
 	t.Run("a stream that ends with its connection after an event is whole", func(t *testing.T) {
-		f := newFixture(t, 1, unframed(3, "whole"))
+		f := newFixture(t, 1, unframed("whole"))
 		f.assertResponse(f.call("/stream/a"), 200, wholeStream(3))
 	})
 	cuts := map[string]string{"inside an event": wholeStream(1) + "id: 2\nda", "before the first event": ""}
@@ -177,16 +177,16 @@
 		t.Run(name+" it is resumed", func(t *testing.T) {
 			first := true
 			f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
-				script := unframed(3, "whole")
+				script := unframed("whole")
 				if first {
-					script, first = unframed(3, cut), false
+					script, first = unframed(cut), false
 				}
 				return script(c, r)
 			})
 			f.assertResponse(f.call("/resume/a"), 200, wholeStream(3))
 		})
 		t.Run(name+" it is aborted if it may be executed once", func(t *testing.T) {
-			f := newFixture(t, 1, unframed(3, cut))
+			f := newFixture(t, 1, unframed(cut))
 			got := f.call("/stream/a")
 			f.Assert(got.err != nil || got.Status == 502, qt.IsTrue, qt.Commentf("%+v", got))
 			f.Assert(strings.Contains(got.body, "id: 2"), qt.IsFalse)
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -24,6 +24,7 @@
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/retries"
+	"hickoryrock/internal/policy/targetlimits"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/target/http1client"
 	"hickoryrock/platform"
@@ -73,6 +74,7 @@
 		cacheIndex   *affinity.CacheIndex
 		retryBudgets *retries.Budgets
 		quarantine   *quarantine.Tracker
+		targetLimits *targetlimits.Tracker
 		server       *ingress.Server
 		guard        *freshness.Guard
 		bounds       atomic.Pointer[platform.Bounds]
@@ -92,6 +94,8 @@
 	r.bounds.Store(&s.Bounds)
 	r.tracker = targetstats.NewTracker(r.logTargetChange)
 	r.quarantine = quarantine.NewTracker(quarantine.WithSettleTime(r.settleTime), quarantine.WithOnChange(r.logQuarantine))
+	r.targetLimits = targetlimits.NewTracker(func() (uint64, []uint64) { return r.fleet.LiveRouters() },
+		targetlimits.WithReportInterval(func() time.Duration { return r.fleet.ReportInterval() }))
 	metrics.GetOrCreateGauge(`hickoryrock_quarantined_parts`, r.countQuarantined)
 	store, closeStore := platform.NewStore(s.StoreAddress)
 	r.store = store
@@ -113,7 +117,7 @@
 	r.guard = freshness.New(r.confirmView, log, guardOptions...)
 	handler := forward.New(forward.Config{
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
-		Quarantine: r.quarantine, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
+		Quarantine: r.quarantine, Limits: r.targetLimits, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() },
 		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
@@ -151,7 +155,7 @@
 	fleet, closeFleet, err := gossip.New(gossip.Identity{
 		Router: s.Router, CallerAddress: s.CallerAddress, PeerAddress: peerAddress,
 		FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixMicro()),
-	}, r.gossipState, r.tracker, r.cacheIndex, r.watcher, r.log, gossip.WithQuarantine(r.quarantine))
+	}, r.gossipState, r.tracker, r.cacheIndex, r.watcher, r.log, gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.targetLimits))
 	if err != nil {
 		return err
 	}
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -49,6 +49,8 @@
 		Address       string `json:"address"`
 		FailureDomain string `json:"failure-domain"`
 		Leaving       bool   `json:"leaving"`
+		// Limit is the number of calls a second that the target names, from all routers.
+		Limit *float64 `json:"limit,omitempty"`
 		targetstats.Summary
 	}
 )
@@ -62,12 +64,17 @@
 		WatchesStore: r.fleet.WatchesStore(), CallsBeingServed: r.server.Active(),
 		CallerAddresses: r.fleet.CallerAddresses(r.settings.FailureDomain, 1<<10), Quarantine: r.quarantineViews(),
 	}
+	limits := r.targetLimits.Limits(time.Now())
 	for service, targets := range v.Targets.ByService {
 		for i, s := range r.tracker.Summaries(state.Hashes(targets), time.Now()) {
 			t := targets[i]
-			out.Targets = append(out.Targets, targetView{
+			entry := targetView{
 				ID: t.ID, Service: service, Address: t.Address, FailureDomain: t.FailureDomain, Leaving: t.Draining, Summary: s,
-			})
+			}
+			if limit, ok := limits[t.Hash]; ok {
+				entry.Limit = &limit
+			}
+			out.Targets = append(out.Targets, entry)
 		}
 	}
 	slices.SortFunc(out.Targets, func(a, b targetView) int {
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -243,6 +243,7 @@
 		}
 	}
 	f.mergeQuarantine(b, now)
+	f.mergeLimits(b, now)
 	f.AddPeer(b.GetPeerAddress())
 	if !newer || !f.recordBeacon(b, now) {
 		return
@@ -282,6 +283,9 @@
 	}
 	if p.beacon.GetIncarnation() != b.GetIncarnation() {
 		f.greet(p.address)
+		if f.opts.Limits != nil {
+			f.opts.Limits.ReportAll()
+		}
 	}
 	p.beacon, p.lastContact, p.live = b, now, true
 	return true
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -293,6 +293,7 @@
 		case now := <-regular.C:
 			regular.Reset(f.interval())
 			f.sendQuarantine(f.sendRegular())
+			f.sendLimits()
 			f.markLost(now)
 		}
 	}
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -19,6 +19,7 @@
 	"hickoryrock/internal/peer/gossip"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/quarantine"
+	"hickoryrock/internal/policy/targetlimits"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/platform"
 	"hickoryrock/platform/platformtest"
@@ -33,6 +34,7 @@
 	tracker    *targetstats.Tracker
 	cacheIndex *affinity.CacheIndex
 	quarantine *quarantine.Tracker
+	limits     *targetlimits.Tracker
 	address    string
 	// snapshots counts the snapshots that this router's peers have requested from it.
 	snapshots atomic.Int64
@@ -78,13 +80,14 @@
 
 	r := &router{address: address, tracker: targetstats.NewTracker(func(targetstats.Change) {}), cacheIndex: affinity.NewCacheIndex(),
 		quarantine: quarantine.NewTracker()}
+	r.limits = targetlimits.NewTracker(func() (uint64, []uint64) { return r.LiveRouters() })
 	store, closeStore := platform.NewStore(storeAddress)
 	r.watcher = storewatch.New(store, zerolog.Nop(),
 		func(c *storewatch.Delta) { r.SendNow(c) }, func() bool { return r.StoreServesPeers() })
 	fleet, closeFleet, err := gossip.New(gossip.Identity{
 		Router: name, CallerAddress: "callers-of-" + name, PeerAddress: address, FailureDomain: failureDomain,
 		Incarnation: uint64(time.Now().UnixMicro()),
-	}, r.localState, r.tracker, r.cacheIndex, r.watcher, zerolog.Nop(), gossip.WithQuarantine(r.quarantine))
+	}, r.localState, r.tracker, r.cacheIndex, r.watcher, zerolog.Nop(), gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.limits))
 	f.Assert(err, qt.IsNil)
 	r.Fleet = fleet
 	l, err := net.Listen("tcp4", address)
@@ -374,6 +377,24 @@
 // After a loss of all VMs, one router of each failure domain reads the engines' caches.
 // Their contents take a good part of a second on a small VM's link, so that the others
 // must pass them on among themselves.
+// Routers must learn the limits that targets have named to others, and that one has ended,
+// also when they start later.
+func TestLimitsSpread(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.start("a", f.storeAddress), f.start("b", f.storeAddress)
+	a.AddPeer(b.address)
+	f.eventually("the routers know each other", func() bool { return a.LiveCount() == 2 && b.LiveCount() == 2 })
+	limit := func(r *router) float64 { return r.limits.Limits(time.Now())[7] }
+	a.limits.Observe(7, targetlimits.Limit{Named: true, PerSecond: 2.5}, time.Now())
+	f.eventually("the limit is known", func() bool { return limit(b) == 2.5 })
+	late := f.start("late", f.storeAddress)
+	late.AddPeer(a.address)
+	late.AddPeer(b.address)
+	f.eventually("the limit is known to a new router", func() bool { return limit(late) == 2.5 })
+	b.limits.Observe(7, targetlimits.Limit{}, time.Now().Add(20*time.Millisecond))
+	f.eventually("the limit has ended", func() bool { return limit(a) == 0 && limit(late) == 0 })
+}
+
 // Routers must learn of crashes that others have seen, of answers that acquit a part, and
 // of quarantined parts also when they start later.
 func TestCrashesOfPartsSpread(t *testing.T) {
--- a/internal/peer/gossip/options.go
+++ b/internal/peer/gossip/options.go
@@ -1,6 +1,9 @@
 package gossip
 
-import "hickoryrock/internal/policy/quarantine"
+import (
+	"hickoryrock/internal/policy/quarantine"
+	"hickoryrock/internal/policy/targetlimits"
+)
 
 type (
 	// Option changes a fleet's settings.
@@ -10,9 +13,16 @@
 	Options struct {
 		// Quarantine learns which prompt parts crash targets.
 		Quarantine *quarantine.Tracker
+		// Limits knows the limits that targets name. Nil means that it is not exchanged.
+		Limits *targetlimits.Tracker
 	}
 )
 
+// WithLimits exchanges the limits that a tracker knows with the other routers.
+func WithLimits(t *targetlimits.Tracker) Option {
+	return func(o *Options) { o.Limits = t }
+}
+
 // WithQuarantine exchanges what a tracker knows with the other routers.
 func WithQuarantine(t *quarantine.Tracker) Option {
 	return func(o *Options) { o.Quarantine = t }
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -7,6 +7,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"hickoryrock/internal/policy/rendezvous"
 )
 
 const (
@@ -92,6 +94,9 @@
 		// Ejected candidates have failed lately and are chosen only if there is no
 		// other.
 		Ejected bool
+		// Exhausted candidates have got as many calls from this router as the limit that
+		// they name allows. They are neither chosen nor fetched from.
+		Exhausted bool
 		// Tried candidates have been sent the call already and are never
 		// chosen.
 		Tried         bool
@@ -211,7 +216,7 @@
 		}
 		// Equal costs are decided by rendezvous hashing, on which routers agree
 		// without communication.
-		rank := mix(key ^ c.Target)
+		rank := rendezvous.Rank(key, c.Target)
 		if best.Index < 0 || cost < bestCost || (cost == bestCost && rank > bestRank) {
 			best, bestCost, bestRank = choice, cost, rank
 		}
@@ -253,7 +258,7 @@
 	for range rendezvousCandidates {
 		best, bestRank := -1, uint64(0)
 		for i, c := range candidates {
-			if rank := mix(key ^ c.Target); allowed[i] && !eligible[i] && (best < 0 || rank > bestRank) {
+			if rank := rendezvous.Rank(key, c.Target); allowed[i] && !eligible[i] && (best < 0 || rank > bestRank) {
 				best, bestRank = i, rank
 			}
 		}
@@ -270,7 +275,7 @@
 // allowedCandidates marks the candidates that may be chosen: those that are not
 // ejected and are below the bound. The bound of a slow candidate is lower, down to the
 // mean, at which it gets new calls in proportion to its speed. If there are none, it marks those that are
-// not ejected, and otherwise all. Tried and draining candidates are never
+// not ejected, and otherwise all. Tried, draining and exhausted candidates are never
 // marked.
 func allowedCandidates(factor float64, candidates []Candidate) []bool {
 	total, n := 0, 0
@@ -296,7 +301,7 @@
 	for _, filter := range filters {
 		found := false
 		for i, c := range candidates {
-			allowed[i] = !c.Tried && !c.Draining && filter(c)
+			allowed[i] = !c.Tried && !c.Draining && !c.Exhausted && filter(c)
 			found = found || allowed[i]
 		}
 		if found {
@@ -337,7 +342,7 @@
 		}
 		// The smallest of exponential variates with rates w1, w2, ... is that of
 		// candidate i with probability wi / (w1 + w2 + ...).
-		uniform := (float64(mix(r.Seed^c.Target)>>11) + 1) / (1 << 53)
+		uniform := rendezvous.Fraction(r.Seed, c.Target) + 1.0/(1<<53)
 		score := -math.Log(uniform) * c.slowness()
 		if best.Index < 0 || score < bestScore {
 			best.Index, bestScore = i, score
@@ -361,19 +366,10 @@
 		if !c.SameDomain {
 			cost += 3
 		}
-		rank := mix(r.Seed ^ c.Target)
+		rank := rendezvous.Rank(r.Seed, c.Target)
 		if best.Index < 0 || cost < bestCost || (cost == bestCost && rank > bestRank) {
 			best.Index, bestCost, bestRank = i, cost, rank
 		}
 	}
 	return best
 }
-
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/policy/affinity/source.go
+++ b/internal/policy/affinity/source.go
@@ -44,7 +44,7 @@
 	s := sources{fallback: -1, indexes: make(map[string]int)}
 	for i, c := range candidates {
 		s.maxHeld = max(s.maxHeld, held[i])
-		if !fetch || c.Ejected || prefilled[i] == 0 || prefilled[i] < s.depth {
+		if !fetch || c.Ejected || c.Exhausted || prefilled[i] == 0 || prefilled[i] < s.depth {
 			continue
 		}
 		if prefilled[i] > s.depth {
