Do not call the tracker of limits with the fleet's lock held

What could happen: a router stopped sending beacons and answering calls for good. Class: two locks taken in both orders; the fleet's other calls of trackers were read, none is made with its lock held.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -45,7 +45,7 @@
 	target := c.choose()
 	if target == nil {
 		c.progress.Outcome = NotExecuted
-		c.reason = reasonNoTarget
+		c.reason, c.retryAfter = reasonNoTarget, 0
 		if wait, limited := c.untilLimitAllows(time.Now()); limited {
 			c.reason, c.retryAfter = reasonLimits, wait
 		}
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -245,9 +245,16 @@
 	f.mergeQuarantine(b, now)
 	f.mergeLimits(b, now)
 	f.AddPeer(b.GetPeerAddress())
-	if !newer || !f.recordBeacon(b, now) {
+	if !newer {
 		return
 	}
+	recorded, isNewProcess := f.recordBeacon(b, now)
+	if !recorded {
+		return
+	}
+	if isNewProcess && f.opts.Limits != nil {
+		f.opts.Limits.ReportAll()
+	}
 	if b.GetChange() != nil {
 		f.watcher.ApplyTargets(decodeChange(b.GetChange()), false, b.GetRouter())
 	}
@@ -269,24 +276,22 @@
 	return p == nil || p.beacon.GetIncarnation() != b.GetIncarnation() || b.GetNumber() > p.beacon.GetNumber()
 }
 
-// recordBeacon stores a beacon as the sender's latest, and reports whether the
-// sender is the newest known process at its address.
-func (f *Fleet) recordBeacon(b *peerv1.Beacon, now time.Time) bool {
+// recordBeacon stores a beacon as the sender's latest, unless the sender is not the newest
+// known process at its address. It reports whether it did, and whether the process is new.
+func (f *Fleet) recordBeacon(b *peerv1.Beacon, now time.Time) (recorded, isNewProcess bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.peers[b.GetPeerAddress()]
 	if p == nil || (p.beacon != nil && b.GetIncarnation() < p.beacon.GetIncarnation()) {
-		return false
+		return false, false
 	}
 	if !p.live {
 		f.log.Info().Str("peer", b.GetRouter()).Uint64("incarnation", b.GetIncarnation()).Msg("router is live")
 	}
-	if p.beacon.GetIncarnation() != b.GetIncarnation() {
+	isNewProcess = p.beacon.GetIncarnation() != b.GetIncarnation()
+	if isNewProcess {
 		f.greet(p.address)
-		if f.opts.Limits != nil {
-			f.opts.Limits.ReportAll()
-		}
 	}
 	p.beacon, p.lastContact, p.live = b, now, true
-	return true
+	return true, isNewProcess
 }
--- a/internal/peer/gossip/broadcast_test.go
+++ b/internal/peer/gossip/broadcast_test.go
@@ -256,17 +256,23 @@
 		}
 		c.Assert(got, qt.DeepEquals, want)
 	}
+	assertRecorded := func(b *peerv1.Beacon, isNew bool) {
+		c.Helper()
+		recorded, isNewProcess := f.recordBeacon(b, start)
+		c.Assert(recorded, qt.IsTrue)
+		c.Assert(isNewProcess, qt.Equals, isNew)
+	}
 	f.AddPeer("10.0.0.2:7340")
 	f.AddPeer("10.0.0.3:7340")
 	f.AddPeer("10.0.0.2:7340")
 	assertGreeted("10.0.0.2:7340", "10.0.0.3:7340")
 	beacon := &peerv1.Beacon{Router: "b", PeerAddress: "10.0.0.2:7340", Incarnation: 5}
-	c.Assert(f.recordBeacon(beacon, start), qt.IsTrue)
+	assertRecorded(beacon, true)
 	assertGreeted("10.0.0.2:7340")
-	c.Assert(f.recordBeacon(beacon, start), qt.IsTrue)
+	assertRecorded(beacon, false)
 	assertGreeted()
 	restarted := &peerv1.Beacon{Router: "b", PeerAddress: "10.0.0.2:7340", Incarnation: 6}
-	c.Assert(f.recordBeacon(restarted, start), qt.IsTrue)
+	assertRecorded(restarted, true)
 	assertGreeted("10.0.0.2:7340")
 }
 
