Remove what the quarantine and the limits wrote twice

Found by reading the change once more. A probe and a call's connection share one dial and its reasons; the queues of crashes, answers and records for reports are one generic queue; the condition for a router that serves callers and the name of a part each stand once; a crash that a quarantined part accounts for is recognised in one place, so that a call no longer collects the evidence of all parts to judge its own. A fleet without a tracker of limits makes one, instead of asking for it in three places. A report that claims a huge number of calls no longer counts them one by one past the point at which they matter. The bound on a crash's parts was applied twice.

--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -373,50 +372,6 @@
 	c.writer.Respond(status, http.StatusText(status), fields, body)
 }
 
-// record updates the metrics and writes the call's log line.
-func (c *call) record() {
-	elapsed := time.Since(c.start)
-	route, configuration := "", int64(0)
-	if c.route != nil {
-		route = c.route.Name
-	}
-	if c.view.Configuration != nil {
-		configuration = c.view.Configuration.Version
-	}
-	reason := c.reason
-	if c.status/100 == 2 && c.progress.Outcome == Responded {
-		reason = "done"
-	}
-	metrics.GetOrCreateCounter(`hickoryrock_calls_total{reason="` + reason + `",status="` +
-		strconv.Itoa(c.status) + `"}`).Inc()
-	metrics.GetOrCreateHistogram(`hickoryrock_call_duration_seconds{service="` + c.service + `"}`).
-		Update(elapsed.Seconds())
-	line := c.h.Log.Info()
-	if c.hasLoad {
-		line = line.Int("target-running", c.load.Running).Int("target-waiting", c.load.Waiting)
-	}
-	if c.quarantined.Crashes > 0 {
-		line = line.Str("quarantined", strconv.FormatUint(c.quarantined.Part, 16)).Int("crashes", c.quarantined.Crashes).
-			Dur("last-crash-ago-ms", time.Since(c.quarantined.LastCrash))
-	}
-	line.Str("call", c.headers.ID).Str("route", route).Str("service", c.service).
-		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
-		Uint64("targets-revision", c.targets.Revision).Strs("targets", c.sentTo).
-		Str("placement", string(c.placement.Reason)).Int("unread", c.placement.PrefillTokens).Int("reread", c.placement.RecomputedTokens).
-		Int("fetched", c.placement.FetchedTokens).Strs("parts", partNames(c.sharedParts)).
-		Dur("caller-waits-ms", c.headers.Deadline).Int("sends", c.progress.Attempts).Int("runs", c.progress.PossibleExecutions).
-		Int("status", c.status).Str("reason", reason).Dur("first-event-ms", c.timeToFirstEvent()).
-		Dur("took-ms", elapsed).Msg("call")
-}
-
-// timeToFirstEvent returns the time to a stream's first event, or zero.
-func (c *call) timeToFirstEvent() time.Duration {
-	if c.firstEvent.IsZero() {
-		return 0
-	}
-	return c.firstEvent.Sub(c.start)
-}
-
 // endToEndFields returns the header fields of a target's response without the
 // hop-by-hop ones.
 func endToEndFields(head *http1.Response) []http1.Field {
--- a/internal/fleet/forward/quarantine.go
+++ b/internal/fleet/forward/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -73,8 +72,8 @@
 // refuse responds to a call whose prompt would crash its target. The status asks callers
 // not to repeat it.
 func (c *call) refuse(r quarantine.Record) {
-	text := fmt.Sprintf("not executed: prompt part %x has crashed %d targets, the last one %v ago; do not repeat this call\n",
-		r.Part, r.Crashes, time.Since(r.LastCrash).Round(time.Second))
+	text := fmt.Sprintf("not executed: prompt part %s has crashed %d targets, the last one %v ago; do not repeat this call\n",
+		quarantine.PartName(r.Part), r.Crashes, time.Since(r.LastCrash).Round(time.Second))
 	c.respondWith(http.StatusBadRequest, reasonQuarantined, []byte(text), http1.NewField("Content-Type", "text/plain"))
 }
 
@@ -171,7 +170,7 @@
 func partNames(parts []uint64) []string {
 	names := make([]string, len(parts))
 	for i, p := range parts {
-		names[i] = strconv.FormatUint(p, 16)
+		names[i] = quarantine.PartName(p)
 	}
 	return names
 }
--- a/internal/node/edge/engines_test.go
+++ b/internal/node/edge/engines_test.go
@@ -228,7 +228,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(4 * time.Second))
-	lines := "Connection: close\r\nX-Hickoryrock-Deadline-Ms: 3000\r\n" + platformtest.AuthorizationLine + platformtest.PartsLine(parts...)
+	lines := "Connection: close\r\n" + platformtest.DeadlineLine(3000) + platformtest.AuthorizationLine + platformtest.PartsLine(parts...)
 	if _, err := io.WriteString(c, platformtest.Request(path, lines, "x")); err != nil {
 		return 0
 	}
--- a/internal/node/edge/quarantine.go
+++ b/internal/node/edge/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"hickoryrock/internal/platform/objects"
@@ -81,7 +80,7 @@
 		if old, ok := stored[record.Part]; ok && record.LastSeen.Sub(old.LastSeen) < quarantineRefreshAge {
 			continue
 		}
-		name := platform.QuarantineName(record.Part)
+		name := quarantine.PartName(record.Part)
 		if err := r.store.Put(ctx, platform.KindQuarantine, name, platform.EncodeQuarantine(record)); err != nil {
 			r.log.Warn().Err(err).Str("part", name).Msg("failed to store the record of a quarantined prompt part")
 			return
@@ -92,7 +91,7 @@
 		if current[part] {
 			continue
 		}
-		name := platform.QuarantineName(part)
+		name := quarantine.PartName(part)
 		if err := r.store.Delete(ctx, platform.KindQuarantine, name); err != nil {
 			r.log.Warn().Err(err).Str("part", name).Msg("failed to delete the record of a released prompt part")
 			return
@@ -107,7 +106,7 @@
 		message = "prompt part released: it was answered completely"
 	}
 	now := time.Now()
-	r.log.Warn().Str("part", platform.QuarantineName(c.Part)).Int("crashes", c.Crashes).Bool("reported", c.Reported).
+	r.log.Warn().Str("part", quarantine.PartName(c.Part)).Int("crashes", c.Crashes).Bool("reported", c.Reported).
 		Dur("last-crash-ago-ms", now.Sub(c.LastCrash)).Dur("last-seen-ago-ms", now.Sub(c.LastSeen)).Msg(message)
 }
 
@@ -126,7 +125,7 @@
 	var out []quarantineView
 	for _, record := range r.quarantine.Records(now) {
 		out = append(out, quarantineView{
-			Part: strconv.FormatUint(record.Part, 16), Crashes: record.Crashes, Refused: record.IsActive(now),
+			Part: quarantine.PartName(record.Part), Crashes: record.Crashes, Refused: record.IsActive(now),
 			LastCrashAgeMS: now.Sub(record.LastCrash).Milliseconds(), LastSeenAgeMS: now.Sub(record.LastSeen).Milliseconds(),
 		})
 	}
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -252,7 +252,7 @@
 	if !recorded {
 		return
 	}
-	if isNewProcess && f.opts.Limits != nil {
+	if isNewProcess {
 		f.opts.Limits.ReportAll()
 	}
 	if b.GetChange() != nil {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -22,6 +22,7 @@
 	"hickoryrock/api/peer/v1/peerv1connect"
 	"hickoryrock/internal/fleet/storewatch"
 	"hickoryrock/internal/policy/affinity"
+	"hickoryrock/internal/policy/targetlimits"
 	"hickoryrock/internal/policy/targetstats"
 )
 
@@ -199,6 +200,9 @@
 		received:  metrics.GetOrCreateCounter(`hickoryrock_beacon_datagrams_total{direction="received"}`),
 		sentBytes: metrics.GetOrCreateCounter(`hickoryrock_beacon_bytes_sent_total`),
 	}
+	if f.opts.Limits == nil {
+		f.opts.Limits = targetlimits.NewTracker(f.LiveRouters)
+	}
 	return f, func() { _ = conn.Close() }, nil
 }
 
@@ -340,7 +344,7 @@
 		add(f.self.FailureDomain, f.self.CallerAddress)
 	}
 	for _, p := range f.peers {
-		if p.live && p.beacon.GetServing() && !p.beacon.GetLeaving() {
+		if p.servesCallers() {
 			add(p.beacon.GetFailureDomain(), p.beacon.GetCallerAddress())
 		}
 	}
@@ -350,6 +354,11 @@
 	return all[:min(limit, len(all))]
 }
 
+// servesCallers reports whether the peer is live and takes callers.
+func (p *peer) servesCallers() bool {
+	return p.live && p.beacon.GetServing() && !p.beacon.GetLeaving()
+}
+
 // ReportInterval returns the time between two reports of a router's loads.
 func (f *Fleet) ReportInterval() time.Duration { return f.interval() }
 
--- a/internal/peer/gossip/limits.go
+++ b/internal/peer/gossip/limits.go
@@ -10,9 +10,6 @@
 // sendLimits tells all peers the limits that targets have named in answers to this router,
 // if there is anything to tell.
 func (f *Fleet) sendLimits() {
-	if f.opts.Limits == nil {
-		return
-	}
 	now := time.Now()
 	reports := f.opts.Limits.TakeReport(now)
 	if len(reports) == 0 {
@@ -31,7 +28,7 @@
 
 // mergeLimits takes over the limits that another router has seen.
 func (f *Fleet) mergeLimits(b *peerv1.Beacon, now time.Time) {
-	if f.opts.Limits == nil || len(b.GetLimits()) == 0 {
+	if len(b.GetLimits()) == 0 {
 		return
 	}
 	reports := make([]targetlimits.Report, len(b.GetLimits()))
@@ -54,7 +51,7 @@
 	defer f.mu.Unlock()
 	others = make([]uint64, 0, len(f.peers))
 	for address, p := range f.peers {
-		if p.live && p.beacon.GetServing() && !p.beacon.GetLeaving() {
+		if p.servesCallers() {
 			others = append(others, uint64(senderID(address)))
 		}
 	}
--- a/internal/peer/gossip/options.go
+++ b/internal/peer/gossip/options.go
@@ -13,9 +13,8 @@
 	Options struct {
 		// Quarantine learns which prompt parts crash targets.
 		Quarantine *quarantine.Tracker
-		// Limits knows the limits that targets name. Nil means that it is not exchanged. It
-		// calls LiveRouters and ReportInterval with its lock held, so the fleet must not call
-		// it with its own.
+		// Limits knows the limits that targets name. It calls LiveRouters and ReportInterval
+		// with its lock held, so the fleet must not call it with its own.
 		Limits *targetlimits.Tracker
 	}
 )
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -122,7 +123,6 @@
 func (t *Tracker) RecordCrash(c Crash, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c.Parts = c.Parts[:min(len(c.Parts), maxCrashParts)]
 	t.outbox.addCrash(c)
 	t.addCrash(c, now)
 }
@@ -185,6 +185,9 @@
 	return out
 }
 
+// PartName returns the name of a part in logs, in answers and in the store.
+func PartName(part uint64) string { return strconv.FormatUint(part, 16) }
+
 // IsActive reports whether calls with the part are refused.
 func (r Record) IsActive(now time.Time) bool { return now.Sub(r.LastSeen) < quarantineTTL }
 
--- a/internal/policy/quarantine/report.go
+++ b/internal/policy/quarantine/report.go
@@ -31,27 +31,19 @@
 
 	// outbox holds what the next reports carry.
 	outbox struct {
-		crashes []queuedCrash
-		answers []queuedAnswer
-		records []queuedRecord
+		crashes []queued[Crash]
+		answers []queued[Answer]
+		// records holds parts, so that a report carries the latest state of their records.
+		records []queued[uint64]
 		// urgent signals a crash or a record that the others should know at once.
 		urgent chan struct{}
 		// next is the position in the rotation of all records.
 		next int
 	}
 
-	queuedCrash struct {
-		Crash
-		repeats int
-	}
-
-	queuedAnswer struct {
-		Answer
-		repeats int
-	}
-
-	queuedRecord struct {
-		part    uint64
+	// queued is a value that the next reports carry, as often as repeats says.
+	queued[T any] struct {
+		value   T
 		repeats int
 	}
 )
@@ -69,31 +61,34 @@
 	t.review(now)
 	var r Report
 	o := &t.outbox
-	for i := range o.crashes[:min(len(o.crashes), maxReportCrashes)] {
-		c := o.crashes[i].Crash
-		c.Parts = slices.Clone(c.Parts)
-		r.Crashes = append(r.Crashes, c)
-		o.crashes[i].repeats--
-	}
-	for i := range o.answers[:min(len(o.answers), maxReportAnswers)] {
-		r.Answers = append(r.Answers, o.answers[i].Answer)
-		o.answers[i].repeats--
-	}
-	for i := range o.records[:min(len(o.records), maxReportRecords)] {
-		if record := t.records[o.records[i].part]; record != nil {
+	r.Crashes, o.crashes = take(o.crashes, maxReportCrashes)
+	for i, c := range r.Crashes {
+		r.Crashes[i].Parts = slices.Clone(c.Parts) // The queue may add more.
+	}
+	r.Answers, o.answers = take(o.answers, maxReportAnswers)
+	var parts []uint64
+	parts, o.records = take(o.records, maxReportRecords)
+	for _, p := range parts {
+		if record := t.records[p]; record != nil {
 			r.Records = append(r.Records, *record)
 		}
-		o.records[i].repeats--
 	}
-	o.crashes = slices.DeleteFunc(o.crashes, func(q queuedCrash) bool { return q.repeats <= 0 })
-	o.answers = slices.DeleteFunc(o.answers, func(q queuedAnswer) bool { return q.repeats <= 0 })
-	o.records = slices.DeleteFunc(o.records, func(q queuedRecord) bool { return q.repeats <= 0 })
 	if full {
 		r.Records = append(r.Records, t.rotateRecords(maxReportRecords-len(r.Records), now)...)
 	}
 	return r
 }
 
+// take returns up to n values for a report, and the queue without those that have been
+// reported often enough.
+func take[T any](queue []queued[T], n int) (values []T, rest []queued[T]) {
+	for i := range queue[:min(len(queue), n)] {
+		values = append(values, queue[i].value)
+		queue[i].repeats--
+	}
+	return values, slices.DeleteFunc(queue, func(q queued[T]) bool { return q.repeats <= 0 })
+}
+
 // rotateRecords returns up to n active records, others each time. The lock must be held.
 func (t *Tracker) rotateRecords(n int, now time.Time) []Record {
 	var parts []uint64
@@ -169,48 +164,50 @@
 func (o *outbox) addCrash(c Crash) {
 	defer o.signal()
 	for i := range o.crashes {
-		q := &o.crashes[i]
-		if q.Target != c.Target || c.At.Sub(q.At).Abs() >= restartTime {
+		known := &o.crashes[i].value
+		if known.Target != c.Target || c.At.Sub(known.At).Abs() >= restartTime {
 			continue
 		}
 		for _, p := range c.Parts {
-			if len(q.Parts) < maxReportParts && !slices.Contains(q.Parts, p) {
-				q.Parts = append(q.Parts, p)
+			if len(known.Parts) < maxReportParts && !slices.Contains(known.Parts, p) {
+				known.Parts = append(known.Parts, p)
 			}
 		}
-		q.repeats = crashRepeats
+		o.crashes[i].repeats = crashRepeats
 		return
 	}
 	if len(o.crashes) < maxQueued {
 		c.Parts = slices.Clone(c.Parts[:min(len(c.Parts), maxReportParts)])
-		o.crashes = append(o.crashes, queuedCrash{c, crashRepeats})
+		o.crashes = append(o.crashes, queued[Crash]{c, crashRepeats})
 	}
 }
 
 func (o *outbox) addRecord(part uint64) {
 	if len(o.records) < maxQueued {
-		o.records = append(o.records, queuedRecord{part, crashRepeats})
+		o.records = append(o.records, queued[uint64]{part, crashRepeats})
 	}
 	o.signal()
 }
 
 func (o *outbox) addAnswer(a Answer) {
 	for i, q := range o.answers {
-		if q.Part == a.Part {
-			if a.At.After(q.At) {
-				o.answers[i].Answer = a
+		if q.value.Part == a.Part {
+			if a.At.After(q.value.At) {
+				o.answers[i].value = a
 			}
 			return
 		}
 	}
 	if len(o.answers) < maxQueued {
-		o.answers = append(o.answers, queuedAnswer{a, answerRepeats})
+		o.answers = append(o.answers, queued[Answer]{a, answerRepeats})
 	}
 }
 
 // dropAnswer drops a queued answer that another router has reported.
 func (o *outbox) dropAnswer(a Answer) {
-	o.answers = slices.DeleteFunc(o.answers, func(q queuedAnswer) bool { return q.Part == a.Part && !q.At.After(a.At) })
+	o.answers = slices.DeleteFunc(o.answers, func(q queued[Answer]) bool {
+		return q.value.Part == a.Part && !q.value.At.After(a.At)
+	})
 }
 
 func (o *outbox) signal() {
--- a/internal/policy/quarantine/review.go
+++ b/internal/policy/quarantine/review.go
@@ -39,7 +39,7 @@
 	t.expire(now)
 	e := evidence{byPart: make(map[uint64][]*crash)}
 	for _, c := range t.crashes {
-		if c.at.After(until) || slices.ContainsFunc(c.parts, func(p uint64) bool { return t.isQuarantined(p, now) }) {
+		if c.at.After(until) || t.isExplained(c, now) {
 			continue
 		}
 		e.crashes = append(e.crashes, c)
@@ -50,6 +50,12 @@
 	return e
 }
 
+// isExplained reports whether a quarantined part accounts for a crash. The lock must be
+// held.
+func (t *Tracker) isExplained(c *crash, now time.Time) bool {
+	return slices.ContainsFunc(c.parts, func(p uint64) bool { return t.isQuarantined(p, now) })
+}
+
 // guilty returns the part that accounts for most crashes, with them, or none if there is
 // not enough evidence. A part with a record is guilty after one crash.
 func (e evidence) guilty(records map[uint64]*Record) (part uint64, crashes []*crash) {
@@ -154,18 +160,17 @@
 
 // suspicion returns the standing of parts that are not quarantined. The lock must be held.
 func (t *Tracker) suspicion(parts []uint64, now time.Time) Standing {
+	t.expire(now)
 	worst := Clear
-	var e *evidence
 	for _, p := range parts {
-		if !slices.ContainsFunc(t.crashes, func(c *crash) bool { return slices.Contains(c.parts, p) }) {
-			continue
-		}
-		if e == nil {
-			all := t.evidence(now, now)
-			e = &all
+		var crashes []*crash
+		for _, c := range t.crashes {
+			if slices.Contains(c.parts, p) && !t.isExplained(c, now) {
+				crashes = append(crashes, c)
+			}
 		}
 		answered, ok := t.answers[p]
-		switch n := separate(e.byPart[p]); {
+		switch n := separate(crashes); {
 		case n > 1:
 			return Repeated
 		case n == 1 && (!ok || now.Sub(answered) > answerTTL):
--- a/internal/policy/targetlimits/senders.go
+++ b/internal/policy/targetlimits/senders.go
@@ -86,9 +86,7 @@
 // spend takes calls from the bucket, which may be overdrawn: other routers' calls are
 // known only afterwards.
 func (k *target) spend(calls int, now time.Time) {
-	for range calls {
-		if k.bucket.TokensAt(now) > -maxDebt {
-			k.bucket.ReserveN(now, 1)
-		}
+	for ; calls > 0 && k.bucket.TokensAt(now) > -maxDebt; calls-- {
+		k.bucket.ReserveN(now, 1)
 	}
 }
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -154,17 +154,6 @@
 	return &Response{Head: head, Body: http1.Body(cn.reader, head.Length), Reused: cn.reused, conn: cn}, nil
 }
 
-// Refuses reports whether a new connection to an endpoint is refused, as it is when no
-// process listens there. An endpoint that does not respond does not count.
-func (p *Pool) Refuses(ctx context.Context, e Endpoint) bool {
-	dialer := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", e.Address)
-	if err == nil {
-		_ = c.Close() // Nothing was sent.
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // CloseIdle closes the idle connections to an endpoint.
 func (p *Pool) CloseIdle(e Endpoint) {
 	p.mu.Lock()
@@ -265,14 +254,9 @@
 		_ = c.Close()
 	}
 	metrics.GetOrCreateCounter(`hickoryrock_target_connections_total`).Inc()
-	dialer := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1}
-	n, err := dialer.DialContext(ctx, "tcp", e.Address)
-	if err != nil {
-		reason := ReasonNoConnection
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			reason = ReasonRefused
-		}
-		return nil, &Failure{Status: NotSent, Reason: reason, Err: err}
+	n, failure := p.dial(ctx, e)
+	if failure != nil {
+		return nil, failure
 	}
 	return &conn{
 		Conn: n, key: e.Key, reader: bufio.NewReaderSize(n, readBufferBytes), written: make(chan error, 1),
