--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -194,6 +194,7 @@
 		c.h.Limits.Observe(target.Hash, headers.Limit, time.Now())
 	}
 	c.recordProgress(tracked, time.Now())
+	c.framing = framingName(response.Head)
 	c.headAt = time.Since(c.attemptStart)
 	if headers.NotExecuted {
 		// The head is the proof: its body may be slow and must not delay a retry.
@@ -273,6 +274,7 @@
 		return
 	}
 	reason := "answer-cut"
+	c.logIncomplete(target, err)
 	c.recordCut(ctx, target)
 	if errors.Is(err, http1client.ErrBodyTooLarge) {
 		reason = "answer-too-large"
@@ -320,6 +322,7 @@
 			return
 		}
 		if err != nil {
+			c.logIncomplete(target, err)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
 			c.recordCut(ctx, target)
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -120,8 +120,10 @@
 		lastProgress atomic.Int64
 		begun        atomic.Bool
 		attemptStart time.Time
-		// headAt is the time from attemptStart to the response's head.
-		headAt time.Duration
+		// headAt is the time from attemptStart to the response's head, framing what ends
+		// its body.
+		headAt  time.Duration
+		framing string
 		// reserved is the part of the response memory that this call holds, in bytes.
 		reserved int64
 		// buffered is a target's complete response, relayed unless a retry follows.
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -6,7 +6,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/policy/quarantine"
+	"hickoryrock/internal/wire/http1"
 )
 
 // record updates the metrics and writes the call's log line.
@@ -41,7 +43,7 @@
 		Str("placement", string(c.placement.Reason)).Int("unread", c.placement.PrefillTokens).Int("reread", c.placement.RecomputedTokens).
 		Int("fetched", c.placement.FetchedTokens).Strs("parts", partNames(c.sharedParts)).
 		Dur("caller-waits-ms", c.headers.Deadline).Int("sends", c.progress.Attempts).Int("runs", c.progress.PossibleExecutions).
-		Int("status", c.status).Str("reason", reason).Dur("first-event-ms", c.timeToFirstEvent()).
+		Int("status", c.status).Str("framing", c.framing).Str("reason", reason).Dur("first-event-ms", c.timeToFirstEvent()).
 		Dur("took-ms", elapsed).Msg("call")
 }
 
@@ -52,3 +54,23 @@
 	}
 	return c.firstEvent.Sub(c.start)
 }
+
+// framingName returns the name of what ends a response's body.
+func framingName(head *http1.Response) string {
+	switch head.Length {
+	case http1.Chunked:
+		return "chunked"
+	case http1.UntilClose:
+		return "until-close"
+	}
+	return "length"
+}
+
+// logIncomplete logs and counts a response that is not complete because of err.
+func (c *call) logIncomplete(target *state.Target, err error) {
+	metrics.GetOrCreateCounter(`hickoryrock_incomplete_answers_total{framing="` + c.framing + `"}`).Inc()
+	c.h.Log.Warn().Str("call", c.headers.ID).Str("target", target.ID).Str("framing", c.framing).
+		Str("last-event", c.stream.lastID).Int("bytes-after-last-event", len(c.stream.pending)).
+		Bool("begun", c.writer.Started()).Int64("answer-age-ms", (time.Since(c.attemptStart) - c.headAt).Milliseconds()).
+		AnErr("cause", err).Msg("answer incomplete")
+}
