--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -71,6 +71,6 @@
 	metrics.GetOrCreateCounter(`hickoryrock_incomplete_answers_total{framing="` + c.framing + `"}`).Inc()
 	c.h.Log.Warn().Str("call", c.headers.ID).Str("target", target.ID).Str("framing", c.framing).
 		Str("last-event", c.stream.lastID).Int("bytes-after-last-event", len(c.stream.pending)).
-		Bool("begun", c.writer.Started()).Int64("answer-age-ms", (time.Since(c.attemptStart) - c.headAt).Milliseconds()).
+		Bool("begun", c.writer.Started()).Int64("answer-age-ms", (time.Since(c.attemptStart)-c.headAt).Milliseconds()).
 		AnErr("cause", err).Msg("answer incomplete")
 }
--- /dev/null
+++ b/internal/fleet/forward/whole_test.go
@@ -0,0 +1,142 @@
+package forward_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/internal/wire/http1"
+	"hickoryrock/platform/platformtest"
+)
+
+// sending returns a script that sends a head and bytes, and then closes the connection.
+func sending(head func(rawserver.Request) string, bytes string) rawserver.Handler {
+	return func(c net.Conn, r rawserver.Request) bool {
+		_, _ = io.WriteString(c, head(r)+bytes)
+		return false
+	}
+}
+
+// assertBrokenOff checks that the caller sees that a response is incomplete.
+func (f *fixture) assertBrokenOff(got response) {
+	f.Helper()
+	f.Assert(got.err != nil || got.Status == 502, qt.IsTrue, qt.Commentf("%+v", got))
+}
+
+// Guards against an event stream that ends inside an event and is passed on as complete
+// because its route does not declare streams.
+func TestEventStreamsOfOtherRoutesThatEndInsideAnEvent(t *testing.T) {
+	for name, head := range map[string]func(rawserver.Request) string{
+		"unframed": platformtest.UnframedStreamHead,
+		"status 206": func(r rawserver.Request) string {
+			return strings.Replace(platformtest.UnframedStreamHead(r), "200 OK", "206 Partial", 1)
+		},
+	} {
+		for cut, bytes := range map[string]string{"inside an event": wholeStream(2) + "id: 3\nda", "before the first event": ""} {
+			for _, path := range []string{"/once/a", "/safe/a", "/stream/a"} {
+				t.Run(name+" "+cut+" on "+path, func(t *testing.T) {
+					f := newFixture(t, 1, sending(head, bytes))
+					f.assertBrokenOff(f.call(path))
+				})
+			}
+		}
+		t.Run(name+" after an event it is whole", func(t *testing.T) {
+			f := newFixture(t, 1, sending(head, wholeStream(2)))
+			got := f.call("/safe/a")
+			f.Assert(got.err, qt.IsNil)
+			f.Assert(got.body, qt.Equals, wholeStream(2))
+		})
+	}
+}
+
+// Guards against a stream that was cut at any byte and is passed on as complete, or with
+// other bytes than those that the target has sent.
+func TestStreamsThatEndAtAnyByte(t *testing.T) {
+	streams := map[string]string{
+		"LF":   "id: 1\ndata: a\n\nid: 23\ndata: b\n\n",
+		"CRLF": "id: 1\r\ndata: a\r\n\r\nid: 23\r\ndata: b\r\n\r\n",
+	}
+	for name, stream := range streams {
+		t.Run(name, func(t *testing.T) {
+			var cut string
+			f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
+				return sending(platformtest.UnframedStreamHead, cut)(c, r)
+			})
+			ends := map[int]bool{len(stream): true, strings.Index(stream, "id: 23"): true}
+			for n := range len(stream) + 1 {
+				cut = stream[:n]
+				got := f.call("/stream/a")
+				f.Assert(strings.HasPrefix(cut, got.body), qt.IsTrue, qt.Commentf("%q became %q", cut, got.body))
+				if !ends[n] {
+					f.assertBrokenOff(got)
+					continue
+				}
+				f.assertResponse(got, 200, cut)
+			}
+		})
+	}
+	t.Run("empty lines after the last event are passed on", func(t *testing.T) {
+		stream := wholeStream(1) + "\n"
+		f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
+			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk(wholeStream(1)))
+			time.Sleep(20 * time.Millisecond) // The empty line arrives by itself.
+			_, err := io.WriteString(c, chunk("\n")+"0\r\n\r\n")
+			return err == nil
+		})
+		f.assertResponse(f.call("/stream/a"), 200, stream)
+	})
+	t.Run("a line end that is cut is not whole", func(t *testing.T) {
+		f := newFixture(t, 1, sending(platformtest.UnframedStreamHead, wholeStream(1)+"\r"))
+		f.assertBrokenOff(f.call("/stream/a"))
+	})
+}
+
+// Guards against events that reach the caller twice: a stream whose last events have no
+// ID cannot be resumed after them.
+func TestStreamsWithoutIDsAreNotResumed(t *testing.T) {
+	for name, events := range map[string]string{
+		"no event has an ID":         "data: a\n\ndata: b\n\n",
+		"the last event has no ID":   "id: 1\ndata: a\n\ndata: b\n\n",
+		"the last event's is empty":  "id: 1\ndata: a\n\nid:\ndata: b\n\n",
+		"the ID follows in the next": "data: a\n\nid: 2\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, sending(platformtest.StreamHead, chunk(events)))
+			got := f.call("/resume/a")
+			f.assertBrokenOff(got)
+			f.Assert(f.targetRequests(), qt.Equals, 1)
+			f.Assert(strings.Count(got.body, "data: a"), qt.Equals, 1)
+		})
+	}
+	t.Run("they are resumed after a later event with an ID", func(t *testing.T) {
+		first := true
+		f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
+			script := eventScript(3, 0)
+			if first {
+				script, first = sending(platformtest.StreamHead, chunk("data: note\n\nid: 1\ndata: x\n\n")), false
+			}
+			return script(c, r)
+		})
+		f.assertResponse(f.call("/resume/a"), 200, "data: note\n\n"+wholeStream(3))
+	})
+}
+
+// Guards against body bytes after the head of a response to a HEAD request, which a
+// caller would take for its next response.
+func TestHeadRequestsOfStreamsHaveNoBody(t *testing.T) {
+	f := newFixture(t, 1, sending(platformtest.StreamHead, ""))
+	c, r := f.dial()
+	_, err := io.WriteString(c, strings.Replace(platformtest.Request("/stream/a", platformtest.AuthorizationLine, ""), "POST", "HEAD", 1)+
+		platformtest.Request("/missing/a", platformtest.AuthorizationLine, ""))
+	f.Assert(err, qt.IsNil)
+	for _, want := range []int{200, 404} {
+		head, err := http1.ReadResponse(r, 16<<10, "HEAD")
+		f.Assert(err, qt.IsNil)
+		f.Assert(head.Status, qt.Equals, want)
+	}
+}
--- a/internal/wire/http1/http1_test.go
+++ b/internal/wire/http1/http1_test.go
@@ -164,6 +164,21 @@
 	}
 }
 
+// Guards against a truncated body whose second read reports a complete end.
+func TestTruncatedBodiesStayTruncated(t *testing.T) {
+	for name, raw := range map[string]string{
+		"no last chunk": "2\r\nab\r\n", "no end of trailers": "2\r\nab\r\n0\r\n", "trailer cut": "2\r\nab\r\n0\r\nX-T",
+	} {
+		t.Run(name, func(t *testing.T) {
+			body := http1.Body(bufio.NewReader(strings.NewReader(raw)), http1.Chunked)
+			_, _ = io.ReadAll(body)
+			n, err := body.Read(make([]byte, 1))
+			qt.Assert(t, n, qt.Equals, 0)
+			qt.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
 // FuzzRequest checks that a request that was accepted and written again is parsed
 // as the same request by a second parser, with nothing left over.
 func FuzzRequest(f *testing.F) {
