--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -213,7 +212,7 @@
 		return
 	}
 	body, err := c.readBody(response)
-	if err != nil {
+	if err = checkWholeBody(response.Head, body, err); err != nil {
 		c.h.Pool.Discard(response)
 		c.recordBodyError(ctx, target, err)
 		return
@@ -316,12 +315,10 @@
 			c.progress.Outcome = Responded
 			return
 		}
-		if errors.Is(err, io.EOF) && c.isWhole(response.Head, prefilled) {
-			c.finishStream(target, response)
-			c.recordComplete(ctx, target, response.Head)
-			return
+		if err == nil {
+			continue
 		}
-		if err != nil {
+		if err = checkWhole(response.Head, err, true, prefilled, c.stream.pending); err != nil {
 			c.logIncomplete(target, err)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
@@ -329,16 +326,13 @@
 			c.recordFailure(ctx, target, false, "stream-cut")
 			return
 		}
+		c.writeEvents(response.Head, c.stream.pending) // Empty lines.
+		c.finishStream(target, response)
+		c.recordComplete(ctx, target, response.Head)
+		return
 	}
 }
 
-// isWhole reports whether a stream that has ended as its framing requires is complete. It
-// is not if it ends inside an event. Without a length or chunks, one without events may
-// also have been broken off.
-func (c *call) isWhole(head *http1.Response, hasEvents bool) bool {
-	return !c.stream.isInsideEvent() && (head.Length != http1.UntilClose || hasEvents)
-}
-
 // writeEvents sends complete events to the caller, with the response head first if needed.
 func (c *call) writeEvents(head *http1.Response, data []byte) {
 	if len(data) == 0 {
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -45,10 +45,6 @@
 	return complete, nil
 }
 
-// isInsideEvent reports whether bytes follow the last complete event. Empty lines between
-// events are no event.
-func (e *eventBuffer) isInsideEvent() bool { return len(bytes.Trim(e.pending, "\r\n")) > 0 }
-
 // reset discards an incomplete event.
 func (e *eventBuffer) reset() { e.pending = e.pending[:0] }
 
--- /dev/null
+++ b/internal/fleet/forward/whole.go
@@ -0,0 +1,50 @@
+package forward
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+
+	"hickoryrock/internal/wire/http1"
+)
+
+var (
+	errInsideEvent = errors.New("the event stream ends inside an event")
+	errNoEvent     = errors.New("the event stream ends with its connection before the first event")
+)
+
+// checkWhole returns nil if a response is complete whose body has ended with err, and
+// otherwise why it is not. A body that ends as its framing requires ends with nil or io.EOF.
+// For an event stream, hasEvents tells whether there were complete events, and tail holds the
+// bytes after them; without a length or chunks, only these tell a complete stream from one
+// that was cut.
+func checkWhole(head *http1.Response, err error, isStream, hasEvents bool, tail []byte) error {
+	switch {
+	case err != nil && !errors.Is(err, io.EOF):
+		return err
+	case !isStream:
+		return nil
+	case !isEmptyLines(tail):
+		return errInsideEvent
+	case head.Length == http1.UntilClose && !hasEvents:
+		return errNoEvent
+	}
+	return nil
+}
+
+// checkWholeBody is checkWhole for a response whose body was read as a whole.
+func checkWholeBody(head *http1.Response, body []byte, err error) error {
+	end := lastBoundary(body)
+	return checkWhole(head, err, isEventStream(head), end > 0, body[end:])
+}
+
+func isEventStream(head *http1.Response) bool {
+	mediaType, _, _ := strings.Cut(head.Field("content-type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
+// isEmptyLines reports whether b holds only empty lines, each with its line end.
+func isEmptyLines(b []byte) bool {
+	return len(bytes.Trim(b, "\r\n")) == 0 && !bytes.HasSuffix(b, []byte("\r"))
+}
