--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -298,6 +298,7 @@
 		}
 		if len(events) > 0 {
 			now := time.Now()
+			c.unresumable.Store(c.stream.unnumbered)
 			c.recordProgress(tracked, now)
 			if !prefilled {
 				prefilled = true
--- a/internal/fleet/forward/decide.go
+++ b/internal/fleet/forward/decide.go
@@ -57,6 +57,9 @@
 		PossibleExecutions int
 		// Started is set when a part of the response has been sent to the caller.
 		Started bool
+		// Unnumbered is set when the caller has received events of a stream that no event ID
+		// covers, so that resuming the stream would repeat them.
+		Unnumbered bool
 		// Remaining is the time until the call's deadline.
 		Remaining time.Duration
 		// Withheld is set when the call must not be retried because its prompt may have
@@ -100,5 +103,5 @@
 	if route.AtMostOnce() || p.PossibleExecutions >= route.MaxAttempts {
 		return false
 	}
-	return !p.Started || route.Resumable
+	return !p.Started || (route.Resumable && !p.Unnumbered)
 }
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -19,8 +19,10 @@
 // eventBuffer splits a server-sent event stream at event boundaries.
 type eventBuffer struct {
 	pending []byte
-	// lastID is the ID of the last event that was returned.
-	lastID string
+	// lastID is the ID of the last event with one that was returned; unnumbered is set if
+	// events without an ID have followed it.
+	lastID     string
+	unnumbered bool
 }
 
 // add appends bytes of the stream and returns the complete events among all
@@ -39,12 +41,31 @@
 	end += searched
 	complete := bytes.Clone(e.pending[:end])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
-	if id, ok := lastEventID(complete); ok {
-		e.lastID = id
-	}
+	e.recordIDs(complete)
 	return complete, nil
 }
 
+// recordIDs updates lastID and unnumbered from complete events.
+func (e *eventBuffer) recordIDs(events []byte) {
+	id, isEvent := "", false
+	for line := range bytes.Lines(events) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) == 0 && isEvent:
+			e.unnumbered = id == ""
+			if id != "" {
+				e.lastID = id
+			}
+			id, isEvent = "", false
+		case len(line) > 0 && line[0] != ':': // Other lines are comments.
+			isEvent = true
+			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+				id = string(bytes.TrimSpace(value))
+			}
+		}
+	}
+}
+
 // reset discards an incomplete event.
 func (e *eventBuffer) reset() { e.pending = e.pending[:0] }
 
@@ -65,15 +86,3 @@
 func countEvents(b []byte) int {
 	return bytes.Count(b, []byte("\n\n")) + bytes.Count(b, []byte("\n\r\n"))
 }
-
-func lastEventID(b []byte) (string, bool) {
-	for len(b) > 0 {
-		start := bytes.LastIndexByte(b[:len(b)-1], '\n') + 1
-		line := bytes.TrimRight(b[start:], "\r\n")
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value)), true
-		}
-		b = b[:start]
-	}
-	return "", false
-}
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -116,9 +116,11 @@
 		stream        eventBuffer
 		// lastProgress is when the response's head or its last complete event was
 		// received, in nanoseconds after attemptStart by the steady clock; zero before.
-		// begun is set when a stream's first events have been relayed.
+		// begun is set when a stream's first events have been relayed, unresumable while its
+		// last ones have no ID.
 		lastProgress atomic.Int64
 		begun        atomic.Bool
+		unresumable  atomic.Bool
 		attemptStart time.Time
 		// headAt is the time from attemptStart to the response's head, framing what ends
 		// its body.
@@ -216,7 +218,7 @@
 		}
 		c.attempt(ctx)
 		c.progress.Remaining = time.Until(c.deadline)
-		c.progress.Started = c.writer.Started()
+		c.progress.Started, c.progress.Unnumbered = c.writer.Started(), c.stream.unnumbered
 		c.reviewCrash(ctx)
 		if c.abortIfCallerClosed(ctx) {
 			return
--- a/internal/fleet/forward/silence.go
+++ b/internal/fleet/forward/silence.go
@@ -102,7 +102,7 @@
 			if c.begun.Load() && !c.route.Resumable {
 				return // Cancelling would cut a stream that nothing can continue.
 			}
-			if c.hasAlternative(now) && c.reserveRetry(now) {
+			if !c.unresumable.Load() && c.hasAlternative(now) && c.reserveRetry(now) {
 				cancel(errSilent)
 				return
 			}
--- a/internal/fleet/forward/whole_test.go
+++ b/internal/fleet/forward/whole_test.go
@@ -113,6 +113,16 @@
 			f.Assert(strings.Count(got.body, "data: a"), qt.Equals, 1)
 		})
 	}
+	t.Run("a silent target is not left", func(t *testing.T) {
+		f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
+			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk("data: a\n\n"))
+			time.Sleep(time.Second + 200*time.Millisecond)
+			_, err := io.WriteString(c, chunk("data: b\n\n")+"0\r\n\r\n")
+			return err == nil
+		})
+		f.assertResponse(f.call("/resume/a"), 200, "data: a\n\ndata: b\n\n")
+		f.Assert(f.targetRequests(), qt.Equals, 1)
+	})
 	t.Run("they are resumed after a later event with an ID", func(t *testing.T) {
 		first := true
 		f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
