--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -207,7 +207,7 @@
 		c.recordUnusable(target, "unsealed-answer")
 		return
 	}
-	if c.route.Streaming && response.Head.Status == http.StatusOK {
+	if c.route.Streaming && response.Head.Status == http.StatusOK && c.request.Method != http.MethodHead {
 		c.relayStream(ctx, target, tracked, response)
 		return
 	}
