--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -257,7 +257,8 @@
 	chunkedBody struct {
 		source *bufio.Reader
 		chunks io.Reader
-		done   bool
+		// end is the error with which the body has ended, or nil.
+		end error
 	}
 )
 
@@ -276,21 +277,26 @@
 
 // Read implements io.Reader.
 func (b *chunkedBody) Read(p []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
+	if b.end != nil {
+		return 0, b.end
 	}
 	n, err := b.chunks.Read(p)
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	b.done = true
+	b.end = b.readTrailers()
+	return n, b.end
+}
+
+// readTrailers discards the trailer section and returns io.EOF if it is complete.
+func (b *chunkedBody) readTrailers() error {
 	for remaining := maxTrailerBytes; ; {
 		line, err := readLine(b.source, &remaining)
 		if err != nil {
-			return n, eris.Wrap(io.ErrUnexpectedEOF, "trailer")
+			return eris.Wrap(io.ErrUnexpectedEOF, "trailer")
 		}
 		if len(line) == 0 {
-			return n, io.EOF
+			return io.EOF
 		}
 	}
 }
