--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -17,7 +17,7 @@
 func (w *Watcher) handleTargets(page platform.Page, full bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if full && page.Revision < w.revision {
+	if full && page.Revision.Number < w.revision {
 		return false
 	}
 	after := w.revision
@@ -42,7 +42,7 @@
 // names its origin, from. It returns false when changes between the known
 // revision and d.After are missing.
 func (w *Watcher) ApplyTargets(d Delta, full bool, from string) bool {
-	page := platform.Page{Revision: d.Revision}
+	page := platform.Page{Revision: state.Revision{Number: d.Revision}}
 	for _, item := range d.Items {
 		o := platform.Object{Name: item.Deleted, Deleted: true}
 		if item.Deleted == "" {
@@ -115,7 +115,7 @@
 			}
 		}
 	}
-	w.revision = max(w.revision, page.Revision)
+	w.revision = max(w.revision, page.Revision.Number)
 	if full && changed {
 		w.recentDeltas, w.recentAfter, w.listRevision = nil, w.revision, w.revision
 	}
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -109,6 +109,10 @@
 		// recoveredAt is the end of the last outage that was not local.
 		recoveredAt  time.Time
 		outageLogged bool
+		// era is the last era that the store stated; eraLogged is set once an answer without
+		// one was logged.
+		era       uint64
+		eraLogged bool
 	}
 
 	entry struct {
@@ -272,15 +276,17 @@
 		}
 		failures, started = 0, true
 		w.recordSuccess(s)
+		w.recordEra(s, page, full)
 		switch {
 		case !apply(page, full):
+			metrics.GetOrCreateCounter(`hickoryrock_stale_lists_total`).Inc()
 			_ = objects.Sleep(ctx, retryBaseDelay) // Stale list: list again.
-		case !full && len(page.Objects) == 0 && page.Revision > revision:
+		case !full && len(page.Objects) == 0 && page.Revision.Number > revision:
 			// The revision has advanced without events: either another kind has
 			// changed or the watch has lost events. Only a list can tell.
 			revision = 0
 		default:
-			revision = max(revision, page.Revision)
+			revision = max(revision, page.Revision.Number)
 			if !full && len(page.Objects) > 0 {
 				_ = objects.Sleep(ctx, changePause)
 			}
@@ -334,6 +340,24 @@
 	s.failingSince, s.outageLogged = time.Time{}, false
 }
 
+// recordEra logs a change of the store's era, with the revision that comes with it and the
+// one that this router knows.
+func (w *Watcher) recordEra(s *watchState, page platform.Page, full bool) {
+	if page.EraError != nil {
+		if !s.eraLogged {
+			s.eraLogged = true
+			w.log.Info().Str("kind", s.kind).Err(page.EraError).Msg("store states no era")
+		}
+		return
+	}
+	if page.Revision.Era == s.era {
+		return
+	}
+	w.log.Info().Str("kind", s.kind).Uint64("from-era", s.era).Stringer("revision", page.Revision).
+		Uint64("known-revision", w.View().Targets.Revision).Bool("list", full).Msg("store is in another era")
+	s.era = page.Revision.Era
+}
+
 func (w *Watcher) handleConfigurations(page platform.Page, _ bool) bool {
 	for _, o := range page.Objects {
 		if o.Name == platform.CurrentConfiguration && !o.Deleted {
