--- a/internal/fleet/forward/quarantine.go
+++ b/internal/fleet/forward/quarantine.go
@@ -151,7 +151,7 @@
 	metrics.GetOrCreateCounter(`hickoryrock_target_crashes_total`).Inc()
 	c.h.Log.Warn().Str("call", c.headers.ID).Str("target", target.ID).Strs("parts", partNames(c.sharedParts)).
 		Int64("answer-age-ms", (at.Sub(c.attemptStart)-c.headAt).Milliseconds()).
-		Uint64("targets-revision", c.targets.Revision).Msg("target crashed while it answered a call")
+		Uint64("store-era", c.targets.Revision.Era).Uint64("targets-revision", c.targets.Revision.Number).Msg("target crashed while it answered a call")
 }
 
 // recordComplete records a complete answer. One that ends with its connection may have
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -39,7 +39,7 @@
 	}
 	line.Str("call", c.headers.ID).Str("route", route).Str("service", c.service).
 		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
-		Uint64("targets-revision", c.targets.Revision).Strs("targets", c.sentTo).
+		Uint64("store-era", c.targets.Revision.Era).Uint64("targets-revision", c.targets.Revision.Number).Strs("targets", c.sentTo).
 		Str("placement", string(c.placement.Reason)).Int("unread", c.placement.PrefillTokens).Int("reread", c.placement.RecomputedTokens).
 		Int("fetched", c.placement.FetchedTokens).Strs("parts", partNames(c.sharedParts)).
 		Dur("caller-waits-ms", c.headers.Deadline).Int("sends", c.progress.Attempts).Int("runs", c.progress.PossibleExecutions).
--- a/internal/fleet/state/revision.go
+++ b/internal/fleet/state/revision.go
@@ -5,6 +5,9 @@
 	"strconv"
 )
 
+// FirstEra is the era of a store that has never come back from an earlier state.
+const FirstEra = 1
+
 // Revision is a position in the store's history. A store that comes back from an earlier
 // state loses the changes since then and gives their numbers out again, in a new era.
 type Revision struct {
@@ -22,6 +25,12 @@
 // Before reports whether r is before other.
 func (r Revision) Before(other Revision) bool { return r.Compare(other) < 0 }
 
+// NeedsSnapshot reports whether the state as of r does not lead to the one as of later by
+// changes alone, because the store has come back from an earlier state in between.
+func (r Revision) NeedsSnapshot(later Revision) bool {
+	return r.Era < later.Era && later.Era > FirstEra
+}
+
 // String returns the era and the number as they appear in logs.
 func (r Revision) String() string {
 	return strconv.FormatUint(r.Era, 10) + "/" + strconv.FormatUint(r.Number, 10)
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -101,7 +101,8 @@
 		Address       string
 		FailureDomain string
 		Slots         int
-		// Draining is set while the target drains and must get no new calls.
+		// Draining is set while the target drains, or is known to have left, and must get no
+		// new calls.
 		Draining bool
 		// StartUnixMilli is the start time of this incarnation in Unix milliseconds;
 		// zero when unknown.
@@ -112,11 +113,12 @@
 
 	// Targets is the set of the fleet's targets as of a revision of the store.
 	Targets struct {
-		Revision uint64
+		Revision Revision
 		// Digest is a checksum of the entries, by which routers compare their sets.
 		Digest uint64
-		// ListRevision is the revision of the last full list that this set is based on.
-		ListRevision uint64
+		// ListRevision is the revision of the last full list that this set is based on, in
+		// the same era as Revision.
+		ListRevision Revision
 		ByService    map[string][]*Target
 	}
 
@@ -180,9 +182,7 @@
 func NewTargets(targets []*Target) *Targets {
 	t := &Targets{ByService: make(map[string][]*Target)}
 	for _, target := range targets {
-		// A target that restarts under the same name has lost its cache and state,
-		// so the hash includes the start time.
-		target.Hash = xxhash.Sum64String(target.ID + "/" + strconv.FormatInt(target.StartUnixMilli, 10))
+		target.Hash = target.Incarnation()
 		t.ByService[target.Service] = append(t.ByService[target.Service], target)
 	}
 	for _, list := range t.ByService {
@@ -191,6 +191,12 @@
 	return t
 }
 
+// Incarnation returns the hash that identifies this incarnation. It includes the start time:
+// a target that restarts under the same name has lost its cache and state.
+func (t *Target) Incarnation() uint64 {
+	return xxhash.Sum64String(t.ID + "/" + strconv.FormatInt(t.StartUnixMilli, 10))
+}
+
 // Hashes returns the hashes of targets, in the same order.
 func Hashes(targets []*Target) []uint64 {
 	hashes := make([]uint64, len(targets))
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"hickoryrock/internal/fleet/state"
@@ -17,11 +18,15 @@
 func (w *Watcher) handleTargets(page platform.Page, full bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if full && page.Revision.Number < w.revision {
+	switch {
+	case full && page.Revision.Before(w.revision):
 		return false
+	case page.Revision.Era < w.revision.Era:
+		return true
 	}
 	after := w.revision
-	if !w.apply(page, full, w.targetWatch.recoveredAt.Add(recoveryGrace)) || full {
+	w.enterEra(page.Revision, originStore)
+	if !w.apply(page, full, w.keepUntil(full)) || full {
 		return true
 	}
 	delta := Delta{After: after, Revision: w.revision}
@@ -42,31 +47,99 @@
 // names its origin, from. It returns false when changes between the known
 // revision and d.After are missing.
 func (w *Watcher) ApplyTargets(d Delta, full bool, from string) bool {
-	page := platform.Page{Revision: state.Revision{Number: d.Revision}}
+	page := platform.Page{Revision: d.Revision}
+	kept := make(map[string]time.Duration)
 	for _, item := range d.Items {
 		o := platform.Object{Name: item.Deleted, Deleted: true}
 		if item.Deleted == "" {
 			o = platform.DecodeRaw(item.Entry)
 		}
+		if item.KeptFor > 0 {
+			kept[o.Name] = min(item.KeptFor, recoveryGrace)
+		}
 		page.Objects = append(page.Objects, o)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if d.Revision < w.revision || (d.Revision == w.revision && !full) {
+	if d.Revision.Before(w.revision) || (d.Revision == w.revision && !full) {
 		return true
 	}
-	if !full && d.After > w.revision {
+	if !full && (d.After.Era != w.revision.Era || w.revision.Before(d.After)) {
 		return false
 	}
-	w.apply(page, full, time.Time{})
+	var keepUntil time.Time
+	if w.enterEra(d.Revision, from) {
+		keepUntil = w.keepUntil(full)
+	}
+	w.apply(page, full, keepUntil)
+	for name, d := range kept {
+		w.expiring[name] = time.Now().Add(d)
+	}
 	if !full {
 		w.recordDelta(d)
 	}
-	w.log.Info().Uint64("targets-revision", d.Revision).Bool("all", full).Str("from", from).
-		Msg("targets received from another router")
+	w.log.Info().Uint64("store-era", d.Revision.Era).Uint64("targets-revision", d.Revision.Number).Bool("all", full).
+		Str("from", from).Int("kept", len(kept)).Msg("targets received from another router")
 	return true
 }
 
+// ApplyDepartures adds incarnations of targets that another router knows to have left.
+func (w *Watcher) ApplyDepartures(list []Departure) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, d := range list {
+		w.departures.record(d)
+	}
+	w.hasDepartures = true
+	if len(list) > 0 {
+		w.publishTargets()
+	}
+}
+
+// LacksDepartures reports whether this router may use targets that have left: it has started
+// after the store came back from an earlier state, and no other router has told which of the
+// listed targets left before.
+func (w *Watcher) LacksDepartures() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.revision.Era > state.FirstEra && !w.hasDepartures && time.Since(w.eraSince) < w.lapseTime
+}
+
+// enterEra prepares for a revision of a later era: the store has come back from an earlier
+// state, so that lower revisions are later ones. It reports whether it has. The first era
+// that a router sees is not a later one. w.mu must be held.
+func (w *Watcher) enterEra(r state.Revision, from string) bool {
+	known := w.revision
+	if r.Era <= known.Era {
+		return false
+	}
+	w.revision, w.listRevision = r, r
+	w.recentDeltas, w.recentAfter = nil, r
+	w.eraSince, w.eraBase = time.Now(), r.Number
+	if known.Era == 0 {
+		return false
+	}
+	w.hasDepartures = true
+	w.targetWatch.recoveredAt = w.eraSince
+	clear(w.expiring) // Targets have the time again to write their entries.
+	metrics.GetOrCreateCounter(`hickoryrock_store_returns_total`).Inc()
+	w.log.Warn().Stringer("revision", r).Stringer("known-revision", known).Str("from", from).
+		Int("departures", len(w.departures)).Dur("store-age-ms", w.StoreAge()).
+		Msg("store came back from an earlier state")
+	return true
+}
+
+// keepUntil returns the time until which entries that are missing are kept: targets write
+// them again after an outage of the store or its return from an earlier state. w.mu must be
+// held.
+func (w *Watcher) keepUntil(full bool) time.Time {
+	if full && w.targetWatch.recoveredAt.Equal(w.eraSince) {
+		// The store has lost these entries; a removal would show that the target may be gone.
+		return w.eraSince.Add(recoveryGrace)
+	}
+	return minTime(w.targetWatch.recoveredAt.Add(recoveryGrace), time.Now().Add(w.maxRetention))
+}
+
 // recordDelta keeps a delta for Snapshot. w.mu must be held.
 func (w *Watcher) recordDelta(d Delta) {
 	w.recentDeltas = append(w.recentDeltas, d)
@@ -77,45 +150,55 @@
 }
 
 // AdvanceRevision advances the known revision when another router has the same
-// targets, by their digest, as of a later revision.
-func (w *Watcher) AdvanceRevision(revision, digest uint64) {
+// targets, by their digest, as of a later revision. One of a later era also takes a
+// snapshot, which tells which of the targets the store has lost.
+func (w *Watcher) AdvanceRevision(revision state.Revision, digest uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if revision > w.revision && digest == w.View().Targets.Digest {
-		w.revision = revision
-		w.publishTargets()
+	if !w.revision.Before(revision) || digest != w.View().Targets.Digest || w.revision.NeedsSnapshot(revision) {
+		return
 	}
+	w.enterEra(revision, "")
+	w.revision = revision
+	w.publishTargets()
 }
 
 // apply applies a page to the entries and publishes the result; full is set for a
-// list of all targets. Missing entries are kept for a time if graceEnd is in
-// the future. It reports whether the page holds any objects. w.mu must be held.
-func (w *Watcher) apply(page platform.Page, full bool, graceEnd time.Time) bool {
+// list of all targets. Missing entries are kept until keepUntil. It reports whether the
+// page holds any objects. w.mu must be held.
+func (w *Watcher) apply(page platform.Page, full bool, keepUntil time.Time) bool {
 	listed := make(map[string]bool, len(page.Objects))
 	changed := false
 	for _, o := range page.Objects {
 		if o.Deleted {
-			changed = w.remove(o.Name, graceEnd) || changed
+			changed = w.remove(o.Name, keepUntil) || changed
 			continue
 		}
-		listed[o.Name] = true
 		target, err := platform.DecodeTarget(o)
 		if err != nil {
 			w.log.Info().Err(err).Msg("target entry skipped")
 			target = nil
 		}
+		old := w.entries[o.Name]
+		if target != nil && old.target != nil && w.supersedes(old.target, target) {
+			continue
+		}
+		listed[o.Name] = true
+		w.recordState(old.target, target, !full || o.Revision > w.eraBase)
 		delete(w.expiring, o.Name)
-		changed = changed || !bytes.Equal(w.entries[o.Name].raw, o.Raw)
+		changed = changed || !bytes.Equal(old.raw, o.Raw)
 		w.entries[o.Name] = entry{raw: o.Raw, target: target}
 	}
 	if full {
 		for name := range w.entries {
 			if !listed[name] {
-				changed = w.remove(name, graceEnd) || changed
+				changed = w.remove(name, keepUntil) || changed
 			}
 		}
 	}
-	w.revision = max(w.revision, page.Revision.Number)
+	if w.revision.Before(page.Revision) {
+		w.revision = page.Revision
+	}
 	if full && changed {
 		w.recentDeltas, w.recentAfter, w.listRevision = nil, w.revision, w.revision
 	}
@@ -125,18 +208,49 @@
 	return len(page.Objects) > 0
 }
 
-// remove deletes an entry, or keeps it for a time if graceEnd is in the future.
-// It reports whether the entry was deleted. w.mu must be held.
-func (w *Watcher) remove(name string, graceEnd time.Time) bool {
-	if _, ok := w.entries[name]; !ok {
+// supersedes reports whether a known incarnation is later than the one that the store lists
+// under its name: the listed one left before the store came back. w.mu must be held.
+func (w *Watcher) supersedes(known, listed *state.Target) bool {
+	return known.Incarnation() != listed.Incarnation() && w.hasDeparted(listed) && !w.hasDeparted(known)
+}
+
+// recordState records what an entry says about the incarnations of a target; isWrite is set
+// if it was written in the current era. w.mu must be held.
+func (w *Watcher) recordState(old, target *state.Target, isWrite bool) {
+	now := time.Now()
+	if old != nil && (target == nil || target.Incarnation() != old.Incarnation()) {
+		w.departures.record(Departure{Target: old.Incarnation(), Era: w.revision.Era, At: now})
+	}
+	switch {
+	case target == nil:
+	case target.Draining:
+		w.departures.record(Departure{Target: target.Incarnation(), Drained: true, Era: w.revision.Era, At: now})
+	default:
+		w.departures.retract(target.Incarnation(), w.revision.Era, isWrite)
+	}
+}
+
+// hasDeparted reports whether a target has left before the store came back, although it is
+// listed. w.mu must be held.
+func (w *Watcher) hasDeparted(t *state.Target) bool {
+	hasLapsed := time.Since(w.eraSince) > w.lapseTime
+	return w.departures.appliesTo(t.Incarnation(), w.revision.Era, hasLapsed)
+}
+
+// remove deletes an entry, or keeps it if keepUntil is in the future. It reports whether
+// the entry was deleted. w.mu must be held.
+func (w *Watcher) remove(name string, keepUntil time.Time) bool {
+	e, ok := w.entries[name]
+	if !ok {
 		return false
 	}
-	if now := time.Now(); now.Before(graceEnd) {
+	if time.Now().Before(keepUntil) {
 		if _, ok := w.expiring[name]; !ok {
-			w.expiring[name] = minTime(graceEnd, now.Add(w.maxRetention))
+			w.expiring[name] = keepUntil
 		}
 		return false
 	}
+	w.recordState(e.target, nil, true)
 	delete(w.expiring, name)
 	delete(w.entries, name)
 	w.log.Info().Str("target", name).Msg("target gone")
@@ -162,7 +276,8 @@
 				changed = w.remove(name, time.Time{}) || changed
 			}
 		}
-		if changed {
+		w.departures.prune(now)
+		if changed || (w.withheld && now.Sub(w.eraSince) > w.lapseTime) {
 			w.publishTargets()
 		}
 		w.mu.Unlock()
@@ -173,10 +288,15 @@
 func (w *Watcher) publishTargets() {
 	targets := make([]*state.Target, 0, len(w.entries))
 	var digest uint64
+	w.withheld = false
 	for _, e := range w.entries {
 		digest ^= xxhash.Sum64(e.raw)
 		if e.target != nil {
 			t := *e.target
+			if !t.Draining && w.hasDeparted(&t) {
+				t.Draining = true
+				w.withheld = w.withheld || !w.departures[t.Incarnation()].Drained
+			}
 			targets = append(targets, &t)
 		}
 	}
@@ -188,7 +308,7 @@
 // Snapshot returns what a router needs to catch up that has a configuration
 // version and the targets as of a revision: the changes since then, or all
 // targets if those are no longer kept.
-func (w *Watcher) Snapshot(configurationVersion int64, targetsRevision uint64) Snapshot {
+func (w *Watcher) Snapshot(configurationVersion int64, targetsRevision state.Revision) Snapshot {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var s Snapshot
@@ -196,20 +316,32 @@
 		s.Configuration = w.configuration
 	}
 	s.Targets = Delta{After: targetsRevision, Revision: w.revision}
-	if targetsRevision >= w.revision {
+	if !targetsRevision.Before(w.revision) {
 		return s
 	}
-	if targetsRevision >= w.recentAfter && targetsRevision > 0 {
+	if targetsRevision.Era == w.revision.Era && !targetsRevision.Before(w.recentAfter) && targetsRevision.Number > 0 {
 		for _, d := range w.recentDeltas {
-			if d.Revision > targetsRevision {
+			if targetsRevision.Before(d.Revision) {
 				s.Targets.Items = append(s.Targets.Items, d.Items...)
 			}
 		}
 		return s
 	}
-	s.Full = true
-	for _, e := range w.entries {
-		s.Targets.Items = append(s.Targets.Items, TargetChange{Entry: e.raw})
+	s.Full, s.Departures = true, w.departures.recent()
+	now := time.Now()
+	for name, e := range w.entries {
+		item := TargetChange{Entry: e.raw}
+		if until, ok := w.expiring[name]; ok {
+			item.KeptFor = max(until.Sub(now), time.Millisecond)
+		}
+		s.Targets.Items = append(s.Targets.Items, item)
 	}
 	return s
 }
+
+// Departures returns the incarnations of targets that have left, the latest first.
+func (w *Watcher) Departures() []Departure {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.departures.recent()
+}
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -50,8 +50,12 @@
 	// the time in which a draining target may still get calls: the target may
 	// really be gone.
 	retentionFraction = 0.75
-	// defaultDrainTime is used when the platform sets none.
+	// defaultDrainTime and defaultHeartbeat are used when the platform sets none.
 	defaultDrainTime = 2 * time.Second
+	defaultHeartbeat = 1200 * time.Millisecond
+	// heartbeatsToLapse is the number of heartbeats after which the entry of a target that
+	// has gone has expired.
+	heartbeatsToLapse = 4
 	// maxRecentDeltas is the number of deltas of targets kept for other routers.
 	maxRecentDeltas = 256
 	// originStore names the store as the origin of a configuration.
@@ -78,18 +82,31 @@
 		watchWait time.Duration
 		// maxRetention bounds how long a missing entry is kept.
 		maxRetention time.Duration
+		// lapseTime is how long after the store's return an entry may be listed whose target
+		// has gone.
+		lapseTime time.Duration
 
 		mu            sync.Mutex
 		configuration []byte
 		entries       map[string]entry
-		revision      uint64
+		revision      state.Revision
+		// eraSince is when this router first saw the store's era, or zero; eraBase is the
+		// first revision that it saw of it.
+		eraSince time.Time
+		eraBase  uint64
 		// recentDeltas holds all deltas after revision recentAfter, oldest first.
 		recentDeltas []Delta
-		recentAfter  uint64
+		recentAfter  state.Revision
 		// listRevision is the revision of the last full list of targets.
-		listRevision uint64
+		listRevision state.Revision
 		// expiring holds the time until which each missing entry is kept.
-		expiring map[string]time.Time
+		expiring   map[string]time.Time
+		departures departures
+		// hasDepartures is set once the departures of earlier eras are known.
+		hasDepartures bool
+		// withheld is set while a listed target is not used only because its entry was removed
+		// before the store came back.
+		withheld bool
 
 		configurationWatch watchState
 		targetWatch        watchState
@@ -109,8 +126,8 @@
 		// recoveredAt is the end of the last outage that was not local.
 		recoveredAt  time.Time
 		outageLogged bool
-		// era is the last era that the store stated; eraLogged is set once an answer without
-		// one was logged.
+		// era is the latest era that the store stated; eraLogged is set once an answer
+		// without one was logged.
 		era       uint64
 		eraLogged bool
 	}
@@ -122,8 +139,8 @@
 
 	// Delta holds the changes of targets after revision After up to Revision.
 	Delta struct {
-		After    uint64
-		Revision uint64
+		After    state.Revision
+		Revision state.Revision
 		// Items are in the order in which the changes happened.
 		Items []TargetChange
 	}
@@ -133,6 +150,9 @@
 		// Entry is the entry as the store returned it; unused when Deleted is set.
 		Entry   []byte
 		Deleted string
+		// KeptFor is the time for which the entry is kept although the store does not list it;
+		// zero if it does.
+		KeptFor time.Duration
 	}
 
 	// Snapshot holds what another router needs to catch up with this one.
@@ -143,6 +163,8 @@
 		Targets       Delta
 		// Full is set when Targets holds all targets instead of changes.
 		Full bool
+		// Departures holds incarnations that have left, the latest first.
+		Departures []Departure
 	}
 )
 
@@ -155,8 +177,9 @@
 func New(store *platform.Store, log zerolog.Logger, onChange func(*Delta), servesPeers func() bool, opts ...Option) *Watcher {
 	w := &Watcher{
 		store: store, log: log, onChange: onChange, servesPeers: servesPeers,
-		entries: make(map[string]entry), expiring: make(map[string]time.Time),
+		entries: make(map[string]entry), expiring: make(map[string]time.Time), departures: make(departures),
 		watchWait: defaultWatchWait, maxRetention: scale(retentionFraction, defaultDrainTime),
+		lapseTime: recoveryGrace + heartbeatsToLapse*defaultHeartbeat,
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -180,6 +203,15 @@
 	}
 }
 
+// WithHeartbeat sets how often targets renew their entries; zero keeps the default.
+func WithHeartbeat(interval time.Duration) Option {
+	return func(w *Watcher) {
+		if interval > 0 {
+			w.lapseTime = recoveryGrace + heartbeatsToLapse*interval
+		}
+	}
+}
+
 func scale(fraction float64, d time.Duration) time.Duration {
 	return time.Duration(fraction * float64(d))
 }
@@ -243,29 +275,29 @@
 func (w *Watcher) listAndWatch(
 	ctx context.Context, s *watchState, shouldWatch func() bool, apply func(page platform.Page, full bool) bool,
 ) {
-	var revision uint64
+	var revision state.Revision
 	backoff := objects.Backoff{Base: retryBaseDelay, Max: retryMaxDelay}
-	failures, started := 0, false
+	failures, staleLists, started, full := 0, 0, false, true
 	for ctx.Err() == nil {
 		var page platform.Page
 		var err error
-		full := revision == 0
+		cached := full && !started
 		switch {
-		case full && !started:
+		case cached:
 			// A cached list is sufficient at the start: later changes arrive with
 			// the first watch, or from routers that have them.
 			page, err = w.store.ListCached(ctx, s.kind)
 		case full:
 			page, err = w.store.List(ctx, s.kind)
 		case failures > 0:
-			page, err = w.store.Watch(ctx, s.kind, revision, 0)
+			page, err = w.store.Watch(ctx, s.kind, revision.Number, 0)
 		default:
-			page, err = w.store.Watch(ctx, s.kind, revision, w.awaitNextCall(ctx, s, shouldWatch))
+			page, err = w.store.Watch(ctx, s.kind, revision.Number, w.awaitNextCall(ctx, s, shouldWatch))
 		}
 		if errors.Is(err, objects.ErrTooOld) {
-			w.log.Info().Str("kind", s.kind).Uint64("revision", revision).
-				Msg("watch revision no longer in the store's history, listing again")
-			revision = 0
+			w.log.Info().Str("kind", s.kind).Stringer("revision", revision).
+				Msg("watch revision not in the store's history, listing again")
+			full = true
 			continue
 		}
 		if err != nil {
@@ -274,22 +306,35 @@
 			_ = objects.Sleep(ctx, backoff.Delay(failures))
 			continue
 		}
-		failures, started = 0, true
 		w.recordSuccess(s)
-		w.recordEra(s, page, full)
+		w.recordEra(s, &page)
+		if cached && page.Revision.Era > state.FirstEra {
+			page.Revision.Era = 0 // The list may be older than the era that it states.
+		}
+		failures, started = 0, true
 		switch {
-		case !apply(page, full):
+		case !full && page.Revision.Era < revision.Era:
+			// An answer from before the store came back, which arrives late.
+			_ = objects.Sleep(ctx, retryBaseDelay)
+		case !full && page.Revision.Era > revision.Era:
+			// The revision that was watched from is not one of this era.
+			full = true
+		case !apply(page, full) && !cached:
+			staleLists++
 			metrics.GetOrCreateCounter(`hickoryrock_stale_lists_total`).Inc()
-			_ = objects.Sleep(ctx, retryBaseDelay) // Stale list: list again.
-		case !full && len(page.Objects) == 0 && page.Revision.Number > revision:
+			_ = objects.Sleep(ctx, backoff.Delay(staleLists))
+		case !full && len(page.Objects) == 0 && revision.Before(page.Revision):
 			// The revision has advanced without events: either another kind has
 			// changed or the watch has lost events. Only a list can tell.
-			revision = 0
+			full = true
 		default:
-			revision = max(revision, page.Revision.Number)
+			if full || revision.Before(page.Revision) {
+				revision = page.Revision
+			}
 			if !full && len(page.Objects) > 0 {
 				_ = objects.Sleep(ctx, changePause)
 			}
+			full, staleLists = false, 0
 		}
 	}
 }
@@ -305,6 +350,8 @@
 	if err != nil {
 		return err
 	}
+	w.recordEra(&w.configurationWatch, &configurations)
+	w.recordEra(&w.targetWatch, &targets)
 	w.handleConfigurations(configurations, true)
 	w.handleTargets(targets, true)
 	return nil
@@ -340,22 +387,19 @@
 	s.failingSince, s.outageLogged = time.Time{}, false
 }
 
-// recordEra logs a change of the store's era, with the revision that comes with it and the
-// one that this router knows.
-func (w *Watcher) recordEra(s *watchState, page platform.Page, full bool) {
-	if page.EraError != nil {
-		if !s.eraLogged {
-			s.eraLogged = true
-			w.log.Info().Str("kind", s.kind).Err(page.EraError).Msg("store states no era")
-		}
+// recordEra logs answers without an era, once, and gives them the latest one that is known.
+func (w *Watcher) recordEra(s *watchState, page *platform.Page) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if page.EraError == nil {
+		s.era = max(s.era, page.Revision.Era)
 		return
 	}
-	if page.Revision.Era == s.era {
-		return
+	page.Revision.Era = max(s.era, w.revision.Era)
+	if !s.eraLogged {
+		s.eraLogged = true
+		w.log.Warn().Str("kind", s.kind).Uint64("assumed-era", page.Revision.Era).Err(page.EraError).Msg("store states no era")
 	}
-	w.log.Info().Str("kind", s.kind).Uint64("from-era", s.era).Stringer("revision", page.Revision).
-		Uint64("known-revision", w.View().Targets.Revision).Bool("list", full).Msg("store is in another era")
-	s.era = page.Revision.Era
 }
 
 func (w *Watcher) handleConfigurations(page platform.Page, _ bool) bool {
--- a/internal/fleet/storewatch/watcher_test.go
+++ b/internal/fleet/storewatch/watcher_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/fleet/storewatch"
 	"hickoryrock/platform"
 	"hickoryrock/platform/platformtest"
@@ -33,7 +34,7 @@
 	return newFixtureWithStore(t, shouldWatch, platformtest.NewStore())
 }
 
-func newFixtureWithStore(t *testing.T, shouldWatch bool, store *platformtest.Store) *fixture {
+func newFixtureWithStore(t *testing.T, shouldWatch bool, store *platformtest.Store, opts ...storewatch.Option) *fixture {
 	f := &fixture{C: qt.New(t), store: store, changes: make(chan storewatch.Delta, 100)}
 	server := httptest.NewServer(f.store)
 	client, stop := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
@@ -41,7 +42,7 @@
 		if c != nil {
 			f.changes <- *c
 		}
-	}, f.servesPeers.Load)
+	}, f.servesPeers.Load, opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -217,37 +218,42 @@
 	f.eventually("the target is known after the requested poll", func() bool { return f.ready() == 1 })
 }
 
+// at returns a revision of the store's first era.
+func at(number uint64) state.Revision {
+	return state.Revision{Era: state.FirstEra, Number: number}
+}
+
 func item(name, state string) storewatch.TargetChange {
 	return storewatch.TargetChange{Entry: platformtest.Entry(name, target(state))}
 }
 
 func TestChangesFromOtherRouters(t *testing.T) {
 	f := newFixture(t, false)
-	f.eventually("the first lists", func() bool { return f.View().Targets.Revision == 1 })
+	f.eventually("the first lists", func() bool { return f.View().Targets.Revision.Number == 1 })
 	c := f.C
-	c.Assert(f.ApplyTargets(storewatch.Delta{After: 1, Revision: 4, Items: []storewatch.TargetChange{
+	c.Assert(f.ApplyTargets(storewatch.Delta{After: at(1), Revision: at(4), Items: []storewatch.TargetChange{
 		item("i-1", "ready"), item("i-2", "ready"), {Deleted: "i-2"},
 	}}, false, "other"), qt.IsTrue)
 	c.Assert(f.ready(), qt.Equals, 1)
 	c.Run("with a gap are not applied", func(c *qt.C) {
-		c.Assert(f.ApplyTargets(storewatch.Delta{After: 6, Revision: 7}, false, "other"), qt.IsFalse)
-		c.Assert(f.View().Targets.Revision, qt.Equals, uint64(4))
+		c.Assert(f.ApplyTargets(storewatch.Delta{After: at(6), Revision: at(7)}, false, "other"), qt.IsFalse)
+		c.Assert(f.View().Targets.Revision, qt.Equals, at(4))
 	})
 	c.Run("that are older change nothing", func(c *qt.C) {
-		c.Assert(f.ApplyTargets(storewatch.Delta{After: 1, Revision: 2, Items: []storewatch.TargetChange{{Deleted: "i-1"}}}, false, "other"),
+		c.Assert(f.ApplyTargets(storewatch.Delta{After: at(1), Revision: at(2), Items: []storewatch.TargetChange{{Deleted: "i-1"}}}, false, "other"),
 			qt.IsTrue)
 		c.Assert(f.ready(), qt.Equals, 1)
 	})
 	c.Run("are in the snapshot for a router that is behind", func(c *qt.C) {
-		s := f.Snapshot(0, 2)
+		s := f.Snapshot(0, at(2))
 		c.Assert(s.Full, qt.IsFalse)
 		c.Assert(len(s.Targets.Items), qt.Equals, 3)
-		c.Assert(f.Snapshot(0, 0).Full, qt.IsTrue)
-		c.Assert(len(f.Snapshot(0, 0).Targets.Items), qt.Equals, 1)
-		c.Assert(len(f.Snapshot(0, 4).Targets.Items), qt.Equals, 0)
+		c.Assert(f.Snapshot(0, at(0)).Full, qt.IsTrue)
+		c.Assert(len(f.Snapshot(0, at(0)).Targets.Items), qt.Equals, 1)
+		c.Assert(len(f.Snapshot(0, at(4)).Targets.Items), qt.Equals, 0)
 	})
 	c.Run("a full set replaces all targets", func(c *qt.C) {
-		c.Assert(f.ApplyTargets(storewatch.Delta{Revision: 9, Items: []storewatch.TargetChange{item("i-3", "ready")}}, true, "other"),
+		c.Assert(f.ApplyTargets(storewatch.Delta{Revision: at(9), Items: []storewatch.TargetChange{item("i-3", "ready")}}, true, "other"),
 			qt.IsTrue)
 		c.Assert(f.ready(), qt.Equals, 1)
 		c.Assert(f.View().Targets.ByService["s"][0].ID, qt.Equals, "i-3")
@@ -275,7 +281,7 @@
 	announced := 0
 	w := storewatch.New(client, zerolog.Nop(), func(*storewatch.Delta) { announced++ }, func() bool { return false })
 	w.ApplyConfiguration([]byte(platformtest.Configuration(3)), "router")
-	w.ApplyTargets(storewatch.Delta{Revision: 7, Items: []storewatch.TargetChange{
+	w.ApplyTargets(storewatch.Delta{Revision: at(7), Items: []storewatch.TargetChange{
 		{Entry: platformtest.Entry("i-1", target("ready"))},
 	}}, true, "router")
 	c.Assert(w.View().Configuration.Version, qt.Equals, int64(3))
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -102,7 +102,9 @@
 	r.cleanups = append(r.cleanups, closeStore)
 	r.watcher = storewatch.New(store, log, func(change *storewatch.Delta) { r.fleet.SendNow(change) },
 		func() bool { return r.fleet.StoreServesPeers() },
-		storewatch.WithBounds(s.Bounds.ConfigurationApply, s.Bounds.Drain))
+		storewatch.WithBounds(s.Bounds.ConfigurationApply, s.Bounds.Drain), storewatch.WithHeartbeat(s.Heartbeat))
+	metrics.GetOrCreateGauge(`hickoryrock_store_era`, func() float64 { return float64(r.watcher.View().Targets.Revision.Era) })
+	metrics.GetOrCreateGauge(`hickoryrock_store_age_seconds`, func() float64 { return r.watcher.StoreAge().Seconds() })
 	pool, closePool := http1client.New()
 	r.cleanups = append(r.cleanups, closePool)
 	factor := s.Bounds.LoadFactor
@@ -246,6 +248,7 @@
 	s := gossip.State{
 		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision,
 		TargetsDigest: v.Targets.Digest, TargetsListRevision: v.Targets.ListRevision, StoreAge: r.watcher.StoreAge(),
+		LacksDepartures: r.watcher.LacksDepartures(),
 	}
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -24,6 +24,7 @@
 		Router           string       `json:"router"`
 		Leaving          bool         `json:"leaving"`
 		Configuration    int64        `json:"configuration"`
+		StoreEra         uint64       `json:"store-era"`
 		TargetsRevision  uint64       `json:"targets-revision"`
 		StoreAgeMS       int64        `json:"store-age-ms"`
 		WatchesStore     bool         `json:"watches-store"`
@@ -60,7 +61,7 @@
 	advertised := r.gossipState()
 	out := view{
 		Router: r.settings.Router, Leaving: r.draining.Load(), Configuration: advertised.ConfigurationVersion,
-		TargetsRevision: advertised.TargetsRevision, StoreAgeMS: advertised.StoreAge.Milliseconds(),
+		StoreEra: advertised.TargetsRevision.Era, TargetsRevision: advertised.TargetsRevision.Number, StoreAgeMS: advertised.StoreAge.Milliseconds(),
 		WatchesStore: r.fleet.WatchesStore(), CallsBeingServed: r.server.Active(),
 		CallerAddresses: r.fleet.CallerAddresses(r.settings.FailureDomain, 1<<10), Quarantine: r.quarantineViews(),
 	}
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -72,8 +72,8 @@
 	local := f.localState()
 	return &peerv1.Beacon{
 		Incarnation: f.self.Incarnation, Serving: local.Serving, ConfigurationVersion: local.ConfigurationVersion,
-		TargetsRevision: local.TargetsRevision, TargetsDigest: local.TargetsDigest,
-		TargetsListed: local.TargetsListRevision,
+		StoreEra: local.TargetsRevision.Era, TargetsRevision: local.TargetsRevision.Number, TargetsDigest: local.TargetsDigest,
+		TargetsListed: local.TargetsListRevision.Number,
 		StoreAgeMs:    uint32(min(local.StoreAge, time.Hour).Milliseconds()),
 		Sender:        f.senderID, CachesLoaded: f.cachesLoaded(),
 	}
@@ -115,10 +115,10 @@
 	if change == nil {
 		return nil
 	}
-	out := &peerv1.TargetsChange{AfterRevision: change.After, Revision: change.Revision}
+	out := encodeDelta(*change)
 	size := 0
 	for _, item := range change.Items {
-		out.Items = append(out.Items, &peerv1.TargetItem{Entry: item.Entry, Deleted: item.Deleted})
+		out.Items = append(out.Items, encodeItem(item))
 		size += len(item.Entry) + len(item.Deleted)
 	}
 	if size > maxChangeBytes {
@@ -127,14 +127,6 @@
 	return out
 }
 
-func decodeChange(c *peerv1.TargetsChange) storewatch.Delta {
-	out := storewatch.Delta{After: c.GetAfterRevision(), Revision: c.GetRevision()}
-	for _, item := range c.GetItems() {
-		out.Items = append(out.Items, storewatch.TargetChange{Entry: item.GetEntry(), Deleted: item.GetDeleted()})
-	}
-	return out
-}
-
 func encodeHoldings(holdings []affinity.Holding) []*peerv1.PromptHome {
 	out := make([]*peerv1.PromptHome, len(holdings))
 	for i, h := range holdings {
@@ -258,7 +250,7 @@
 	if b.GetChange() != nil {
 		f.watcher.ApplyTargets(decodeChange(b.GetChange()), false, b.GetRouter())
 	}
-	f.watcher.AdvanceRevision(b.GetTargetsRevision(), b.GetTargetsDigest())
+	f.watcher.AdvanceRevision(targetsRevision(b), b.GetTargetsDigest())
 	if f.isAhead(b, f.localState()) {
 		select {
 		case f.fetchRequests <- struct{}{}:
--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -1,9 +1,11 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -11,6 +13,7 @@
 
 	peerv1 "hickoryrock/api/peer/v1"
 	"hickoryrock/api/peer/v1/peerv1connect"
+	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/platform/objects"
 )
 
@@ -38,33 +41,20 @@
 	if r.Msg.GetConfirmed() && !f.localState().Confirmed {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotConfirmed)
 	}
-	s := f.watcher.Snapshot(r.Msg.GetConfigurationVersion(), r.Msg.GetTargetsRevision())
-	snapshot := &peerv1.Snapshot{Configuration: s.Configuration, AllTargets: s.Full, Targets: &peerv1.TargetsChange{
-		AfterRevision: s.Targets.After, Revision: s.Targets.Revision,
-	}}
-	for _, item := range s.Targets.Items {
-		snapshot.Targets.Items = append(snapshot.Targets.Items, &peerv1.TargetItem{Entry: item.Entry, Deleted: item.Deleted})
+	s := f.watcher.Snapshot(r.Msg.GetConfigurationVersion(),
+		state.Revision{Era: r.Msg.GetStoreEra(), Number: r.Msg.GetTargetsRevision()})
+	if r.Msg.GetConfirmed() {
+		// The requester may have missed targets that left, and have read an older list.
+		s.Departures = f.watcher.Departures()
 	}
-	return connect.NewResponse(snapshot), nil
-}
-
-// isAhead reports whether the sender of a beacon has a newer configuration, or
-// targets that this router does not have.
-func (f *Fleet) isAhead(b *peerv1.Beacon, local State) bool {
-	if b.GetConfigurationVersion() > local.ConfigurationVersion {
-		return true
+	snapshot := &peerv1.Snapshot{
+		Configuration: s.Configuration, AllTargets: s.Full, Targets: encodeDelta(s.Targets),
+		Departures: encodeDepartures(s.Departures, time.Now()),
 	}
-	if b.GetTargetsRevision() > local.TargetsRevision {
-		return b.GetTargetsDigest() != local.TargetsDigest
+	for _, item := range s.Targets.Items {
+		snapshot.Targets.Items = append(snapshot.Targets.Items, encodeItem(item))
 	}
-	return hasNewerList(b, local)
-}
-
-// hasNewerList reports whether the sender of a beacon has different targets at the
-// same revision, taken from a later list of the store.
-func hasNewerList(b *peerv1.Beacon, local State) bool {
-	return b.GetTargetsRevision() == local.TargetsRevision && b.GetTargetsDigest() != local.TargetsDigest &&
-		b.GetTargetsListed() > local.TargetsListRevision
+	return connect.NewResponse(snapshot), nil
 }
 
 // catchUp fetches state that peers have and this router lacks. A router that
@@ -148,8 +138,8 @@
 }
 
 // pickSource returns a random peer that is ahead of this router, preferring its
-// own failure domain, and whether it is in that domain. Both strings are empty when
-// there is none.
+// own failure domain, and whether it is in that domain. A router that lacks departures
+// takes the oldest process. Both strings are empty when there is none.
 func (f *Fleet) pickSource(local State) (router, address string, inDomain bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -171,19 +161,20 @@
 	if len(near) == 0 {
 		return "", "", false
 	}
-	b := near[rand.IntN(len(near))].beacon
-	return b.GetRouter(), b.GetPeerAddress(), inDomain
+	source := near[rand.IntN(len(near))]
+	if local.LacksDepartures {
+		source = slices.MinFunc(near, func(a, b *peer) int { return cmp.Compare(a.beacon.GetIncarnation(), b.beacon.GetIncarnation()) })
+	}
+	return source.beacon.GetRouter(), source.beacon.GetPeerAddress(), inDomain
 }
 
 // FetchSnapshot fetches the configuration and targets from a peer and applies
 // them. It reports whether the targets were applied.
 func (f *Fleet) FetchSnapshot(ctx context.Context, router, address string) bool {
 	local := f.localState()
-	request := &peerv1.GetSnapshotRequest{
-		ConfigurationVersion: local.ConfigurationVersion, TargetsRevision: local.TargetsRevision,
-	}
+	request := newSnapshotRequest(local)
 	f.mu.Lock()
-	if p := f.peers[address]; p != nil && hasNewerList(p.beacon, local) {
+	if p := f.peers[address]; local.LacksDepartures || (p != nil && hasNewerList(p.beacon, local)) {
 		request.TargetsRevision = 0
 	}
 	f.mu.Unlock()
@@ -201,10 +192,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	local := f.localState()
-	snapshot, ok := f.requestSnapshot(ctx, router, address, &peerv1.GetSnapshotRequest{
-		ConfigurationVersion: local.ConfigurationVersion, TargetsRevision: local.TargetsRevision, Confirmed: true,
-	})
+	request := newSnapshotRequest(f.localState())
+	request.Confirmed = true
+	snapshot, ok := f.requestSnapshot(ctx, router, address, request)
 	return ok && f.applySnapshot(snapshot, router)
 }
 
@@ -239,6 +229,7 @@
 	if len(snapshot.GetConfiguration()) > 0 {
 		f.watcher.ApplyConfiguration(snapshot.GetConfiguration(), "router")
 	}
+	f.watcher.ApplyDepartures(decodeDepartures(snapshot.GetDepartures(), time.Now()))
 	return f.watcher.ApplyTargets(decodeChange(snapshot.GetTargets()), snapshot.GetAllTargets(), router)
 }
 
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -20,6 +20,7 @@
 
 	peerv1 "hickoryrock/api/peer/v1"
 	"hickoryrock/api/peer/v1/peerv1connect"
+	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/fleet/storewatch"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/targetlimits"
@@ -114,11 +115,13 @@
 	State struct {
 		Serving              bool
 		ConfigurationVersion int64
-		TargetsRevision      uint64
+		TargetsRevision      state.Revision
 		TargetsDigest        uint64
-		TargetsListRevision  uint64
+		TargetsListRevision  state.Revision
 		StoreAge             time.Duration
 		TargetCount          int
+		// LacksDepartures is set while other routers may know that listed targets have left.
+		LacksDepartures bool
 		// Confirmed is set unless the state may be out of date, as after a pause.
 		Confirmed bool
 	}
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -138,7 +138,8 @@
 	v := r.watcher.View()
 	s := gossip.State{
 		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision, TargetsDigest: v.Targets.Digest,
-		TargetsListRevision: v.Targets.ListRevision, StoreAge: r.watcher.StoreAge(), TargetCount: len(v.Targets.ByService["s"]),
+		TargetsListRevision: v.Targets.ListRevision, LacksDepartures: r.watcher.LacksDepartures(),
+		StoreAge: r.watcher.StoreAge(), TargetCount: len(v.Targets.ByService["s"]),
 	}
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
