--- a/internal/fleet/storewatch/era_test.go
+++ b/internal/fleet/storewatch/era_test.go
@@ -230,7 +230,7 @@
 	t.Run("a router of an earlier era gets all targets and those that have left", func(t *testing.T) {
 		f := setup(t)
 		f.Assert(f.ApplyTargets(storewatch.Delta{After: in(1, 50), Revision: in(1, 51), Items: []storewatch.TargetChange{
-			{Deleted: "i-1"},
+			item("i-1", "draining"),
 		}}, false, "other"), qt.IsTrue)
 		f.Assert(f.ApplyTargets(restored, true, "other"), qt.IsTrue)
 		s := f.Snapshot(0, in(1, 99))
