--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -218,6 +218,7 @@
 	group.Go(func() { r.watcher.Run(background, r.watchesStore) })
 	group.Go(func() { r.fleet.Run(background) })
 	group.Go(func() { r.register(background) })
+	group.Go(func() { r.keepRegistrations(background) })
 	group.Go(func() { r.cleanUp(background) })
 	group.Go(func() { r.detectStalls(background) })
 	group.Go(func() { r.guardView(background) })
--- a/internal/node/edge/quarantine.go
+++ b/internal/node/edge/quarantine.go
@@ -36,10 +36,18 @@
 	started := time.Now()
 	stored := make(map[uint64]quarantine.Record)
 	isRead, isReread := r.restoreQuarantine(ctx, stored), false
+	era := r.storeEra()
 	for objects.Sleep(ctx, quarantineSyncInterval) == nil {
 		if !r.watchesStore() {
 			continue
 		}
+		if current := r.storeEra(); current > era {
+			// The store may lack records, and have others that were deleted.
+			if !r.rereadQuarantine(ctx, stored) {
+				continue
+			}
+			era, isRead, isReread = current, true, true
+		}
 		if !isReread && time.Since(started) > quarantineRereadAge {
 			isReread = r.restoreQuarantine(ctx, stored)
 			isRead = isRead || isReread
@@ -52,10 +60,34 @@
 
 // restoreQuarantine reads the store's records into the tracker and into stored.
 func (r *Router) restoreQuarantine(ctx context.Context, stored map[uint64]quarantine.Record) bool {
-	page, err := r.store.ListCached(ctx, platform.KindQuarantine)
+	records, ok := r.readQuarantine(ctx, r.store.ListCached)
+	for _, record := range records {
+		stored[record.Part] = record
+	}
+	r.quarantine.Restore(records, time.Now())
+	return ok
+}
+
+// rereadQuarantine replaces stored by the records that the store has now.
+func (r *Router) rereadQuarantine(ctx context.Context, stored map[uint64]quarantine.Record) bool {
+	records, ok := r.readQuarantine(ctx, r.store.List)
+	if !ok {
+		return false
+	}
+	clear(stored)
+	for _, record := range records {
+		stored[record.Part] = record
+	}
+	return true
+}
+
+func (r *Router) readQuarantine(
+	ctx context.Context, list func(context.Context, string) (platform.Page, error),
+) ([]quarantine.Record, bool) {
+	page, err := list(ctx, platform.KindQuarantine)
 	if err != nil {
 		r.log.Warn().Err(err).Msg("failed to read the records of quarantined prompt parts")
-		return false
+		return nil, false
 	}
 	records := make([]quarantine.Record, 0, len(page.Objects))
 	for _, o := range page.Objects {
@@ -64,11 +96,9 @@
 			r.log.Warn().Err(err).Msg("skipping invalid quarantine record")
 			continue
 		}
-		stored[record.Part] = record
 		records = append(records, record)
 	}
-	r.quarantine.Restore(records, time.Now())
-	return true
+	return records, true
 }
 
 // storeQuarantine writes the records that the store does not have yet, and deletes those
--- a/internal/node/edge/register.go
+++ b/internal/node/edge/register.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/platform/objects"
 	"hickoryrock/platform"
 )
@@ -22,6 +23,9 @@
 	firstListInterval = 500 * time.Millisecond
 	// maxFirstLists is the number of such reads.
 	maxFirstLists = 4
+	// registrationCheckInterval is how often the router that watches the store checks whether
+	// it has come back from an earlier state.
+	registrationCheckInterval = time.Second
 )
 
 // laterLists are the times after its registration at which a new router reads the entries
@@ -131,3 +135,53 @@
 	}
 	return others, registered, nil
 }
+
+// storeEra returns the store's era as far as this router knows, state.FirstEra at least.
+func (r *Router) storeEra() uint64 {
+	return max(r.watcher.View().Targets.Revision.Era, state.FirstEra)
+}
+
+// keepRegistrations writes the entries of live routers again that the store has lost when it
+// came back from an earlier state. The router that watches the store does so for all.
+func (r *Router) keepRegistrations(ctx context.Context) {
+	era := uint64(state.FirstEra)
+	for objects.Sleep(ctx, registrationCheckInterval) == nil {
+		if current := r.storeEra(); current > era && r.watchesStore() && r.restoreRegistrations(ctx) {
+			era = current
+		}
+	}
+}
+
+// restoreRegistrations makes one attempt to write the missing entries, and reports whether
+// it succeeded.
+func (r *Router) restoreRegistrations(ctx context.Context) bool {
+	page, err := r.store.List(ctx, platform.KindRouters)
+	if err != nil {
+		r.log.Warn().Err(err).Msg("failed to list routers")
+		return false
+	}
+	listed := make(map[platform.Router]bool, len(page.Objects))
+	for _, o := range page.Objects {
+		if router, err := platform.DecodeRouter(o); err == nil {
+			listed[router] = true
+		} else {
+			r.log.Warn().Err(err).Msg("skipping invalid router entry")
+		}
+	}
+	for _, identity := range r.fleet.LiveIdentities() {
+		entry := platform.Router{
+			Name: identity.Router, CallerAddress: identity.CallerAddress, PeerAddress: identity.PeerAddress,
+			FailureDomain: identity.FailureDomain,
+		}
+		if listed[entry] {
+			continue
+		}
+		if err := r.store.Put(ctx, platform.KindRouters, entry.Name, platform.EncodeRouter(entry)); err != nil {
+			r.log.Warn().Err(err).Str("peer", entry.Name).Msg("failed to write router entry to the store again")
+			return false
+		}
+		r.log.Info().Str("peer", entry.Name).Uint64("store-era", page.Revision.Era).
+			Msg("router entry written again that the store had lost")
+	}
+	return true
+}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -329,6 +329,23 @@
 	return n
 }
 
+// LiveIdentities returns the identities of the live routers that are not leaving, this one
+// included.
+func (f *Fleet) LiveIdentities() []Identity {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	identities := []Identity{f.self}
+	for _, p := range f.peers {
+		if p.live && !p.beacon.GetLeaving() {
+			identities = append(identities, Identity{
+				Router: p.beacon.GetRouter(), CallerAddress: p.beacon.GetCallerAddress(), PeerAddress: p.beacon.GetPeerAddress(),
+				FailureDomain: p.beacon.GetFailureDomain(), Incarnation: p.beacon.GetIncarnation(),
+			})
+		}
+	}
+	return identities
+}
+
 // CallerAddresses returns up to limit addresses of routers that serve callers,
 // those in the given failure domain first.
 func (f *Fleet) CallerAddresses(failureDomain string, limit int) []string {
