--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -67,9 +67,10 @@
 	if !full && (d.After.Era != w.revision.Era || w.revision.Before(d.After)) {
 		return false
 	}
+	w.enterEra(d.Revision, from)
 	var keepUntil time.Time
-	if w.enterEra(d.Revision, from) {
-		keepUntil = w.keepUntil(full)
+	if full {
+		keepUntil = w.rewriteEnd()
 	}
 	w.apply(page, full, keepUntil)
 	for name, d := range kept {
@@ -106,18 +107,17 @@
 }
 
 // enterEra prepares for a revision of a later era: the store has come back from an earlier
-// state, so that lower revisions are later ones. It reports whether it has. The first era
-// that a router sees is not a later one. w.mu must be held.
-func (w *Watcher) enterEra(r state.Revision, from string) bool {
+// state, so that lower revisions are later ones. w.mu must be held.
+func (w *Watcher) enterEra(r state.Revision, from string) {
 	known := w.revision
 	if r.Era <= known.Era {
-		return false
+		return
 	}
 	w.revision, w.listRevision = r, r
 	w.recentDeltas, w.recentAfter = nil, r
 	w.eraSince, w.eraBase = time.Now(), r.Number
 	if known.Era == 0 {
-		return false
+		return // This is the first answer of the store with an era.
 	}
 	w.hasDepartures = true
 	w.targetWatch.recoveredAt = w.eraSince
@@ -126,16 +126,24 @@
 	w.log.Warn().Stringer("revision", r).Stringer("known-revision", known).Str("from", from).
 		Int("departures", len(w.departures)).Dur("store-age-ms", w.StoreAge()).
 		Msg("store came back from an earlier state")
-	return true
+}
+
+// rewriteEnd returns the end of the time in which targets write the entries again that the
+// store lost when it came back, or zero. w.mu must be held.
+func (w *Watcher) rewriteEnd() time.Time {
+	if !w.targetWatch.recoveredAt.Equal(w.eraSince) {
+		return time.Time{}
+	}
+	return w.eraSince.Add(recoveryGrace)
 }
 
 // keepUntil returns the time until which entries that are missing are kept: targets write
 // them again after an outage of the store or its return from an earlier state. w.mu must be
 // held.
 func (w *Watcher) keepUntil(full bool) time.Time {
-	if full && w.targetWatch.recoveredAt.Equal(w.eraSince) {
+	if end := w.rewriteEnd(); full && !end.IsZero() {
 		// The store has lost these entries; a removal would show that the target may be gone.
-		return w.eraSince.Add(recoveryGrace)
+		return end
 	}
 	return minTime(w.targetWatch.recoveredAt.Add(recoveryGrace), time.Now().Add(w.maxRetention))
 }
@@ -211,14 +219,15 @@
 // supersedes reports whether a known incarnation is later than the one that the store lists
 // under its name: the listed one left before the store came back. w.mu must be held.
 func (w *Watcher) supersedes(known, listed *state.Target) bool {
-	return known.Incarnation() != listed.Incarnation() && w.hasDeparted(listed) && !w.hasDeparted(known)
+	_, hasLeft := w.departures[known.Incarnation()]
+	return known.Incarnation() != listed.Incarnation() && w.hasDeparted(listed) && !hasLeft
 }
 
 // recordState records what an entry says about the incarnations of a target; isWrite is set
 // if it was written in the current era. w.mu must be held.
 func (w *Watcher) recordState(old, target *state.Target, isWrite bool) {
 	now := time.Now()
-	if old != nil && (target == nil || target.Incarnation() != old.Incarnation()) {
+	if old != nil && (target == nil || (target.Incarnation() != old.Incarnation() && !w.hasDeparted(target))) {
 		w.departures.record(Departure{Target: old.Incarnation(), Era: w.revision.Era, At: now})
 	}
 	switch {
