--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -85,6 +85,8 @@
 		// lapseTime is how long after the store's return an entry may be listed whose target
 		// has gone.
 		lapseTime time.Duration
+		// probedAt is the time of the last successful probe in Unix nanoseconds.
+		probedAt atomic.Int64
 
 		mu            sync.Mutex
 		configuration []byte
@@ -223,9 +225,39 @@
 func (w *Watcher) View() *state.View { return w.view.Load() }
 
 // StoreAge returns the time since the last successful store call for
-// configurations or targets, whichever is longer ago.
+// configurations or targets, whichever is longer ago, or since the last probe.
 func (w *Watcher) StoreAge() time.Duration {
-	return time.Since(time.Unix(0, min(w.configurationWatch.lastSuccess.Load(), w.targetWatch.lastSuccess.Load())))
+	last := min(w.configurationWatch.lastSuccess.Load(), w.targetWatch.lastSuccess.Load())
+	return time.Since(time.Unix(0, max(last, w.probedAt.Load())))
+}
+
+// FailingFor returns how long calls for configurations or targets have been failing,
+// whichever is longer.
+func (w *Watcher) FailingFor() time.Duration {
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var longest time.Duration
+	for _, s := range []*watchState{&w.configurationWatch, &w.targetWatch} {
+		if !s.failingSince.IsZero() {
+			longest = max(longest, now.Sub(s.failingSince))
+		}
+	}
+	return longest
+}
+
+// Probe finds out whether the store serves this router, with the cheapest call, and takes a
+// newer configuration from its answer.
+func (w *Watcher) Probe(ctx context.Context) error {
+	page, err := w.store.ListCached(ctx, platform.KindConfigurations)
+	if err != nil {
+		metrics.GetOrCreateCounter(`hickoryrock_store_probes_total{result="failed"}`).Inc()
+		return err
+	}
+	metrics.GetOrCreateCounter(`hickoryrock_store_probes_total{result="served"}`).Inc()
+	w.probedAt.Store(time.Now().UnixNano())
+	w.handleConfigurations(page, true)
+	return nil
 }
 
 // Run lists and watches the store until ctx is done. While shouldWatch returns
@@ -250,8 +282,12 @@
 }
 
 // awaitNextCall waits until the next watch call to the store is due and returns its
-// wait: zero for a poll by a router that does not watch.
+// wait: zero for a poll by a router that does not watch, or that has just begun to: the
+// others learn from its answer that the store serves it.
 func (w *Watcher) awaitNextCall(ctx context.Context, s *watchState, shouldWatch func() bool) time.Duration {
+	if shouldWatch() {
+		return w.watchWait
+	}
 	ticker := time.NewTicker(roleCheckInterval)
 	defer ticker.Stop()
 	pollAt := time.Now().Add(idlePollInterval)
@@ -267,7 +303,7 @@
 			}
 		}
 	}
-	return w.watchWait
+	return 0
 }
 
 // listAndWatch lists a kind and then watches it until ctx is done. It passes each
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -249,7 +249,7 @@
 	s := gossip.State{
 		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision,
 		TargetsDigest: v.Targets.Digest, TargetsListRevision: v.Targets.ListRevision, StoreAge: r.watcher.StoreAge(),
-		LacksDepartures: r.watcher.LacksDepartures(),
+		StoreFailing: r.watcher.FailingFor(), LacksDepartures: r.watcher.LacksDepartures(),
 	}
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -70,11 +70,14 @@
 // newBeacon returns a beacon with this router's state.
 func (f *Fleet) newBeacon() *peerv1.Beacon {
 	local := f.localState()
+	f.mu.Lock()
+	age := f.statedStoreAge(local)
+	f.mu.Unlock()
 	return &peerv1.Beacon{
 		Incarnation: f.self.Incarnation, Serving: local.Serving, ConfigurationVersion: local.ConfigurationVersion,
 		StoreEra: local.TargetsRevision.Era, TargetsRevision: local.TargetsRevision.Number, TargetsDigest: local.TargetsDigest,
 		TargetsListed: local.TargetsListRevision.Number,
-		StoreAgeMs:    uint32(min(local.StoreAge, time.Hour).Milliseconds()),
+		StoreAgeMs:    uint32(min(age, time.Hour).Milliseconds()),
 		Sender:        f.senderID, CachesLoaded: f.cachesLoaded(),
 	}
 }
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -84,6 +84,13 @@
 	// while it does not serve them. It is limited because every call is charged,
 	// refused ones too.
 	maxUnservedWatchers = 4
+	// unservedAfter is how long calls to the store must have failed before the router says
+	// that the store does not serve it.
+	unservedAfter = 300 * time.Millisecond
+	// probeTurn is how long maxUnservedWatchers further routers have their turn to probe a
+	// store that serves none of the first ones. Several turns fit into the time in which a
+	// change must be in force.
+	probeTurn = 200 * time.Millisecond
 	// storeAgeTolerance is added to the duration of a watch to give the age of a
 	// watcher's last response from the store at which other routers take over.
 	storeAgeTolerance = 200 * time.Millisecond
@@ -118,8 +125,11 @@
 		TargetsRevision      state.Revision
 		TargetsDigest        uint64
 		TargetsListRevision  state.Revision
-		StoreAge             time.Duration
-		TargetCount          int
+		// StoreAge is the time since the last response of the store, StoreFailing how long
+		// calls to it have been failing.
+		StoreAge     time.Duration
+		StoreFailing time.Duration
+		TargetCount  int
 		// LacksDepartures is set while other routers may know that listed targets have left.
 		LacksDepartures bool
 		// Confirmed is set unless the state may be out of date, as after a pause.
@@ -273,6 +283,7 @@
 func (f *Fleet) Run(ctx context.Context) {
 	go f.receive()
 	go f.catchUp(ctx)
+	go f.probeStore(ctx)
 	regular := time.NewTimer(0)
 	defer regular.Stop()
 	// updates is set only between a new holding and the beacon that announces it.
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -139,7 +139,7 @@
 	s := gossip.State{
 		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision, TargetsDigest: v.Targets.Digest,
 		TargetsListRevision: v.Targets.ListRevision, LacksDepartures: r.watcher.LacksDepartures(),
-		StoreAge: r.watcher.StoreAge(), TargetCount: len(v.Targets.ByService["s"]),
+		StoreAge: r.watcher.StoreAge(), StoreFailing: r.watcher.FailingFor(), TargetCount: len(v.Targets.ByService["s"]),
 	}
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
