--- a/internal/fleet/forward/whole.go
+++ b/internal/fleet/forward/whole.go
@@ -35,8 +35,11 @@
 
 // checkWholeBody is checkWhole for a response whose body was read as a whole.
 func checkWholeBody(head *http1.Response, body []byte, err error) error {
+	if !isEventStream(head) {
+		return checkWhole(head, err, false, false, nil)
+	}
 	end := lastBoundary(body)
-	return checkWhole(head, err, isEventStream(head), end > 0, body[end:])
+	return checkWhole(head, err, true, end > 0, body[end:])
 }
 
 func isEventStream(head *http1.Response) bool {
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -251,6 +251,7 @@
 func (w *Watcher) remove(name string, keepUntil time.Time) bool {
 	e, ok := w.entries[name]
 	if !ok {
+		delete(w.expiring, name)
 		return false
 	}
 	if time.Now().Before(keepUntil) {
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -313,7 +313,7 @@
 ) {
 	var revision state.Revision
 	backoff := objects.Backoff{Base: retryBaseDelay, Max: retryMaxDelay}
-	failures, staleLists, started, full := 0, 0, false, true
+	failures, staleAnswers, started, full := 0, 0, false, true
 	for ctx.Err() == nil {
 		var page platform.Page
 		var err error
@@ -351,14 +351,15 @@
 		switch {
 		case !full && page.Revision.Era < revision.Era:
 			// An answer from before the store came back, which arrives late.
-			_ = objects.Sleep(ctx, retryBaseDelay)
+			staleAnswers++
+			_ = objects.Sleep(ctx, backoff.Delay(staleAnswers))
 		case !full && page.Revision.Era > revision.Era:
 			// The revision that was watched from is not one of this era.
 			full = true
 		case !apply(page, full) && !cached:
-			staleLists++
+			staleAnswers++
 			metrics.GetOrCreateCounter(`hickoryrock_stale_lists_total`).Inc()
-			_ = objects.Sleep(ctx, backoff.Delay(staleLists))
+			_ = objects.Sleep(ctx, backoff.Delay(staleAnswers))
 		case !full && len(page.Objects) == 0 && revision.Before(page.Revision):
 			// The revision has advanced without events: either another kind has
 			// changed or the watch has lost events. Only a list can tell.
@@ -370,7 +371,7 @@
 			if !full && len(page.Objects) > 0 {
 				_ = objects.Sleep(ctx, changePause)
 			}
-			full, staleLists = false, 0
+			full, staleAnswers = false, 0
 		}
 	}
 }
