--- a/internal/soak/scenario/command.go
+++ b/internal/soak/scenario/command.go
@@ -25,8 +25,9 @@
 	seed := flags.Uint64("seed", uint64(time.Now().Unix()), "seed of the first run")
 	days := flags.Int("days", 1, "number of runs, with consecutive seeds")
 	minutes := flags.Float64("minutes", 1, "minutes in which events are started in each run")
+	storeReturns := flags.Bool("store-returns", true, "let the store also come back from earlier states")
 	if flags.Parse(args) != nil || flags.NArg() > 0 || *days < 1 || *minutes <= 0 {
-		_, _ = fmt.Fprintln(errs, "usage: soak [-program P] [-logs DIR] [-seed N] [-days N] [-minutes M]")
+		_, _ = fmt.Fprintln(errs, "usage: soak [-program P] [-logs DIR] [-seed N] [-days N] [-minutes M] [-store-returns=false]")
 		return exitUsage
 	}
 	status := 0
@@ -37,7 +38,7 @@
 			return exitUsage
 		}
 		report, err := Run(Options{
-			Program: *program, Dir: dir, Seed: *seed + n, Out: out,
+			Program: *program, Dir: dir, Seed: *seed + n, StoreReturns: *storeReturns, Out: out,
 			Duration: time.Duration(*minutes * float64(time.Minute)),
 		})
 		if err != nil {
--- a/internal/soak/scenario/faults.go
+++ b/internal/soak/scenario/faults.go
@@ -19,6 +19,9 @@
 	deregisterDelay = 1500 * time.Millisecond
 	// stepInterval is the pause between the actions of one event.
 	stepInterval = 400 * time.Millisecond
+	// rewriteTime is the longest time until everything has been written again that a store
+	// lost which came back from an earlier state.
+	rewriteTime = 1500 * time.Millisecond
 )
 
 // event is a fault or a planned change that affects the fleet for some time. Its
@@ -115,6 +118,19 @@
 	}},
 }
 
+// storeReturns is the event of a store that comes back from a copy that lacks the changes of
+// its duration. It is not in events, so that the schedules of recorded seeds stay.
+var storeReturns = event{name: "the store comes back from an earlier state", run: func(tb *testbed, rng *rand.Rand, duration time.Duration) {
+	tb.store.Save()
+	time.Sleep(duration)
+	tb.store.Fail(503)
+	time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+	tb.store.Restore()
+	tb.store.Fail(0)
+	time.Sleep(time.Duration(rng.IntN(int(rewriteTime))))
+	tb.rewriteStore()
+}}
+
 // plannedEvents returns the events that are planned changes.
 func plannedEvents() []event {
 	return slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,8 @@
 		Seed uint64
 		// Duration is the time in which new events are started; the run takes longer.
 		Duration time.Duration
+		// StoreReturns lets the store also come back from earlier states.
+		StoreReturns bool
 		// Out receives a line for each event.
 		Out io.Writer
 	}
@@ -69,6 +72,10 @@
 		return Report{}, err
 	}
 	defer stop()
+	tb.events = events
+	if o.StoreReturns {
+		tb.events = append(slices.Clone(events), storeReturns, storeReturns) // Twice as often as others.
+	}
 	start := time.Now()
 	logLine := func(line string) { _, _ = fmt.Fprintf(o.Out, "%7.3f %s\n", time.Since(start).Seconds(), line) }
 	for _, r := range tb.routers {
@@ -108,7 +115,7 @@
 	duration := minFaultPhase + time.Duration(tb.rng.Int64N(int64(maxFaultPhase-minFaultPhase)))
 	var running sync.WaitGroup
 	for elapsed := time.Duration(0); elapsed < duration; {
-		s := tb.drawStep(events)
+		s := tb.drawStep(tb.events)
 		time.Sleep(s.pause)
 		tb.startStep(s, &running, logLine)
 		elapsed += s.pause
--- a/internal/soak/scenario/run_test.go
+++ b/internal/soak/scenario/run_test.go
@@ -26,20 +26,22 @@
 	out, err := build.CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	runs := []struct {
-		name string
-		seed uint64
+		name         string
+		seed         uint64
+		storeReturns bool
 	}{
-		{"the seed of CI", 1},
+		{"the seed of CI", 1, false},
+		{"a store that comes back from earlier states", 1, true},
 		// A resumable stream was abandoned when its target paused, although the retry
 		// budget was exhausted: forward.TestSilentTargetIsAbandonedOnlyForAnother.
-		{"a silent target without budget", 206},
+		{"a silent target without budget", 206, false},
 	}
 	for _, run := range runs {
 		t.Run(run.name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
 			dir := t.TempDir()
-			report, err := scenario.Run(scenario.Options{Program: program, Dir: dir, Seed: run.seed, Duration: shortRun, Out: t.Output()})
+			report, err := scenario.Run(scenario.Options{Program: program, Dir: dir, Seed: run.seed, StoreReturns: run.storeReturns, Duration: shortRun, Out: t.Output()})
 			c.Assert(err, qt.IsNil)
 			t.Log(report.Outcomes)
 			if len(report.Violations) > 0 {
--- a/internal/soak/scenario/testbed.go
+++ b/internal/soak/scenario/testbed.go
@@ -44,7 +44,9 @@
 		recorder *oracle.Recorder
 		rng      *rand.Rand
 		dir      string
-		store    *platformtest.Store
+		// events are those of fault phases.
+		events []event
+		store  *platformtest.Store
 		// storeAddress is the store's own address, without a proxy.
 		storeAddress string
 		routers      []*router
@@ -80,6 +82,8 @@
 		*traffic.Target
 		crash       func()
 		incarnation int
+		// state is the state in the target's entry.
+		state string
 		// reserved targets are about to be stopped; no other event picks them.
 		reserved bool
 	}
@@ -185,6 +189,23 @@
 	tb.versionTimes = append(tb.versionTimes, time.Now())
 }
 
+// rewriteStore writes the newest configuration and the state of all targets again, and
+// removes the entries of those that have ended.
+func (tb *testbed) rewriteStore() {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration,
+		platformtest.FleetConfiguration(len(tb.versionTimes)))
+	for id, t := range tb.targets {
+		tb.store.Set(platformtest.KindTargets, id, platformtest.Target(t.Proxy.Address(), t.state, t.incarnation))
+	}
+	for _, id := range tb.store.Names(platformtest.KindTargets) {
+		if tb.targets[id] == nil {
+			tb.store.Remove(platformtest.KindTargets, id)
+		}
+	}
+}
+
 // newestVersion returns the newest configuration version that was acknowledged
 // more than minAge ago, or 0.
 func (tb *testbed) newestVersion(minAge time.Duration) int {
@@ -221,8 +242,9 @@
 
 func (tb *testbed) registerTarget(id, state string) {
 	tb.mu.Lock()
+	defer tb.mu.Unlock()
 	t := tb.targets[id]
-	tb.mu.Unlock()
+	t.state = state
 	tb.store.Set(platformtest.KindTargets, id, platformtest.Target(t.Proxy.Address(), state, t.incarnation))
 }
 
