--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -158,7 +158,7 @@
 }
 
 // AdvanceRevision advances the known revision when another router has the same
-// targets, by their digest, as of a later revision. One of a later era also takes a
+// targets, by their digest, as of a later revision of the same era. A later era takes a
 // snapshot, which tells which of the targets the store has lost.
 func (w *Watcher) AdvanceRevision(revision state.Revision, digest uint64) {
 	w.mu.Lock()
