--- a/internal/node/edge/command.go
+++ b/internal/node/edge/command.go
@@ -4,7 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -70,6 +73,9 @@
 }
 
 func runEdge(ctx context.Context, env command.Env, args []string) int {
+	// SIGHUP must not end a router that starts or stops and does not watch its settings. The
+	// first look at the file notices what has changed since it was read.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	path, s, ok := loadSettings(env, "edge", args)
 	if !ok {
 		return command.ExitUsage
