--- a/internal/fleet/forward/quarantine.go
+++ b/internal/fleet/forward/quarantine.go
@@ -150,7 +150,7 @@
 	c.h.Quarantine.RecordCrash(quarantine.Crash{Target: target.Hash, At: at, Parts: c.sharedParts}, at)
 	metrics.GetOrCreateCounter(`hickoryrock_target_crashes_total`).Inc()
 	c.h.Log.Warn().Str("call", c.headers.ID).Str("target", target.ID).Strs("parts", partNames(c.sharedParts)).
-		Int64("answer-age-ms", (at.Sub(c.attemptStart)-c.headAt).Milliseconds()).
+		Int64("answer-age-ms", c.answerAge(at).Milliseconds()).
 		Uint64("store-era", c.targets.Revision.Era).Uint64("targets-revision", c.targets.Revision.Number).Msg("target crashed while it answered a call")
 }
 
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -55,6 +55,9 @@
 	return c.firstEvent.Sub(c.start)
 }
 
+// answerAge returns the time since the head of the last attempt's response.
+func (c *call) answerAge(now time.Time) time.Duration { return now.Sub(c.attemptStart) - c.headAt }
+
 // framingName returns the name of what ends a response's body.
 func framingName(head *http1.Response) string {
 	switch head.Length {
@@ -71,6 +74,6 @@
 	metrics.GetOrCreateCounter(`hickoryrock_incomplete_answers_total{framing="` + c.framing + `"}`).Inc()
 	c.h.Log.Warn().Str("call", c.headers.ID).Str("target", target.ID).Str("framing", c.framing).
 		Str("last-event", c.stream.lastID).Int("bytes-after-last-event", len(c.stream.pending)).
-		Bool("begun", c.writer.Started()).Int64("answer-age-ms", (time.Since(c.attemptStart)-c.headAt).Milliseconds()).
+		Bool("begun", c.writer.Started()).Int64("answer-age-ms", c.answerAge(time.Now()).Milliseconds()).
 		AnErr("cause", err).Msg("answer incomplete")
 }
--- a/internal/node/edge/register.go
+++ b/internal/node/edge/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -115,17 +116,11 @@
 // addListedPeers adds the listed routers as gossip peers and returns their number.
 // registered reports whether the list contains this router's own entry unchanged.
 func (r *Router) addListedPeers(ctx context.Context, self platform.Router) (others int, registered bool, err error) {
-	page, err := r.store.ListCached(ctx, platform.KindRouters)
+	routers, err := r.listRouters(ctx, r.store.ListCached)
 	if err != nil {
-		r.log.Warn().Err(err).Msg("failed to list routers")
 		return 0, false, err
 	}
-	for _, o := range page.Objects {
-		other, err := platform.DecodeRouter(o)
-		if err != nil {
-			r.log.Warn().Err(err).Msg("skipping invalid router entry")
-			continue
-		}
+	for _, other := range routers {
 		if other.Name == self.Name {
 			registered = other == self
 			continue
@@ -136,6 +131,27 @@
 	return others, registered, nil
 }
 
+// listRouters returns the routers in the store's list. It logs errors.
+func (r *Router) listRouters(
+	ctx context.Context, list func(context.Context, string) (platform.Page, error),
+) ([]platform.Router, error) {
+	page, err := list(ctx, platform.KindRouters)
+	if err != nil {
+		r.log.Warn().Err(err).Msg("failed to list routers")
+		return nil, err
+	}
+	routers := make([]platform.Router, 0, len(page.Objects))
+	for _, o := range page.Objects {
+		router, err := platform.DecodeRouter(o)
+		if err != nil {
+			r.log.Warn().Err(err).Msg("skipping invalid router entry")
+			continue
+		}
+		routers = append(routers, router)
+	}
+	return routers, nil
+}
+
 // storeEra returns the store's era as far as this router knows, state.FirstEra at least.
 func (r *Router) storeEra() uint64 {
 	return max(r.watcher.View().Targets.Revision.Era, state.FirstEra)
@@ -155,32 +171,23 @@
 // restoreRegistrations makes one attempt to write the missing entries, and reports whether
 // it succeeded.
 func (r *Router) restoreRegistrations(ctx context.Context) bool {
-	page, err := r.store.List(ctx, platform.KindRouters)
+	listed, err := r.listRouters(ctx, r.store.List)
 	if err != nil {
-		r.log.Warn().Err(err).Msg("failed to list routers")
 		return false
 	}
-	listed := make(map[platform.Router]bool, len(page.Objects))
-	for _, o := range page.Objects {
-		if router, err := platform.DecodeRouter(o); err == nil {
-			listed[router] = true
-		} else {
-			r.log.Warn().Err(err).Msg("skipping invalid router entry")
-		}
-	}
 	for _, identity := range r.fleet.LiveIdentities() {
 		entry := platform.Router{
 			Name: identity.Router, CallerAddress: identity.CallerAddress, PeerAddress: identity.PeerAddress,
 			FailureDomain: identity.FailureDomain,
 		}
-		if listed[entry] {
+		if slices.Contains(listed, entry) {
 			continue
 		}
 		if err := r.store.Put(ctx, platform.KindRouters, entry.Name, platform.EncodeRouter(entry)); err != nil {
 			r.log.Warn().Err(err).Str("peer", entry.Name).Msg("failed to write router entry to the store again")
 			return false
 		}
-		r.log.Info().Str("peer", entry.Name).Uint64("store-era", page.Revision.Era).
+		r.log.Info().Str("peer", entry.Name).Uint64("store-era", r.storeEra()).
 			Msg("router entry written again that the store had lost")
 	}
 	return true
--- a/internal/peer/gossip/revision.go
+++ b/internal/peer/gossip/revision.go
@@ -82,7 +82,7 @@
 	out := make([]*peerv1.TargetDeparture, 0, min(len(list), maxDepartureReports))
 	for _, d := range list[:min(len(list), maxDepartureReports)] {
 		out = append(out, &peerv1.TargetDeparture{
-			Target: d.Target, Drained: d.Drained, Era: d.Era, AgeMs: uint32(max(now.Sub(d.At), 0).Milliseconds()),
+			Target: d.Target, Drained: d.Drained, Era: d.Era, AgeMs: ageMS(d.At, now),
 		})
 	}
 	return out
@@ -93,7 +93,7 @@
 	for _, d := range list {
 		out = append(out, storewatch.Departure{
 			Target: d.GetTarget(), Drained: d.GetDrained(), Era: d.GetEra(),
-			At: now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond),
+			At: timeBefore(now, d.GetAgeMs()),
 		})
 	}
 	return out
