--- a/internal/target/http1client/http1client_test.go
+++ b/internal/target/http1client/http1client_test.go
@@ -211,9 +211,9 @@
 			if err != nil {
 				return
 			}
+			accepted <- conn
 			// Responds before reading the body, and never reads it.
 			_, _ = io.WriteString(conn, response("1", "early"))
-			accepted <- conn
 		}
 	}()
 	pool, stop := http1client.New()
