--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -31,10 +31,13 @@
 	// pending prompt tokens.
 	crossDomainTokens = 200
 	// rendezvousCandidates is the number of targets, by rendezvous hashing,
-	// that are considered in addition to those that hold a part of the prompt.
-	// If all targets were considered, many routers with delayed load
+	// that are considered in addition to those that hold all shared parts of the
+	// prompt. If all targets were considered, many routers with delayed load
 	// information would choose the same one.
 	rendezvousCandidates = 4
+	// partialCandidates is the number of further ones among those that hold some of the
+	// parts: every target may hold a first part that many prompts share.
+	partialCandidates = 2
 	// prefillTimeout is the time after which a part is assumed to be prefilled
 	// if no router has reported it.
 	prefillTimeout = 2 * time.Second
@@ -198,11 +201,10 @@
 	shared := Shared(r.Parts)
 	held, prefilled := x.prefixDepths(shared, candidates, now)
 	sources := findSources(shared, candidates, held, prefilled, r.Fetch)
-	key := shared[len(shared)-1].Hash
-	eligible := eligibleCandidates(key, candidates, allowed, held)
+	ranks := rendezvousRanks(shared[len(shared)-1].Hash, candidates)
+	eligible := eligibleCandidates(ranks, allowed, held, len(shared))
 	best := Choice{Index: -1, Source: -1}
 	var bestCost float64
-	var bestRank uint64
 	for i, c := range candidates {
 		if !eligible[i] {
 			continue
@@ -216,9 +218,8 @@
 		}
 		// Equal costs are decided by rendezvous hashing, on which routers agree
 		// without communication.
-		rank := rendezvous.Rank(key, c.Target)
-		if best.Index < 0 || cost < bestCost || (cost == bestCost && rank > bestRank) {
-			best, bestCost, bestRank = choice, cost, rank
+		if best.Index < 0 || cost < bestCost || (cost == bestCost && ranks[i] > ranks[best.Index]) {
+			best, bestCost = choice, cost
 		}
 	}
 	if best.Index < 0 {
@@ -251,25 +252,42 @@
 	return parts[:len(parts)-1]
 }
 
-// eligibleCandidates marks the allowed candidates that hold a part of the
-// prompt and those with the highest ranks by rendezvous hashing.
-func eligibleCandidates(key uint64, candidates []Candidate, allowed []bool, held []int) []bool {
-	eligible := make([]bool, len(candidates))
-	for range rendezvousCandidates {
-		best, bestRank := -1, uint64(0)
-		for i, c := range candidates {
-			if rank := rendezvous.Rank(key, c.Target); allowed[i] && !eligible[i] && (best < 0 || rank > bestRank) {
-				best, bestRank = i, rank
+// rendezvousRanks returns the candidates' ranks for a prompt.
+func rendezvousRanks(key uint64, candidates []Candidate) []uint64 {
+	ranks := make([]uint64, len(candidates))
+	for i, c := range candidates {
+		ranks[i] = rendezvous.Rank(key, c.Target)
+	}
+	return ranks
+}
+
+// eligibleCandidates marks the allowed candidates that hold all shared parts of the prompt
+// and, by rank, the first ones of all and of those that hold some of the parts.
+func eligibleCandidates(ranks []uint64, allowed []bool, held []int, parts int) []bool {
+	eligible := make([]bool, len(ranks))
+	markHighest(eligible, ranks, rendezvousCandidates, func(i int) bool { return allowed[i] })
+	markHighest(eligible, ranks, partialCandidates, func(i int) bool { return allowed[i] && held[i] > 0 })
+	for i := range eligible {
+		eligible[i] = eligible[i] || (allowed[i] && held[i] == parts)
+	}
+	return eligible
+}
+
+// markHighest marks the n candidates with the highest ranks that pass a filter and are not
+// marked yet.
+func markHighest(marked []bool, ranks []uint64, n int, pass func(i int) bool) {
+	for range n {
+		best := -1
+		for i, rank := range ranks {
+			if (best < 0 || rank > ranks[best]) && !marked[i] && pass(i) {
+				best = i
 			}
 		}
-		if best >= 0 {
-			eligible[best] = true
+		if best < 0 {
+			return
 		}
+		marked[best] = true
 	}
-	for i := range candidates {
-		eligible[i] = eligible[i] || (allowed[i] && held[i] > 0)
-	}
-	return eligible
 }
 
 // allowedCandidates marks the candidates that may be chosen: those that are not
