--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -286,14 +286,16 @@
 func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) {
 	buffer := make([]byte, streamReadBytes)
 	prefilled := false
+	c.stream.beginAttempt()
 	var pace streamPace
 	for {
 		n, err := response.Body.Read(buffer)
-		events, tooLarge := c.stream.add(buffer[:n])
-		if tooLarge != nil {
+		events, invalid := c.stream.add(buffer[:n])
+		if invalid != nil {
+			c.logIncomplete(target, invalid)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
-			c.recordFailure(ctx, target, false, "event-too-large")
+			c.recordFailure(ctx, target, false, invalidReason(invalid))
 			return
 		}
 		if len(events) > 0 {
@@ -334,6 +336,14 @@
 	}
 }
 
+// invalidReason returns the reason of a call whose stream holds invalid events.
+func invalidReason(err error) string {
+	if errors.Is(err, errEventsRepeated) {
+		return "stream-repeats"
+	}
+	return "event-too-large"
+}
+
 // writeEvents sends complete events to the caller, with the response head first if needed.
 func (c *call) writeEvents(head *http1.Response, data []byte) {
 	if len(data) == 0 {
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"strconv"
 )
 
 const (
@@ -14,7 +15,10 @@
 	boundaryOverlap = 2
 )
 
-var errEventTooLarge = errors.New("event exceeds the size limit")
+var (
+	errEventTooLarge  = errors.New("event exceeds the size limit")
+	errEventsRepeated = errors.New("the stream was not resumed after the last event ID but repeats events")
+)
 
 // eventBuffer splits a server-sent event stream at event boundaries.
 type eventBuffer struct {
@@ -23,11 +27,17 @@
 	// events without an ID have followed it.
 	lastID     string
 	unnumbered bool
+	// resumedAfter is the ID after which the target should resume the stream, until the first
+	// ID that it sends.
+	resumedAfter string
 }
 
+// beginAttempt prepares for the stream of another target, which resumes after lastID.
+func (e *eventBuffer) beginAttempt() { e.resumedAfter = e.lastID }
+
 // add appends bytes of the stream and returns the complete events among all
 // pending bytes. The result is a copy. It returns errEventTooLarge when more than
-// maxEventBytes are pending.
+// maxEventBytes are pending, and errEventsRepeated when the target does not resume.
 func (e *eventBuffer) add(data []byte) ([]byte, error) {
 	searched := max(len(e.pending)-boundaryOverlap, 0)
 	e.pending = append(e.pending, data...)
@@ -39,6 +49,12 @@
 		return nil, nil
 	}
 	end += searched
+	if id := firstID(e.pending[:end]); id != "" {
+		if repeats(id, e.resumedAfter) {
+			return nil, errEventsRepeated
+		}
+		e.resumedAfter = ""
+	}
 	complete := bytes.Clone(e.pending[:end])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
 	e.recordIDs(complete)
@@ -59,13 +75,37 @@
 			id, isEvent = "", false
 		case len(line) > 0 && line[0] != ':': // Other lines are comments.
 			isEvent = true
-			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-				id = string(bytes.TrimSpace(value))
+			if value, ok := eventID(line); ok {
+				id = value
 			}
 		}
 	}
 }
 
+// eventID returns the event ID that a line sets.
+func eventID(line []byte) (string, bool) {
+	value, ok := bytes.CutPrefix(line, []byte("id:"))
+	return string(bytes.TrimSpace(value)), ok
+}
+
+// firstID returns the first event ID in complete events, or "".
+func firstID(events []byte) string {
+	for line := range bytes.Lines(events) {
+		if id, ok := eventID(line); ok && id != "" {
+			return id
+		}
+	}
+	return ""
+}
+
+// repeats reports whether an event with an ID is not after the one with the ID last. IDs of a
+// stream increase; those that are no numbers cannot be compared.
+func repeats(id, last string) bool {
+	a, err := strconv.ParseUint(id, 10, 64)
+	b, err2 := strconv.ParseUint(last, 10, 64)
+	return err == nil && err2 == nil && a <= b
+}
+
 // reset discards an incomplete event.
 func (e *eventBuffer) reset() { e.pending = e.pending[:0] }
 
--- a/internal/fleet/forward/whole_test.go
+++ b/internal/fleet/forward/whole_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -136,6 +137,40 @@
 	})
 }
 
+// Guards against events that reach the caller twice: a target to which a stream is sent on
+// does not resume it, but begins it again.
+func TestStreamsThatBeginAgainAreNotJoined(t *testing.T) {
+	again := func(events string) rawserver.Handler {
+		return func(c net.Conn, r rawserver.Request) bool {
+			if platformtest.DecodeForwarded(r).LastEventID == "" {
+				return eventScript(9, 4)(c, r)
+			}
+			_, err := io.WriteString(c, platformtest.StreamHead(r)+chunk(events)+"0\r\n\r\n")
+			return err == nil
+		}
+	}
+	for name, events := range map[string]string{
+		"from the first event":    wholeStream(9),
+		"from the last event":     "id: 3\ndata: x\n\nid: 4\ndata: x\n\n",
+		"after a comment":         ": note\n\n" + wholeStream(9),
+		"with a later event next": "id: 2\ndata: x\n\nid: 9\ndata: x\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, again(events))
+			got := f.call("/resume/a")
+			f.assertBrokenOff(got)
+			for i := 1; i <= 9; i++ {
+				f.Assert(strings.Count(got.body, fmt.Sprintf("id: %d\n", i)) <= 1, qt.IsTrue, qt.Commentf("%q", got.body))
+			}
+			f.Assert(f.targetRequests(), qt.Equals, 2)
+		})
+	}
+	t.Run("IDs that are no numbers say nothing", func(t *testing.T) {
+		f := newFixture(t, 2, again("id: b\ndata: x\n\n"))
+		f.assertResponse(f.call("/resume/a"), 200, wholeStream(3)+"id: b\ndata: x\n\n")
+	})
+}
+
 // Guards against body bytes after the head of a response to a HEAD request, which a
 // caller would take for its next response.
 func TestHeadRequestsOfStreamsHaveNoBody(t *testing.T) {
