--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +17,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	peerv1 "hickoryrock/api/peer/v1"
 	"hickoryrock/api/peer/v1/peerv1connect"
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/fleet/storewatch"
@@ -178,14 +176,6 @@
 		batch          []byte
 		flushScheduled bool
 	}
-
-	peer struct {
-		address       netip.AddrPort
-		lastContact   time.Time
-		beacon        *peerv1.Beacon
-		live          bool
-		backoffRounds int
-	}
 )
 
 // New binds the UDP socket at self.PeerAddress. It returns the fleet and a
@@ -226,32 +216,6 @@
 	return f.limitCacheSends(mux)
 }
 
-// AddPeer adds a peer, which may or may not be running, and introduces this router to
-// it. It ignores this router's own address and logs addresses that are not IP:port.
-func (f *Fleet) AddPeer(peerAddress string) {
-	if peerAddress == f.self.PeerAddress {
-		return
-	}
-	f.mu.Lock()
-	known := f.peers[peerAddress] != nil
-	f.mu.Unlock()
-	if known {
-		return
-	}
-	address, err := netip.ParseAddrPort(peerAddress)
-	if err != nil {
-		f.log.Warn().Err(err).Str("address", peerAddress).Msg("peer address skipped")
-		return
-	}
-	f.mu.Lock()
-	if f.peers[peerAddress] == nil {
-		p := &peer{address: address, lastContact: time.Now()}
-		f.peers[peerAddress], f.peersBySender[senderID(peerAddress)] = p, p
-	}
-	f.mu.Unlock()
-	f.greet(address)
-}
-
 // greet queues a beacon with this router's identity to one peer. The peer answers in
 // the same way if this process is new to it, so that both know each other after a
 // round trip, at the cost of two datagrams.
@@ -327,69 +291,6 @@
 	}
 }
 
-// LiveCount returns the number of live routers, this one included.
-func (f *Fleet) LiveCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 1
-	for _, p := range f.peers {
-		if p.live {
-			n++
-		}
-	}
-	return n
-}
-
-// LiveIdentities returns the identities of the live routers that are not leaving, this one
-// included.
-func (f *Fleet) LiveIdentities() []Identity {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	identities := []Identity{f.self}
-	for _, p := range f.peers {
-		if p.live && !p.beacon.GetLeaving() {
-			identities = append(identities, Identity{
-				Router: p.beacon.GetRouter(), CallerAddress: p.beacon.GetCallerAddress(), PeerAddress: p.beacon.GetPeerAddress(),
-				FailureDomain: p.beacon.GetFailureDomain(), Incarnation: p.beacon.GetIncarnation(),
-			})
-		}
-	}
-	return identities
-}
-
-// CallerAddresses returns up to limit addresses of routers that serve callers,
-// those in the given failure domain first.
-func (f *Fleet) CallerAddresses(failureDomain string, limit int) []string {
-	var near, remote []string
-	add := func(domain, address string) {
-		if domain == failureDomain {
-			near = append(near, address)
-			return
-		}
-		remote = append(remote, address)
-	}
-	local := f.localState()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if local.Serving && !f.leaving {
-		add(f.self.FailureDomain, f.self.CallerAddress)
-	}
-	for _, p := range f.peers {
-		if p.servesCallers() {
-			add(p.beacon.GetFailureDomain(), p.beacon.GetCallerAddress())
-		}
-	}
-	slices.Sort(near)
-	slices.Sort(remote)
-	all := append(near, remote...)
-	return all[:min(limit, len(all))]
-}
-
-// servesCallers reports whether the peer is live and takes callers.
-func (p *peer) servesCallers() bool {
-	return p.live && p.beacon.GetServing() && !p.beacon.GetLeaving()
-}
-
 // ReportInterval returns the time between two reports of a router's loads.
 func (f *Fleet) ReportInterval() time.Duration { return f.interval() }
 
@@ -402,16 +303,3 @@
 func (f *Fleet) intervalFor(peers int) time.Duration {
 	return beaconInterval * time.Duration(1+peers/routersPerInterval)
 }
-
-// markLost marks the peers that missed more than maxMissedBeacons as not live.
-func (f *Fleet) markLost(now time.Time) {
-	limit := maxMissedBeacons * f.interval()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, p := range f.peers {
-		if p.live && now.Sub(p.lastContact) > limit {
-			p.live = false
-			f.log.Warn().Str("peer", p.beacon.GetRouter()).Dur("silence-ms", now.Sub(p.lastContact)).Msg("router lost")
-		}
-	}
-}
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -3,167 +3,16 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/rs/zerolog"
 
-	"hickoryrock/internal/fleet/storewatch"
-	"hickoryrock/internal/peer/gossip"
 	"hickoryrock/internal/policy/affinity"
-	"hickoryrock/internal/policy/quarantine"
-	"hickoryrock/internal/policy/targetlimits"
-	"hickoryrock/internal/policy/targetstats"
-	"hickoryrock/platform"
 	"hickoryrock/platform/platformtest"
 )
 
-const waitTimeout = 5 * time.Second
-
-// router is a gossiping router that serves no callers.
-type router struct {
-	*gossip.Fleet
-	watcher    *storewatch.Watcher
-	tracker    *targetstats.Tracker
-	cacheIndex *affinity.CacheIndex
-	quarantine *quarantine.Tracker
-	limits     *targetlimits.Tracker
-	address    string
-	// snapshots counts the snapshots that this router's peers have requested from it.
-	snapshots atomic.Int64
-	// cacheSends counts the cache contents that it has sent.
-	cacheSends atomic.Int64
-	stop       func()
-}
-
-type fixture struct {
-	*qt.C
-	store        *platformtest.Store
-	storeAddress string
-	// failingStoreAddress is the address of a store that fails every call with 503.
-	failingStoreAddress string
-	// slowCaches is the time that a router takes to send cache contents.
-	slowCaches time.Duration
-}
-
-func newFixture(t *testing.T) *fixture {
-	f := &fixture{C: qt.New(t), store: platformtest.NewStore()}
-	serve := func(h http.Handler) string {
-		server := httptest.NewServer(h)
-		t.Cleanup(server.Close)
-		return strings.TrimPrefix(server.URL, "http://")
-	}
-	f.storeAddress = serve(f.store)
-	f.failingStoreAddress = serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}))
-	return f
-}
-
-// start runs a router in its own failure domain that uses the store at storeAddress.
-func (f *fixture) start(name, storeAddress string) *router {
-	return f.startIn("z-"+name, name, storeAddress)
-}
-
-func (f *fixture) startIn(failureDomain, name, storeAddress string) *router {
-	reserved, err := net.Listen("tcp4", "127.0.0.1:0")
-	f.Assert(err, qt.IsNil)
-	address := reserved.Addr().String()
-	f.Assert(reserved.Close(), qt.IsNil)
-
-	r := &router{address: address, tracker: targetstats.NewTracker(func(targetstats.Change) {}), cacheIndex: affinity.NewCacheIndex(),
-		quarantine: quarantine.NewTracker()}
-	r.limits = targetlimits.NewTracker(func() (uint64, []uint64) { return r.LiveRouters() })
-	store, closeStore := platform.NewStore(storeAddress)
-	r.watcher = storewatch.New(store, zerolog.Nop(),
-		func(c *storewatch.Delta) { r.SendNow(c) }, func() bool { return r.StoreServesPeers() })
-	fleet, closeFleet, err := gossip.New(gossip.Identity{
-		Router: name, CallerAddress: "callers-of-" + name, PeerAddress: address, FailureDomain: failureDomain,
-		Incarnation: uint64(time.Now().UnixMicro()),
-	}, r.localState, r.tracker, r.cacheIndex, r.watcher, zerolog.Nop(), gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.limits))
-	f.Assert(err, qt.IsNil)
-	r.Fleet = fleet
-	l, err := net.Listen("tcp4", address)
-	f.Assert(err, qt.IsNil)
-	handler := fleet.Handler()
-	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r.snapshots.Add(1)
-		handler.ServeHTTP(&slowWriter{ResponseWriter: w, router: r, delay: f.slowCaches, slow: strings.HasSuffix(req.URL.Path, "GetCaches")}, req)
-	})}
-	go func() { _ = server.Serve(l) }()
-	ctx, cancel := context.WithCancel(context.Background())
-	go r.watcher.Run(ctx, fleet.WatchesStore)
-	go fleet.Run(ctx)
-	r.stop = func() {
-		cancel()
-		_ = server.Close()
-		closeFleet()
-		closeStore()
-	}
-	f.Cleanup(func() { r.stop() })
-	return r
-}
-
-// slowWriter delays a successful response with cache contents, and counts it.
-type slowWriter struct {
-	http.ResponseWriter
-	router *router
-	delay  time.Duration
-	slow   bool
-	status int
-}
-
-func (w *slowWriter) WriteHeader(status int) {
-	w.status = status
-	w.ResponseWriter.WriteHeader(status)
-}
-
-func (w *slowWriter) Write(data []byte) (int, error) {
-	if w.slow && (w.status == 0 || w.status == http.StatusOK) {
-		w.slow = false
-		w.router.cacheSends.Add(1)
-		time.Sleep(w.delay)
-	}
-	return w.ResponseWriter.Write(data)
-}
-
-func (r *router) localState() gossip.State {
-	v := r.watcher.View()
-	s := gossip.State{
-		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision, TargetsDigest: v.Targets.Digest,
-		TargetsListRevision: v.Targets.ListRevision, LacksDepartures: r.watcher.LacksDepartures(),
-		StoreAge: r.watcher.StoreAge(), StoreFailing: r.watcher.FailingFor(), TargetCount: len(v.Targets.ByService["s"]),
-	}
-	if v.Configuration != nil {
-		s.ConfigurationVersion = v.Configuration.Version
-	}
-	return s
-}
-
-func (f *fixture) eventually(what string, holds func() bool) {
-	f.Helper()
-	for end := time.Now().Add(waitTimeout); !holds(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			f.Fatalf("condition not met within %v: %s", waitTimeout, what)
-		}
-	}
-}
-
-func (f *fixture) configure(version int) {
-	f.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.Configuration(version))
-}
-
-func (f *fixture) target(id, state string) {
-	f.store.Set(platformtest.KindTargets, id, platformtest.Target("10.0.0.1:80", state, 0))
-}
-
 func TestRoutersDiscoverEachOther(t *testing.T) {
 	f := newFixture(t)
 	f.configure(1)
--- /dev/null
+++ b/internal/peer/gossip/peers.go
@@ -0,0 +1,120 @@
+package gossip
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	peerv1 "hickoryrock/api/peer/v1"
+)
+
+// peer is another router, as of its last beacon.
+type peer struct {
+	address       netip.AddrPort
+	lastContact   time.Time
+	beacon        *peerv1.Beacon
+	live          bool
+	backoffRounds int
+}
+
+// AddPeer adds a peer, which may or may not be running, and introduces this router to
+// it. It ignores this router's own address and logs addresses that are not IP:port.
+func (f *Fleet) AddPeer(peerAddress string) {
+	if peerAddress == f.self.PeerAddress {
+		return
+	}
+	f.mu.Lock()
+	known := f.peers[peerAddress] != nil
+	f.mu.Unlock()
+	if known {
+		return
+	}
+	address, err := netip.ParseAddrPort(peerAddress)
+	if err != nil {
+		f.log.Warn().Err(err).Str("address", peerAddress).Msg("peer address skipped")
+		return
+	}
+	f.mu.Lock()
+	if f.peers[peerAddress] == nil {
+		p := &peer{address: address, lastContact: time.Now()}
+		f.peers[peerAddress], f.peersBySender[senderID(peerAddress)] = p, p
+	}
+	f.mu.Unlock()
+	f.greet(address)
+}
+
+// LiveCount returns the number of live routers, this one included.
+func (f *Fleet) LiveCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 1
+	for _, p := range f.peers {
+		if p.live {
+			n++
+		}
+	}
+	return n
+}
+
+// LiveIdentities returns the identities of the live routers that are not leaving, this one
+// included.
+func (f *Fleet) LiveIdentities() []Identity {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	identities := []Identity{f.self}
+	for _, p := range f.peers {
+		if p.live && !p.beacon.GetLeaving() {
+			identities = append(identities, Identity{
+				Router: p.beacon.GetRouter(), CallerAddress: p.beacon.GetCallerAddress(), PeerAddress: p.beacon.GetPeerAddress(),
+				FailureDomain: p.beacon.GetFailureDomain(), Incarnation: p.beacon.GetIncarnation(),
+			})
+		}
+	}
+	return identities
+}
+
+// CallerAddresses returns up to limit addresses of routers that serve callers,
+// those in the given failure domain first.
+func (f *Fleet) CallerAddresses(failureDomain string, limit int) []string {
+	var near, remote []string
+	add := func(domain, address string) {
+		if domain == failureDomain {
+			near = append(near, address)
+			return
+		}
+		remote = append(remote, address)
+	}
+	local := f.localState()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if local.Serving && !f.leaving {
+		add(f.self.FailureDomain, f.self.CallerAddress)
+	}
+	for _, p := range f.peers {
+		if p.servesCallers() {
+			add(p.beacon.GetFailureDomain(), p.beacon.GetCallerAddress())
+		}
+	}
+	slices.Sort(near)
+	slices.Sort(remote)
+	all := append(near, remote...)
+	return all[:min(limit, len(all))]
+}
+
+// servesCallers reports whether the peer is live and takes callers.
+func (p *peer) servesCallers() bool {
+	return p.live && p.beacon.GetServing() && !p.beacon.GetLeaving()
+}
+
+// markLost marks the peers that missed more than maxMissedBeacons as not live.
+func (f *Fleet) markLost(now time.Time) {
+	limit := maxMissedBeacons * f.interval()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		if p.live && now.Sub(p.lastContact) > limit {
+			p.live = false
+			f.log.Warn().Str("peer", p.beacon.GetRouter()).Dur("silence-ms", now.Sub(p.lastContact)).Msg("router lost")
+		}
+	}
+}
