--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -49,11 +49,14 @@
 		return nil, nil
 	}
 	end += searched
-	if id := firstID(e.pending[:end]); id != "" {
+	if e.resumedAfter != "" {
+		id := firstID(e.pending[:end])
 		if repeats(id, e.resumedAfter) {
 			return nil, errEventsRepeated
 		}
-		e.resumedAfter = ""
+		if id != "" {
+			e.resumedAfter = ""
+		}
 	}
 	complete := bytes.Clone(e.pending[:end])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
