--- a/internal/policy/affinity/head_test.go
+++ b/internal/policy/affinity/head_test.go
@@ -251,11 +251,14 @@
 // Guards against all routers of a large fleet sending to the same engine until their next
 // reports, because every engine holds a first part that many prompts share.
 func TestPopularFirstPartDoesNotAttractAllRouters(t *testing.T) {
-	c := qt.New(t)
 	for seed := range uint64(3) {
-		f := newHeadFleet(seed)
-		f.run()
-		c.Logf("seed %d: %.4f of %d calls reached engines over the bound in the worst window", seed, f.worstShare(), f.arrived[headDuration])
-		c.Check(f.worstShare() < boundShare, qt.IsTrue)
+		t.Run("seed "+strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := newHeadFleet(seed)
+			f.run()
+			c.Logf("%.4f of %d calls reached engines over the bound in the worst window", f.worstShare(), f.arrived[headDuration])
+			c.Assert(f.worstShare() < boundShare, qt.IsTrue)
+		})
 	}
 }
