--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -7,14 +7,11 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -22,6 +19,7 @@
 
 	"hickoryrock/internal/caller/outcome"
 	"hickoryrock/internal/platform/objects"
+	"hickoryrock/internal/testing/ports"
 
 	// The tested programs are built from these packages. Importing them makes go test rerun the
 	// tests instead of using a cached result when they change.
@@ -34,11 +32,7 @@
 const (
 	token        = "e2e-token"
 	startTimeout = 20 * time.Second
-	// The listening ports start at firstPort, below the ephemeral ports of outgoing connections.
-	firstPort       = 20000
-	portCount       = 10000
-	portsPerProcess = 64
-	pollInterval    = 20 * time.Millisecond
+	pollInterval = 20 * time.Millisecond
 
 	settingsTemplate = `name: %s
 failure-domain: %s
@@ -77,11 +71,8 @@
 `
 )
 
-var (
-	// binDir is the directory with the built programs.
-	binDir   string
-	nextPort atomic.Int64
-)
+// binDir is the directory with the built programs.
+var binDir string
 
 // fleet runs three routers, two engines, an order server and the platform stand-in, each as a
 // separate process. There are three routers so that two still form a majority when the third is
@@ -155,22 +146,10 @@
 	return path
 }
 
-// freeAddress returns a free address below the ephemeral port range, so that no
-// outgoing connection of another test takes the port before it is used. No process is
-// forked meanwhile: until it executes its program, the child would keep the listener open.
 func (f *fleet) freeAddress() string {
-	syscall.ForkLock.RLock()
-	defer syscall.ForkLock.RUnlock()
-	for range portCount {
-		port := firstPort + (os.Getpid()*portsPerProcess+int(nextPort.Add(1)))%portCount
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			defer func() { _ = ln.Close() }()
-			return ln.Addr().String()
-		}
-	}
-	f.Fatal("no port is free")
-	return ""
+	address, _, err := ports.Free()
+	f.Assert(err, qt.IsNil)
+	return address
 }
 
 // startStandin starts a stand-in of the given kind and returns its address.
--- a/internal/node/edge/edge_test.go
+++ b/internal/node/edge/edge_test.go
@@ -20,6 +20,7 @@
 
 	"hickoryrock/internal/operator/command"
 	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/internal/testing/ports"
 	"hickoryrock/platform"
 	"hickoryrock/platform/platformtest"
 )
@@ -38,10 +39,9 @@
 }
 
 func freeAddress(c *qt.C) (address string, port int) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, port, err := ports.Free()
 	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String(), l.Addr().(*net.TCPAddr).Port
+	return address, port
 }
 
 func newFixture(t *testing.T) *fixture { return newFixtureWithStore(t, platformtest.NewStore()) }
--- a/internal/peer/gossip/fixture_test.go
+++ b/internal/peer/gossip/fixture_test.go
@@ -19,6 +19,7 @@
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/targetlimits"
 	"hickoryrock/internal/policy/targetstats"
+	"hickoryrock/internal/testing/ports"
 	"hickoryrock/platform"
 	"hickoryrock/platform/platformtest"
 )
@@ -71,10 +72,8 @@
 }
 
 func (f *fixture) startIn(failureDomain, name, storeAddress string) *router {
-	reserved, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, _, err := ports.Free()
 	f.Assert(err, qt.IsNil)
-	address := reserved.Addr().String()
-	f.Assert(reserved.Close(), qt.IsNil)
 
 	r := &router{address: address, tracker: targetstats.NewTracker(func(targetstats.Change) {}), cacheIndex: affinity.NewCacheIndex(),
 		quarantine: quarantine.NewTracker()}
--- a/internal/peer/probe/probe_test.go
+++ b/internal/peer/probe/probe_test.go
@@ -15,6 +15,7 @@
 	"hickoryrock/internal/peer/probe"
 	"hickoryrock/internal/peer/traffic"
 	"hickoryrock/internal/platform/objects"
+	"hickoryrock/internal/testing/ports"
 )
 
 const (
@@ -34,10 +35,9 @@
 }
 
 func freeAddress(c *qt.C) string {
-	s, err := net.ListenPacket("udp", "127.0.0.1:0")
+	address, _, err := ports.Free()
 	c.Assert(err, qt.IsNil)
-	defer s.Close()
-	return s.LocalAddr().String()
+	return address
 }
 
 func startFleet(c *qt.C, n int) []router {
