--- a/internal/capacity/speed/fleet_test.go
+++ b/internal/capacity/speed/fleet_test.go
@@ -10,7 +10,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -25,6 +24,7 @@
 	"hickoryrock/internal/platform/objects"
 	"hickoryrock/internal/standin/engine"
 	"hickoryrock/internal/standin/platform"
+	"hickoryrock/internal/testing/ports"
 )
 
 const (
@@ -111,7 +111,7 @@
 func (f *fleet) startRouter(platformURL string) {
 	s := settings.Default()
 	s.Name, s.FailureDomain = "router-1", domain
-	s.Listen = settings.Listen{Callers: f.freeAddress(), Peers: f.freeAddress(), Admin: f.freeAddress()}
+	s.Listen = settings.Listen{Callers: ports.FreeAddress(f), Peers: ports.FreeAddress(f), Admin: ports.FreeAddress(f)}
 	s.Platform.Addresses = []string{platformURL}
 	s.Callers.KeepAddress = keepAddress
 	s.Drain.Timeout = time.Second
@@ -128,13 +128,6 @@
 	f.router = s.Listen.Callers
 }
 
-func (f *fleet) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	f.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // waitUntilServed waits until the router serves chat requests for a model: a new
 // owner grants permits for a target only after the target's contest has ended.
 func (f *fleet) waitUntilServed(model string) {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -146,15 +146,9 @@
 	return path
 }
 
-func (f *fleet) freeAddress() string {
-	address, _, err := ports.Free()
-	f.Assert(err, qt.IsNil)
-	return address
-}
-
 // startStandin starts a stand-in of the given kind and returns its address.
 func (f *fleet) startStandin(kind, name string, flags ...string) string {
-	address := f.freeAddress()
+	address := ports.FreeAddress(f)
 	args := append([]string{kind, "-listen", address}, flags...)
 	if kind != "platform" {
 		args = append(args, "-name", name)
@@ -164,7 +158,7 @@
 }
 
 func (f *fleet) startRouter(name string) {
-	callers, peers, admin := f.freeAddress(), f.freeAddress(), f.freeAddress()
+	callers, peers, admin := ports.FreeAddress(f), ports.FreeAddress(f), ports.FreeAddress(f)
 	vm, err := json.Marshal(objects.VM{
 		Name: name, Role: "router", PeerAddress: peers, CallerAddress: callers, FailureDomain: "a", State: objects.VMLive,
 	})
--- a/internal/node/edge/edge_test.go
+++ b/internal/node/edge/edge_test.go
@@ -38,12 +38,6 @@
 	stopped  chan struct{}
 }
 
-func freeAddress(c *qt.C) (address string, port int) {
-	address, port, err := ports.Free()
-	c.Assert(err, qt.IsNil)
-	return address, port
-}
-
 func newFixture(t *testing.T) *fixture { return newFixtureWithStore(t, platformtest.NewStore()) }
 
 func newFixtureWithStore(t *testing.T, store *platformtest.Store) *fixture {
@@ -61,10 +55,10 @@
 	})
 	f.Assert(err, qt.IsNil)
 	t.Cleanup(stopTarget)
-	callerAddress, _ := freeAddress(f.C)
-	readyAddress, _ := freeAddress(f.C)
-	lookupAddress, _ := freeAddress(f.C)
-	_, peerPort := freeAddress(f.C)
+	callerAddress := ports.FreeAddress(f)
+	readyAddress := ports.FreeAddress(f)
+	lookupAddress := ports.FreeAddress(f)
+	peerPort := ports.Free(f)
 	f.path = filepath.Join(t.TempDir(), "boot.json")
 	f.Assert(os.WriteFile(f.path, platformtest.Settings(callerAddress, readyAddress, lookupAddress, peerPort,
 		strings.TrimPrefix(storeServer.URL, "http://")), 0o600), qt.IsNil)
--- a/internal/node/edge/engines_test.go
+++ b/internal/node/edge/engines_test.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/internal/testing/ports"
 	"hickoryrock/internal/wire/http1"
 	"hickoryrock/platform"
 	"hickoryrock/platform/platformtest"
@@ -85,12 +86,12 @@
 }
 
 func (f *engineFleet) startRouter(t *testing.T, name, domain, store string) {
-	var ports platformtest.Ports
-	for _, port := range []*int{&ports.Callers, &ports.Ready, &ports.Lookup, &ports.Peers} {
-		_, *port = freeAddress(f.C)
+	var listen platformtest.Ports
+	for _, port := range []*int{&listen.Callers, &listen.Ready, &listen.Lookup, &listen.Peers} {
+		*port = ports.Free(f)
 	}
 	path := filepath.Join(t.TempDir(), "boot.json")
-	f.Assert(os.WriteFile(path, platformtest.FleetSettings(name, "127.0.0.1", domain, ports, store, 1), 0o600), qt.IsNil)
+	f.Assert(os.WriteFile(path, platformtest.FleetSettings(name, "127.0.0.1", domain, listen, store, 1), 0o600), qt.IsNil)
 	settings, err := platform.LoadSettings(path)
 	f.Assert(err, qt.IsNil)
 	router, closeRouter, err := New(path, settings, zerolog.Nop())
--- a/internal/peer/gossip/fixture_test.go
+++ b/internal/peer/gossip/fixture_test.go
@@ -72,8 +72,7 @@
 }
 
 func (f *fixture) startIn(failureDomain, name, storeAddress string) *router {
-	address, _, err := ports.Free()
-	f.Assert(err, qt.IsNil)
+	address := ports.FreeAddress(f)
 
 	r := &router{address: address, tracker: targetstats.NewTracker(func(targetstats.Change) {}), cacheIndex: affinity.NewCacheIndex(),
 		quarantine: quarantine.NewTracker()}
--- a/internal/peer/permit/permit_test.go
+++ b/internal/peer/permit/permit_test.go
@@ -16,6 +16,7 @@
 	"hickoryrock/internal/peer/permit"
 	"hickoryrock/internal/peer/traffic"
 	"hickoryrock/internal/peer/transport"
+	"hickoryrock/internal/testing/ports"
 )
 
 const (
@@ -126,10 +127,7 @@
 	})
 
 	c.Run("an owner that cannot be reached grants nothing", func(c *qt.C) {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		c.Assert(listener.Close(), qt.IsNil)
-		c.Assert(acquire(newClient(c, testCounter()), listener.Addr().String(), "p"), qt.Equals, permit.Unreachable)
+		c.Assert(acquire(newClient(c, testCounter()), ports.FreeAddress(c), "p"), qt.Equals, permit.Unreachable)
 	})
 
 	c.Run("a permit granted after its release is released again", func(c *qt.C) {
--- a/internal/peer/probe/probe_test.go
+++ b/internal/peer/probe/probe_test.go
@@ -34,18 +34,12 @@
 	blocked *atomic.Bool
 }
 
-func freeAddress(c *qt.C) string {
-	address, _, err := ports.Free()
-	c.Assert(err, qt.IsNil)
-	return address
-}
-
 func startFleet(c *qt.C, n int) []router {
 	vms := make([]objects.VM, n)
 	listen := make([]string, n)
 	blocked := make([]*atomic.Bool, n)
 	for i := range vms {
-		listen[i] = freeAddress(c)
+		listen[i] = ports.FreeAddress(c)
 		var address string
 		address, blocked[i] = startProxy(c, listen[i])
 		vms[i] = objects.VM{Name: "router-" + strconv.Itoa(i), Role: "router", PeerAddress: address, FailureDomain: "a", State: objects.VMLive}
--- a/internal/platform/objects/client_test.go
+++ b/internal/platform/objects/client_test.go
@@ -16,6 +16,7 @@
 
 	"hickoryrock/internal/platform/objects"
 	"hickoryrock/internal/standin/platform"
+	"hickoryrock/internal/testing/ports"
 )
 
 var (
@@ -92,11 +93,8 @@
 		wantError(t, err, objects.ErrNotFound)
 	})
 	t.Run("connection refused is unavailable, and the next address is used", func(t *testing.T) {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		qt.Assert(t, err, qt.IsNil)
-		closed := "http://" + ln.Addr().String()
-		qt.Assert(t, ln.Close(), qt.IsNil)
-		_, err = newClient(t, closed).Create(ctx, serviceKey, one)
+		closed := "http://" + ports.FreeAddress(t)
+		_, err := newClient(t, closed).Create(ctx, serviceKey, one)
 		wantError(t, err, objects.ErrUnavailable)
 
 		srv := httptest.NewServer(platform.New())
--- a/internal/testing/ports/ports.go
+++ b/internal/testing/ports/ports.go
@@ -7,8 +7,7 @@
 	"strconv"
 	"sync/atomic"
 	"syscall"
-
-	"github.com/rotisserie/eris"
+	"testing"
 )
 
 const (
@@ -21,23 +20,32 @@
 
 var next atomic.Int64
 
-// Free returns an address on loopback whose port is free for TCP and UDP. It is below the
-// ephemeral port range, so that no outgoing connection takes the port before it is used. No
-// process is forked meanwhile: until it executes its program, the child would keep the
+// Free returns a port that is free for TCP and UDP on loopback, or fails the test. It is
+// below the ephemeral port range, so that no outgoing connection takes it before it is used.
+// No process is forked meanwhile: until it executes its program, the child would keep the
 // listener open.
-func Free() (address string, port int, err error) {
+func Free(t testing.TB) int {
+	t.Helper()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	for range count {
 		port := first + (os.Getpid()*perProcess+int(next.Add(1)))%count
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		if isFree(address) {
-			return address, port, nil
+		if isFree(address(port)) {
+			return port
 		}
 	}
-	return "", 0, eris.Errorf("none of %d ports from %d on is free", count, first)
+	t.Fatalf("none of %d ports from %d on is free", count, first)
+	return 0
+}
+
+// FreeAddress returns an address on loopback with a free port; see Free.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
+	return address(Free(t))
 }
 
+func address(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
 func isFree(address string) bool {
 	l, err := net.Listen("tcp4", address) //nolint:noctx // Returns at once.
 	if err != nil {
