Log why each call ended around a planned stop, and what the stop cut

The logs could not tell the hypotheses of the cut calls apart: a call that was in progress when the process ended left no line. The line of a call says when it arrived in the drain, what was left at its end, which call of its connection it was and whether its answer had begun; each step of a drain says why it was taken.

No decision is changed: the same calls are taken, and cut at the same time.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -42,9 +42,13 @@
 	bodyChunkBytes = 64 << 10
 )
 
-// ErrCallerClosed is the cancellation cause of a call's context when the caller closes
-// its connection.
-var ErrCallerClosed = errors.New("the caller closed the connection")
+var (
+	// ErrCallerClosed is the cancellation cause of a call's context when the caller closes
+	// its connection.
+	ErrCallerClosed = errors.New("the caller closed the connection")
+	// ErrStopped is the cancellation cause of a call's context when the server stops.
+	ErrStopped = errors.New("the server has stopped")
+)
 
 type (
 	// Handler handles calls. ServeCall must send a complete response or abort it.
@@ -63,6 +67,9 @@
 		closeDelay time.Duration
 
 		draining atomic.Bool
+		// stopped is cancelled, with ErrStopped, when calls in progress must end.
+		stopped context.Context //nolint:containedctx // Ends the calls of the whole server.
+		stop    context.CancelCauseFunc
 		// lastAccept is the time of the last accepted connection, in Unix nanoseconds.
 		lastAccept atomic.Int64
 		active     atomic.Int64
@@ -77,6 +84,8 @@
 		reader *bufio.Reader
 		// idle is true while no call is being read or served.
 		idle atomic.Bool
+		// calls is the number of calls so far.
+		calls int
 	}
 )
 
@@ -86,6 +95,7 @@
 		handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{}),
 		bodyMemory: semaphore.NewWeighted(defaultBodyMemory), closeDelay: defaultCloseDelay,
 	}
+	s.stopped, s.stop = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -115,6 +125,16 @@
 // Active returns the number of calls that are being read or served.
 func (s *Server) Active() int64 { return s.active.Load() }
 
+// Stop ends the calls in progress. Their handlers see ErrStopped as the cause.
+func (s *Server) Stop() { s.stop(ErrStopped) }
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // SinceAccept returns the time since the last connection was accepted.
 func (s *Server) SinceAccept() time.Duration {
 	return time.Since(time.Unix(0, s.lastAccept.Load()))
@@ -166,7 +186,10 @@
 		s.reject(c, err)
 		return false
 	}
-	response := &ResponseWriter{conn: c.Conn, closeAfter: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining}
+	c.calls++
+	response := &ResponseWriter{
+		conn: c.Conn, closeAfter: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining, sequence: c.calls,
+	}
 	body, reserved, err := s.readBody(c, req, limits.BodyBytes)
 	if err != nil {
 		s.bodyMemory.Release(reserved) // Before reject, which may linger on the connection.
@@ -183,7 +206,7 @@
 // watchDisconnect returns a context that is cancelled with ErrCallerClosed when the
 // caller closes its connection, and a function that stops watching.
 func (s *Server) watchDisconnect(c *conn) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(s.stopped)
 	done := make(chan struct{})
 	var stopping atomic.Bool
 	_ = c.SetReadDeadline(time.Time{})
--- a/internal/caller/ingress/response.go
+++ b/internal/caller/ingress/response.go
@@ -32,6 +32,7 @@
 type ResponseWriter struct {
 	conn        net.Conn
 	method      string
+	sequence    int
 	closeAfter  bool
 	draining    *atomic.Bool
 	started     bool
@@ -43,6 +44,9 @@
 // Started reports whether the response has been started.
 func (w *ResponseWriter) Started() bool { return w.started }
 
+// Sequence returns the position of the call among those of its connection, from 1.
+func (w *ResponseWriter) Sequence() int { return w.sequence }
+
 // Respond sends a complete response with a Content-Length.
 func (w *ResponseWriter) Respond(status int, reason string, fields []http1.Field, body []byte) {
 	w.markStarted()
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -171,6 +171,9 @@
 		c.reason = reasonSilent
 	case errors.Is(cause, errDeadline):
 		c.reason = reasonTimeout
+	case errors.Is(cause, ingress.ErrStopped):
+		c.reason = reasonStopped
+		return // The target is not at fault.
 	}
 	if reason == http1client.ReasonRefused || reason == http1client.ReasonNoConnection {
 		c.h.TargetHealth.RecordUnreachable(target.Hash, now)
--- a/internal/fleet/forward/decide.go
+++ b/internal/fleet/forward/decide.go
@@ -65,6 +65,8 @@
 		// Withheld is set when the call must not be retried because its prompt may have
 		// crashed its target.
 		Withheld bool
+		// Stopped is set when the router stops.
+		Stopped bool
 		// HasResponse is set when the target's error response can be relayed.
 		HasResponse bool
 	}
@@ -94,7 +96,7 @@
 }
 
 func mayRetry(route *state.Route, p Progress) bool {
-	if p.Withheld || p.Attempts >= maxAttempts || p.Remaining < minAttemptTime {
+	if p.Withheld || p.Stopped || p.Attempts >= maxAttempts || p.Remaining < minAttemptTime {
 		return false
 	}
 	if p.PossibleExecutions == 0 {
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -72,6 +72,9 @@
 		// ReportInterval returns the time between two reports of a router's calls to the
 		// others. Nil means that the calls of all routers are known.
 		ReportInterval func() time.Duration
+		// Shutdown returns the router's planned stop, or nil before it is told to stop. A nil
+		// function means that it never is.
+		Shutdown func() *Shutdown
 		// FailureDomain is the router's failure domain.
 		FailureDomain string
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
@@ -225,6 +228,7 @@
 		}
 		c.progress.Remaining = time.Until(c.deadline)
 		c.progress.HasResponse = c.buffered != nil
+		c.progress.Stopped = errors.Is(context.Cause(ctx), ingress.ErrStopped)
 		if c.apply(Decide(c.route, c.progress, c.takeRetry)) {
 			return
 		}
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -37,13 +37,13 @@
 		line = line.Str("quarantined", quarantine.PartName(c.quarantined.Part)).Int("crashes", c.quarantined.Crashes).
 			Dur("last-crash-ago-ms", time.Since(c.quarantined.LastCrash))
 	}
-	line.Str("call", c.headers.ID).Str("route", route).Str("service", c.service).
+	c.logShutdown(line, time.Now()).Str("call", c.headers.ID).Int("connection-call", c.writer.Sequence()).Str("route", route).Str("service", c.service).
 		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
 		Uint64("store-era", c.targets.Revision.Era).Uint64("targets-revision", c.targets.Revision.Number).Strs("targets", c.sentTo).
 		Str("placement", string(c.placement.Reason)).Int("unread", c.placement.PrefillTokens).Int("reread", c.placement.RecomputedTokens).
 		Int("fetched", c.placement.FetchedTokens).Strs("parts", partNames(c.sharedParts)).
 		Dur("caller-waits-ms", c.headers.Deadline).Int("sends", c.progress.Attempts).Int("runs", c.progress.PossibleExecutions).
-		Int("status", c.status).Str("framing", c.framing).Str("reason", reason).Dur("first-event-ms", c.timeToFirstEvent()).
+		Int("status", c.status).Str("framing", c.framing).Str("reason", reason).Bool("begun", c.writer.Started()).Dur("first-event-ms", c.timeToFirstEvent()).
 		Dur("took-ms", elapsed).Msg("call")
 }
 
--- a/internal/node/edge/drain.go
+++ b/internal/node/edge/drain.go
@@ -1,6 +1,12 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hickoryrock/internal/fleet/forward"
+)
 
 const (
 	// minDrainTime is how long a draining router keeps accepting callers that hold a cached
@@ -19,34 +25,61 @@
 	defaultGrace = 8 * time.Second
 	// drainCheckInterval is how often a draining router checks whether it may stop.
 	drainCheckInterval = 50 * time.Millisecond
+	// stopTime bounds the time in which the calls that are cut end and are logged, and
+	// stopCheckInterval is how often a stopping router checks whether they have.
+	stopTime          = 100 * time.Millisecond
+	stopCheckInterval = 5 * time.Millisecond
 )
 
 // drain keeps serving callers that hold a cached address of this router until they have
 // moved to others. It then stops accepting connections and finishes the calls that it has,
 // but not beyond the grace period.
 func (r *Router) drain() {
-	r.log.Info().Int64("calls", r.server.Active()).Msg("router draining")
-	r.draining.Store(true)
-	r.server.Drain()
-	r.fleet.Leave()
 	grace := r.bounds.Load().Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
 	start := time.Now()
+	end := start.Add(grace - drainMargin)
+	r.shutdown.Store(&forward.Shutdown{Since: start, End: end})
+	r.logDrain("router draining", "sigterm")
+	r.server.Drain()
+	r.fleet.Leave()
 	acceptUntil := start.Add(time.Duration(acceptFraction * float64(grace)))
+	reason := "callers-still-come"
 	for time.Now().Before(acceptUntil) {
 		time.Sleep(drainCheckInterval)
 		idle := r.server.Active() == 0 && r.server.SinceAccept() > drainIdleTime
 		if time.Since(start) > minDrainTime && idle {
+			reason = "no-callers"
 			break
 		}
 	}
 	for _, l := range r.callerListeners {
 		_ = l.Close()
 	}
+	r.logDrain("router accepts no more connections", reason)
 	time.Sleep(r.server.CloseIdle())
-	for r.server.Active() > 0 && time.Since(start) < grace-drainMargin {
+	for r.server.Active() > 0 && time.Now().Before(end) {
 		time.Sleep(drainCheckInterval)
 	}
+	reason = "no-calls"
+	if r.server.Active() > 0 {
+		reason = "grace-over"
+		metrics.GetOrCreateCounter(`hickoryrock_calls_cut_by_drain_total`).Add(int(r.server.Active()))
+	}
+	r.logDrain("router stops", reason)
+	r.server.Stop()
+	for stopEnd := time.Now().Add(stopTime); r.server.Active() > 0 && time.Now().Before(stopEnd); {
+		time.Sleep(stopCheckInterval)
+	}
+	r.logDrain("router stopped", reason)
+}
+
+// logDrain logs a step of the drain and why it was taken.
+func (r *Router) logDrain(step, reason string) {
+	s := r.shutdown.Load()
+	r.log.Info().Str("reason", reason).Int64("calls", r.server.Active()).Int("connections", r.server.Connections()).
+		Int64("after-ms", time.Since(s.Since).Milliseconds()).Int64("left-ms", time.Until(s.End).Milliseconds()).
+		Int64("since-accept-ms", r.server.SinceAccept().Milliseconds()).Msg(step)
 }
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -78,7 +78,8 @@
 		server       *ingress.Server
 		guard        *freshness.Guard
 		bounds       atomic.Pointer[platform.Bounds]
-		draining     atomic.Bool
+		// shutdown is nil until the router is told to stop.
+		shutdown atomic.Pointer[forward.Shutdown]
 		// joined is closed once this router is registered, the router entries have been
 		// read and the live routers have had time to respond.
 		joined          chan struct{}
@@ -120,7 +121,7 @@
 	handler := forward.New(forward.Config{
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
 		Quarantine: r.quarantine, Limits: r.targetLimits, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
-		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() },
+		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load,
 		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	r.server = ingress.New(handler, r.limits, log,
@@ -234,7 +235,6 @@
 	r.drain()
 	stop()
 	group.Wait()
-	r.log.Info().Int64("calls", r.server.Active()).Msg("router stopped")
 }
 
 func (r *Router) limits() state.Limits {
@@ -262,7 +262,7 @@
 }
 
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if r.draining.Load() || r.watcher.View().Configuration == nil {
+	if r.shutdown.Load() != nil || r.watcher.View().Configuration == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -60,7 +60,7 @@
 	v := r.watcher.View()
 	advertised := r.gossipState()
 	out := view{
-		Router: r.settings.Router, Leaving: r.draining.Load(), Configuration: advertised.ConfigurationVersion,
+		Router: r.settings.Router, Leaving: r.shutdown.Load() != nil, Configuration: advertised.ConfigurationVersion,
 		StoreEra: advertised.TargetsRevision.Era, TargetsRevision: advertised.TargetsRevision.Number, StoreAgeMS: advertised.StoreAge.Milliseconds(),
 		WatchesStore: r.fleet.WatchesStore(), CallsBeingServed: r.server.Active(),
 		CallerAddresses: r.fleet.CallerAddresses(r.settings.FailureDomain, 1<<10), Quarantine: r.quarantineViews(),
