--- a/internal/caller/ingress/ingress_test.go
+++ b/internal/caller/ingress/ingress_test.go
@@ -24,16 +24,20 @@
 )
 
 // blockingHandler reports the body length of each call on received and waits for
-// proceed before it responds.
+// proceed before it responds. It aborts the response when the call's context ends.
 type blockingHandler struct {
 	received chan int
 	proceed  chan struct{}
 }
 
-func (h blockingHandler) ServeCall(_ context.Context, w *ingress.ResponseWriter, _ *http1.Request, body []byte) {
+func (h blockingHandler) ServeCall(ctx context.Context, w *ingress.ResponseWriter, _ *http1.Request, body []byte) {
 	h.received <- len(body)
-	<-h.proceed
-	w.Respond(200, "OK", nil, nil)
+	select {
+	case <-h.proceed:
+		w.Respond(200, "OK", nil, nil)
+	case <-ctx.Done():
+		w.Abort()
+	}
 }
 
 type fixture struct {
@@ -149,3 +153,75 @@
 	_, err = unusedReader.ReadByte()
 	f.Assert(err, qt.Equals, io.EOF)
 }
+
+// lateDeadlineConn is a connection on which a call begins between the decision to set a short
+// read deadline and its setting.
+type lateDeadlineConn struct {
+	net.Conn
+	short   time.Duration
+	waiting chan struct{}
+	proceed chan struct{}
+}
+
+func (c *lateDeadlineConn) SetReadDeadline(t time.Time) error {
+	if left := time.Until(t); left > 0 && left <= c.short {
+		c.waiting <- struct{}{}
+		<-c.proceed
+		t = time.Now().Add(c.short)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+type lateDeadlineListener struct {
+	net.Listener
+	lateDeadlineConn
+}
+
+func (l lateDeadlineListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	late := l.lateDeadlineConn
+	late.Conn = c
+	return &late, nil
+}
+
+// Guards against a stop that takes the caller of a call for gone which began while its
+// connection was being closed as idle.
+func TestCallThatBeginsWhileItsConnectionIsClosedIsAnswered(t *testing.T) {
+	const closeDelay = 50 * time.Millisecond
+	f := newFixture(t, ingress.WithCloseDelay(closeDelay))
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	f.Assert(err, qt.IsNil)
+	f.Cleanup(func() { _ = l.Close() })
+	late := lateDeadlineConn{short: closeDelay, waiting: make(chan struct{}), proceed: make(chan struct{})}
+	go f.server.Serve(lateDeadlineListener{l, late})
+	f.address = l.Addr().String()
+	c, err := net.Dial("tcp4", f.address)
+	f.Assert(err, qt.IsNil)
+	f.Cleanup(func() { _ = c.Close() })
+	r := bufio.NewReader(c)
+	call := func() {
+		_, err := io.WriteString(c, sizedRequest(1))
+		f.Assert(err, qt.IsNil)
+	}
+	call()
+	f.proceed <- struct{}{}
+	<-f.received
+	f.assertStatus(r, 200)
+	for f.server.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go f.server.CloseIdle()
+	<-late.waiting
+	call()
+	select {
+	case <-f.received:
+	case <-time.After(100 * time.Millisecond): // The call does not begin before the deadline is set.
+	}
+	close(late.proceed)
+	time.Sleep(2 * closeDelay)
+	f.proceed <- struct{}{}
+	f.assertStatus(r, 200)
+}
--- a/internal/node/edge/edge_test.go
+++ b/internal/node/edge/edge_test.go
@@ -41,18 +41,22 @@
 func newFixture(t *testing.T) *fixture { return newFixtureWithStore(t, platformtest.NewStore()) }
 
 func newFixtureWithStore(t *testing.T, store *platformtest.Store) *fixture {
-	f := &fixture{C: qt.New(t), store: store, stopped: make(chan struct{})}
-	storeServer := httptest.NewServer(f.store)
-	t.Cleanup(storeServer.Close)
-	var err error
-	var stopTarget func()
-	f.target, stopTarget, err = rawserver.New(func(c net.Conn, r rawserver.Request) bool {
+	return newFixtureWithTarget(t, store, func(c net.Conn, r rawserver.Request) bool {
 		if strings.Contains(r.Target, "slow") {
 			time.Sleep(500 * time.Millisecond)
 		}
 		_, err := io.WriteString(c, platformtest.Response(r, "200 OK", "", "hi"))
 		return err == nil
-	})
+	}, zerolog.Nop())
+}
+
+func newFixtureWithTarget(t *testing.T, store *platformtest.Store, target rawserver.Handler, log zerolog.Logger) *fixture {
+	f := &fixture{C: qt.New(t), store: store, stopped: make(chan struct{})}
+	storeServer := httptest.NewServer(f.store)
+	t.Cleanup(storeServer.Close)
+	var err error
+	var stopTarget func()
+	f.target, stopTarget, err = rawserver.New(target)
 	f.Assert(err, qt.IsNil)
 	t.Cleanup(stopTarget)
 	callerAddress := ports.FreeAddress(f)
@@ -64,7 +68,7 @@
 		strings.TrimPrefix(storeServer.URL, "http://")), 0o600), qt.IsNil)
 	f.settings, err = platform.LoadSettings(f.path)
 	f.Assert(err, qt.IsNil)
-	router, stop, err := New(f.path, f.settings, zerolog.Nop())
+	router, stop, err := New(f.path, f.settings, log)
 	f.Assert(err, qt.IsNil)
 	f.router = router
 	ctx, cancel := context.WithCancel(context.Background())
