Set the read deadline of an idle connection before its next call begins

What callers saw: a call whose connection a stopping router was closing as idle ended without an answer after 50 ms, although the call had been read and sent on. The router took its caller for gone.

Cause: CloseIdle looked whether a connection was idle and then set its read deadline. On a machine whose processes wait for a processor, a call may begin between the two, and the deadline then ends the read that notices that a caller has disconnected.

State and deadline now change under one lock, so that a deadline for an idle connection precedes those of its next call.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -82,8 +82,11 @@
 		net.Conn
 		server *Server
 		reader *bufio.Reader
+
+		// mu guards idle, and the read deadline while idle is true.
+		mu sync.Mutex
 		// idle is true while no call is being read or served.
-		idle atomic.Bool
+		idle bool
 		// calls is the number of calls so far.
 		calls int
 	}
@@ -146,13 +149,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idle.Load() {
-			_ = c.SetReadDeadline(time.Now().Add(s.closeDelay))
-		}
+		c.closeIfIdle(s.closeDelay)
 	}
 	return 2 * s.closeDelay
 }
 
+// closeIfIdle lets an idle connection be closed unless a request arrives within delay.
+func (c *conn) closeIfIdle(delay time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		_ = c.SetReadDeadline(time.Now().Add(delay))
+	}
+}
+
+// setIdle sets whether the connection is idle, and its read deadline.
+func (c *conn) setIdle(idle bool, timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = idle
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
+}
+
 func (s *Server) serveConn(c *conn) {
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
@@ -170,17 +188,14 @@
 // serveRequest serves one call and reports whether the connection may be kept
 // open for another.
 func (s *Server) serveRequest(c *conn) bool {
-	limits := s.limits()
-	c.idle.Store(true)
-	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	c.setIdle(true, s.limits().IdleTimeout)
 	if _, err := c.reader.Peek(1); err != nil {
 		return false
 	}
-	c.idle.Store(false)
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	limits = s.limits()
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	limits := s.limits()
+	c.setIdle(false, limits.HeaderTimeout)
 	req, err := http1.ReadRequest(c.reader, limits.HeaderBytes)
 	if err != nil {
 		s.reject(c, err)
