Close connections that become idle while a router stops

What callers saw: a call on a connection that its caller had kept open during a stop was taken until the last moment of the drain and ended with the process.

Cause: a stopping router closed its idle connections once, when it stopped accepting. A connection whose stream had begun before the stop carried no Connection: close, became idle after that moment and stayed open.

Evidence: TestConnectionThatBecomesIdleWhileClosingIsClosed failed: the connection was closed after the idle timeout of 1 s. Now each connection is closed when its call ends, and the drain waits for connections, also those accepted but not read yet, rather than for calls.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -67,6 +67,8 @@
 		closeDelay time.Duration
 
 		draining atomic.Bool
+		// closing is set when idle connections are closed.
+		closing atomic.Bool
 		// stopped is cancelled, with ErrStopped, when calls in progress must end.
 		stopped context.Context //nolint:containedctx // Ends the calls of the whole server.
 		stop    context.CancelCauseFunc
@@ -118,7 +120,11 @@
 			continue
 		}
 		s.lastAccept.Store(time.Now().UnixNano())
-		go s.serveConn(&conn{Conn: c, server: s, reader: bufio.NewReaderSize(c, readBufferBytes)})
+		accepted := &conn{Conn: c, server: s, reader: bufio.NewReaderSize(c, readBufferBytes)}
+		s.mu.Lock()
+		s.conns[accepted] = struct{}{}
+		s.mu.Unlock()
+		go s.serveConn(accepted)
 	}
 }
 
@@ -143,38 +149,46 @@
 	return time.Since(time.Unix(0, s.lastAccept.Load()))
 }
 
-// CloseIdle closes the connections on which no request arrives within a short time,
-// which it returns. A request that has arrived already is still served.
-func (s *Server) CloseIdle() time.Duration {
+// CloseIdle closes each connection, now and when its call ends, on which no request arrives
+// within a short time. A request that has arrived already is still served.
+func (s *Server) CloseIdle() {
+	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeIfIdle(s.closeDelay)
+		c.closeIfIdle()
 	}
-	return 2 * s.closeDelay
 }
 
-// closeIfIdle lets an idle connection be closed unless a request arrives within delay.
-func (c *conn) closeIfIdle(delay time.Duration) {
+// closeIfIdle lets an idle connection be closed unless a request arrives soon.
+func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
-		_ = c.SetReadDeadline(time.Now().Add(delay))
+		_ = c.SetReadDeadline(time.Now().Add(c.server.closeDelay))
 	}
 }
 
-// setIdle sets whether the connection is idle, and its read deadline.
-func (c *conn) setIdle(idle bool, timeout time.Duration) {
+// setIdle marks the connection as idle until a call begins, or for timeout at most.
+func (c *conn) setIdle(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.idle = true
+	if c.server.closing.Load() {
+		timeout = min(timeout, c.server.closeDelay)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
+}
+
+// beginCall marks the connection as busy with a call whose head must arrive within timeout.
+func (c *conn) beginCall(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
 	_ = c.SetReadDeadline(time.Now().Add(timeout))
 }
 
 func (s *Server) serveConn(c *conn) {
-	s.mu.Lock()
-	s.conns[c] = struct{}{}
-	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
 		delete(s.conns, c)
@@ -188,14 +202,14 @@
 // serveRequest serves one call and reports whether the connection may be kept
 // open for another.
 func (s *Server) serveRequest(c *conn) bool {
-	c.setIdle(true, s.limits().IdleTimeout)
+	c.setIdle(s.limits().IdleTimeout)
 	if _, err := c.reader.Peek(1); err != nil {
 		return false
 	}
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	limits := s.limits()
-	c.setIdle(false, limits.HeaderTimeout)
+	c.beginCall(limits.HeaderTimeout)
 	req, err := http1.ReadRequest(c.reader, limits.HeaderBytes)
 	if err != nil {
 		s.reject(c, err)
--- a/internal/caller/ingress/ingress_test.go
+++ b/internal/caller/ingress/ingress_test.go
@@ -225,3 +225,18 @@
 	f.proceed <- struct{}{}
 	f.assertStatus(r, 200)
 }
+
+// Guards against a stopping router that leaves a connection open on which a stream began before
+// the stop, so that its caller uses it until the process ends.
+func TestConnectionThatBecomesIdleWhileClosingIsClosed(t *testing.T) {
+	f := newFixture(t, ingress.WithCloseDelay(20*time.Millisecond))
+	r := f.send(sizedRequest(1))
+	<-f.received
+	f.server.CloseIdle()
+	f.proceed <- struct{}{}
+	f.Assert(f.assertStatus(r, 200).Close, qt.IsFalse)
+	answered := time.Now()
+	_, err := r.ReadByte()
+	f.Assert(err, qt.Equals, io.EOF)
+	f.Assert(time.Since(answered) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("closed after %v", time.Since(answered)))
+}
--- a/internal/node/edge/drain.go
+++ b/internal/node/edge/drain.go
@@ -59,12 +59,12 @@
 		_ = l.Close()
 	}
 	r.logDrain("router accepts no more connections", reason)
-	time.Sleep(r.server.CloseIdle())
-	for r.server.Active() > 0 && time.Now().Before(end) {
+	r.server.CloseIdle()
+	for r.server.Connections() > 0 && time.Now().Before(end) {
 		time.Sleep(drainCheckInterval)
 	}
-	reason = "no-calls"
-	if r.server.Active() > 0 {
+	reason = "no-connections"
+	if r.server.Connections() > 0 {
 		reason = "grace-over"
 		metrics.GetOrCreateCounter(`hickoryrock_calls_cut_by_drain_total`).Add(int(r.server.Active()))
 	}
