Refuse calls that may outlast a planned stop

What callers saw: streams of bench-advice and other calls that a router had taken after its SIGTERM, sent on and begun ended without a whole answer when the process stopped.

Cause: a stopping router took each call for half of the grace period, on kept connections until its end, whatever the call may last. A call that takes 4.5 s and arrives 3.5 s after the SIGTERM cannot end within a grace period of 8 s. The class of fault: work is accepted without comparing the time that it may take with the time that is left.

Now a stopping router takes a call if it ends in time by its timeout, or, while callers may not have learned of other routers, if nearly all recent calls of its route would have. It refuses others at once as not run, with Retry-After 0, since other routers serve.

--- a/internal/caller/ingress/response.go
+++ b/internal/caller/ingress/response.go
@@ -18,6 +18,7 @@
 	// budget waiting, and randomized to spread the retries.
 	retryAfterBase   = 100 * time.Millisecond
 	retryAfterJitter = 200 * time.Millisecond
+	retryAfterHeader = "Retry-After"
 )
 
 // RetryAfterField returns a Retry-After header, in fractional seconds with jitter, for a
@@ -25,9 +26,12 @@
 func RetryAfterField(atLeast time.Duration) http1.Field {
 	// Callers that wait longer return spread over a longer time.
 	after := max(retryAfterBase, atLeast) + rand.N(retryAfterJitter+atLeast)
-	return http1.NewField("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	return http1.NewField(retryAfterHeader, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
+// RetryNowField returns a Retry-After header for a rejected call that another router serves.
+func RetryNowField() http1.Field { return http1.NewField(retryAfterHeader, "0") }
+
 // ResponseWriter writes the response to one call. It must not be used concurrently.
 type ResponseWriter struct {
 	conn        net.Conn
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -91,6 +91,7 @@
 		// responseMemory limits the memory of all buffered large responses, in bytes.
 		responseMemory *semaphore.Weighted
 		usual          usualTimes
+		callTimes      callTimes
 	}
 
 	// call is the state of one call from a caller.
@@ -150,6 +151,9 @@
 		// load is the load that the last target reported, valid when hasLoad is set.
 		load    platform.Load
 		hasLoad bool
+		// expected is how long the call was expected to take when it arrived in a planned stop, or
+		// zero.
+		expected time.Duration
 		// firstEvent is when the first bytes of a stream were relayed.
 		firstEvent time.Time
 	}
@@ -214,6 +218,9 @@
 	defer cancel()
 	now := time.Now()
 	c.h.Budgets.Request(now, sharedWorkspace, c.service)
+	if c.refuseIfStopping(timeout) {
+		return
+	}
 	c.awaitCacheIndex(ctx)
 	for {
 		if !c.passQuarantine(ctx) {
@@ -363,8 +370,10 @@
 }
 
 // reject responds with 503 and Retry-After to a call that did not and will not execute.
-func (c *call) reject(reason string) {
-	c.respond(http.StatusServiceUnavailable, reason, ingress.RetryAfterField(c.retryAfter))
+func (c *call) reject(reason string) { c.rejectWith(reason, ingress.RetryAfterField(c.retryAfter)) }
+
+func (c *call) rejectWith(reason string, retryAfter http1.Field) {
+	c.respond(http.StatusServiceUnavailable, reason, retryAfter)
 }
 
 // respond sends a response without a body that the router itself generates.
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -14,6 +14,7 @@
 // record updates the metrics and writes the call's log line.
 func (c *call) record() {
 	elapsed := time.Since(c.start)
+	c.recordTime(elapsed)
 	route, configuration := "", int64(0)
 	if c.route != nil {
 		route = c.route.Name
--- a/internal/node/edge/drain.go
+++ b/internal/node/edge/drain.go
@@ -15,8 +15,7 @@
 	minDrainTime  = 2500 * time.Millisecond
 	drainIdleTime = 1200 * time.Millisecond
 	// acceptFraction is the part of the grace period after which no more connections are
-	// accepted although callers still come: a call that is accepted later might be cut at
-	// the end of the grace period, while one that is refused can be made elsewhere.
+	// accepted although callers still come, so that they try other routers.
 	acceptFraction = 0.5
 	// drainMargin is how long before the end of the grace period a draining router stops in
 	// any case.
@@ -41,7 +40,7 @@
 	}
 	start := time.Now()
 	end := start.Add(grace - drainMargin)
-	r.shutdown.Store(&forward.Shutdown{Since: start, End: end})
+	r.shutdown.Store(&forward.Shutdown{Since: start, End: end, HeldUntil: start.Add(minDrainTime)})
 	r.logDrain("router draining", "sigterm")
 	r.server.Drain()
 	r.fleet.Leave()
