Read what a caller still sends before its connection is closed

What callers saw: the end of a large last response was lost, with a reset, although the router had written all of it.

Cause: the router closed the connection with unread bytes of the caller, such as another request, and the kernel then resets it and drops what it has not delivered. Only rejected requests were guarded against that.

Each connection whose last response is complete is now ended in order: the router ends its side and discards what arrives for up to 300 ms. An idle connection is still closed without reading, so that a request which crosses the close is known to be unread.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -28,8 +28,8 @@
 	// readBufferBytes is large enough for the request head of an ordinary call.
 	readBufferBytes = 4 << 10
 	// lingerTimeout and lingerBytes bound how long and how much is read from a
-	// rejected caller before its connection is closed. Closing with unread bytes
-	// would reset the connection before the caller has read the response.
+	// caller after its last response before its connection is closed. Closing with unread
+	// bytes would reset the connection before the caller has read the response.
 	lingerTimeout = 300 * time.Millisecond
 	lingerBytes   = 256 << 10
 	// defaultCloseDelay is the default time in which a request that is under way to an
@@ -93,6 +93,8 @@
 		idle bool
 		// calls is the number of calls so far.
 		calls int
+		// lingers is set when the caller may still have to receive the end of a response.
+		lingers bool
 	}
 )
 
@@ -188,11 +190,15 @@
 	}()
 	for s.serveRequest(c) {
 	}
+	if c.lingers {
+		c.linger()
+	}
 }
 
 // serveRequest serves one call and reports whether the connection may be kept
 // open for another.
 func (s *Server) serveRequest(c *conn) bool {
+	c.lingers = false // A request that crosses the close of an idle connection stays unread.
 	c.setIdle(s.limits().IdleTimeout)
 	if _, err := c.reader.Peek(1); err != nil {
 		return false
@@ -219,6 +225,7 @@
 	ctx, stop := s.watchDisconnect(c)
 	s.handler.ServeCall(ctx, response, req, body)
 	stop()
+	c.lingers = response.complete && !response.writeFailed
 	return response.reusable() && ctx.Err() == nil
 }
 
@@ -340,6 +347,12 @@
 	}
 	response := &ResponseWriter{conn: c.Conn, closeAfter: true}
 	response.Respond(status, http.StatusText(status), fields, nil)
+	c.lingers = true
+}
+
+// linger ends the connection on this side and discards what the caller still sends, until it
+// ends the connection as well.
+func (c *conn) linger() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
