Refuse calls before a leaving router of the own interface is done

What callers would see: a call that arrives as the last phase of a leaving router begins is accepted and cut a second later, when the servers are shut down.

With no call in flight the phase went from accepting to done without refusing.

Evidence: TestDrainRefusesCallsBeforeItIsDone failed with done instead of refusing. Calls that begin after the router refuses are refused; those that began before count as in flight.

--- a/internal/peer/assignment/assigner_test.go
+++ b/internal/peer/assignment/assigner_test.go
@@ -109,3 +109,14 @@
 	c.Assert(d.Phase(start.Add(35*time.Second), 1), qt.Equals, assignment.Refusing)
 	c.Assert(d.Phase(start.Add(35*time.Second), 0), qt.Equals, assignment.Done)
 }
+
+// Guards against a leaving router that stops while it still accepts calls, so that one which
+// it has just accepted is cut.
+func TestDrainRefusesCallsBeforeItIsDone(t *testing.T) {
+	c := qt.New(t)
+	d := assignment.NewDrain(assignment.TTL(30*time.Second), assignment.PropagationTime(5*time.Second))
+	d.Leave(start)
+	c.Assert(d.Phase(start.Add(35*time.Second), 0), qt.Equals, assignment.Refusing)
+	c.Assert(d.Phase(start.Add(35*time.Second), 1), qt.Equals, assignment.Refusing)
+	c.Assert(d.Phase(start.Add(35*time.Second), 0), qt.Equals, assignment.Done)
+}
--- a/internal/peer/assignment/drain.go
+++ b/internal/peer/assignment/drain.go
@@ -25,6 +25,8 @@
 		leftAt    time.Time
 		refuseAt  time.Time
 		acceptFor time.Duration
+		// refused is set once the router has been told to refuse calls.
+		refused bool
 	}
 )
 
@@ -45,14 +47,16 @@
 }
 
 // Phase returns the phase at a time, given the number of calls in flight. Open
-// connections without a call do not count.
+// connections without a call do not count. Done follows Refusing only: a router that
+// accepts calls may get another one before it stops.
 func (d *Drain) Phase(now time.Time, inFlight int) Phase {
 	switch {
 	case d.leftAt.IsZero():
 		return Serving
 	case now.Before(d.refuseAt):
 		return Accepting
-	case inFlight > 0:
+	case inFlight > 0 || !d.refused:
+		d.refused = true
 		return Refusing
 	}
 	return Done
