Notice that a caller has disconnected who has sent more than its call

What callers and targets saw: targets went on with calls whose callers were gone, if these had sent anything after their call, such as an empty line.

Cause: the router took the first byte after a call for proof that its caller is there, and did not read on.

The router now reads on until the connection ends or its buffer is full.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -238,7 +238,7 @@
 	_ = c.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
-		if _, err := c.reader.Peek(1); err != nil && !stopping.Load() {
+		if err := c.awaitEnd(); err != nil && !stopping.Load() {
 			cancel(ErrCallerClosed)
 		}
 	}()
@@ -249,6 +249,20 @@
 	}
 }
 
+// awaitEnd returns the error with which reading from the caller ends. What the caller sends
+// until then stays in the buffer; it returns nil if that is full.
+func (c *conn) awaitEnd() error {
+	for {
+		_, err := c.reader.Peek(c.reader.Buffered() + 1)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // readBody reads the complete body, since a call may have to be retried. It also
 // returns the reserved bytes of bodyMemory, which the caller must release.
 func (s *Server) readBody(c *conn, req *http1.Request, limit int64) (body []byte, reserved int64, err error) {
--- a/internal/caller/ingress/ingress_test.go
+++ b/internal/caller/ingress/ingress_test.go
@@ -47,20 +47,24 @@
 	address string
 }
 
+func testLimits() state.Limits {
+	return state.Limits{HeaderBytes: 1 << 10, BodyBytes: bodyLimit, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+}
+
 func newFixture(t *testing.T, opts ...ingress.Option) *fixture {
 	f := &fixture{C: qt.New(t), blockingHandler: blockingHandler{make(chan int, 10), make(chan struct{}, 10)}}
-	limits := func() state.Limits {
-		return state.Limits{
-			HeaderBytes: 1 << 10, BodyBytes: bodyLimit, HeaderTimeout: time.Second, IdleTimeout: time.Second,
-		}
-	}
-	f.server = ingress.New(f.blockingHandler, limits, zerolog.Nop(), append(opts, ingress.WithBodyMemory(bodyMemory))...)
+	f.serveWith(f.blockingHandler, opts...)
+	return f
+}
+
+// serveWith starts a server whose calls a handler serves.
+func (f *fixture) serveWith(handler ingress.Handler, opts ...ingress.Option) {
+	f.server = ingress.New(handler, testLimits, zerolog.Nop(), append(opts, ingress.WithBodyMemory(bodyMemory))...)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	f.Assert(err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
+	f.Cleanup(func() { _ = l.Close() })
 	go f.server.Serve(l)
 	f.address = l.Addr().String()
-	return f
 }
 
 func sizedRequest(bytes int) string {
--- a/internal/caller/ingress/linger_test.go
+++ b/internal/caller/ingress/linger_test.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"hickoryrock/internal/caller/ingress"
-	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/wire/http1"
 )
 
@@ -40,10 +39,7 @@
 func TestLastResponseIsCompleteAlthoughTheCallerSendsMore(t *testing.T) {
 	c := qt.New(t)
 	handler := largeResponse{bytes.Repeat([]byte("x"), 2<<20)}
-	limits := func() state.Limits {
-		return state.Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}
-	}
-	server := ingress.New(handler, limits, zerolog.Nop())
+	server := ingress.New(handler, testLimits, zerolog.Nop())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
