Ignore empty lines between the calls of a connection

What callers saw: 400 for a call on a kept connection, if they had ended the call before with an empty line.

Cause: the empty line was read as a request line. RFC 9112, section 2.2, asks servers to ignore it.

Evidence: TestEmptyLinesBetweenCallsAreIgnored failed with 400.

--- a/internal/caller/ingress/extra_bytes_test.go
+++ b/internal/caller/ingress/extra_bytes_test.go
@@ -45,3 +45,16 @@
 	h.causes <- context.Cause(ctx)
 	w.Abort()
 }
+
+// Guards against a call that is rejected because its caller has ended the one before with an
+// empty line, which a server should ignore (RFC 9112, section 2.2).
+func TestEmptyLinesBetweenCallsAreIgnored(t *testing.T) {
+	f := newFixture(t)
+	f.proceed <- struct{}{}
+	f.proceed <- struct{}{}
+	r := f.send(sizedRequest(1) + "\r\n\r\n" + sizedRequest(2))
+	f.assertStatus(r, 200)
+	f.assertStatus(r, 200)
+	f.Assert(<-f.received, qt.Equals, 1)
+	f.Assert(<-f.received, qt.Equals, 2)
+}
--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -200,7 +200,7 @@
 func (s *Server) serveRequest(c *conn) bool {
 	c.lingers = false // A request that crosses the close of an idle connection stays unread.
 	c.setIdle(s.limits().IdleTimeout)
-	if _, err := c.reader.Peek(1); err != nil {
+	if c.awaitRequest() != nil {
 		return false
 	}
 	s.active.Add(1)
@@ -249,6 +249,23 @@
 	}
 }
 
+// awaitRequest waits for the first byte of a request. It skips empty lines before it, which
+// some callers send after a body (RFC 9112, section 2.2).
+func (c *conn) awaitRequest() error {
+	const emptyLine = "\r\n"
+	for {
+		first, err := c.reader.Peek(1)
+		if err != nil || first[0] != emptyLine[0] {
+			return err
+		}
+		both, err := c.reader.Peek(len(emptyLine))
+		if err != nil || string(both) != emptyLine {
+			return err
+		}
+		_, _ = c.reader.Discard(len(emptyLine)) // It is buffered.
+	}
+}
+
 // awaitEnd returns the error with which reading from the caller ends. What the caller sends
 // until then stays in the buffer; it returns nil if that is full.
 func (c *conn) awaitEnd() error {
