Take no response with several call IDs for the answer to a call

Callers were told 503 for calls that a target had executed, and at-most-once calls were sent to a second target, if a faulty target wrote an earlier refusal with the ID lines of two calls before its answer: of several lines the last one counted.

A response with different IDs now counts as that of another call and is skipped, as such a response was before. The same ID twice is still the call's own.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -90,10 +90,13 @@
 
 // matchResponse reports whether a response belongs to this call, by its call ID.
 func (c *call) matchResponse(fields []http1.Field) http1client.ResponseMatch {
-	switch platform.DecodeResponseHeaders(0, fields).CallID {
-	case c.headers.ID:
+	headers := platform.DecodeResponseHeaders(0, fields)
+	switch {
+	case headers.HasSeveralIDs:
+		return http1client.MatchOtherCall
+	case headers.CallID == c.headers.ID:
 		return http1client.MatchThisCall
-	case "":
+	case headers.CallID == "":
 		return http1client.MatchUnknown
 	}
 	return http1client.MatchOtherCall
