Take a refusal for proof only if it carries the call's ID

Callers were told 503 for calls that a target had executed, and at-most-once calls were sent to a second target, if a faulty target wrote a refusal without a call ID before its answer on a new connection: the first response on a new connection was the call's own even if nothing said so. On a kept connection such a refusal was skipped already.

New tests in the table of repeated refusals, for 503, 429, 400 and 421, with and without the header of the proof, with an empty ID, and some time before the answer.

Targets state the ID of the call that they answer, so a refusal without it proves nothing: the outcome is unknown now, and the connection is closed. At-most-once calls get 502 at once, others are sent to another target within their route's limit.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -201,6 +201,13 @@
 	c.recordProgress(tracked, time.Now())
 	c.framing = framingName(response.Head)
 	c.headAt = time.Since(c.attemptStart)
+	if headers.NotExecuted && headers.CallID != c.headers.ID {
+		// It may be an earlier refusal: targets state the ID of the call that they answer.
+		c.h.Pool.Discard(response)
+		c.progress.PossibleExecutions++
+		c.recordUnusable(target, "unidentified-refusal")
+		return
+	}
 	if headers.NotExecuted {
 		// The head is the proof: its body may be slow and must not delay a retry.
 		c.h.Pool.Drain(response)
--- a/internal/fleet/forward/repeated_refusal_test.go
+++ b/internal/fleet/forward/repeated_refusal_test.go
@@ -154,6 +154,24 @@
 	runSurplus(t, surplus{name: "with a length that includes a part of the answer", before: cut}, 502, 502)
 }
 
+// Guards against a refusal without a call ID that is taken for proof, although targets state
+// the ID of the call that they answer.
+func TestRepeatedRefusalWithoutID(t *testing.T) {
+	for _, status := range []string{"503 Busy", "429 Busy", "421 Other", "400 Bad"} {
+		runSurplus(t, surplus{name: status, before: platformtest.ResponseTo(status, platformtest.NotExecutedLine)}, 502, 200)
+	}
+	refusal := platformtest.ResponseTo("503 Busy", platformtest.NotExecutedLine)
+	for _, s := range []surplus{
+		{name: "some time before the answer", before: refusal, pause: copyDelay},
+		{name: "without the header of the proof", before: platformtest.ResponseTo("421 Other", "")},
+		{name: "with an empty ID", before: platformtest.ResponseTo("503 Busy", platformtest.NotExecutedLine, "")},
+	} {
+		runSurplus(t, s, 502, 200)
+	}
+	runSurplus(t, surplus{name: "after the answer", after: refusal}, 200, 200)
+	runSurplus(t, surplus{name: "while the connection is idle", idle: refusal}, 0, 200)
+}
+
 // Guards against a response with the IDs of two calls that is taken for the answer to one.
 func TestRepeatedRefusalWithSeveralIDs(t *testing.T) {
 	for name, ids := range map[string][]string{
