Send calls without an ID on connections of their own

Callers that send no call ID were told 503 for calls that a target had executed if the target repeated an earlier refusal without an ID (400) before its answer on a kept connection: the missing ID equalled the call's own, so any such response was taken for its answer, whoever had been refused. The same held for other responses without an ID.

New test: a call without an ID is refused by both targets; the next one is executed on the kept connections, behind a copy of the refusal.

Only the connection can tell whose answer a response without an ID is, so such calls do not use kept connections any more. Their connections are kept for calls with an ID afterwards.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -72,6 +72,7 @@
 	})
 	response, failure := c.h.Pool.Do(attemptCtx, endpoint(target), http1client.Call{
 		Method: c.request.Method, Target: c.request.Target, Fields: fields, Body: c.body, Match: c.matchResponse,
+		NewConnection: c.headers.ID == "",
 	})
 	if failure != nil {
 		c.recordFailure(attemptCtx, target, failure.Status == http1client.NotSent, failure.Reason)
--- a/internal/fleet/forward/repeated_refusal_test.go
+++ b/internal/fleet/forward/repeated_refusal_test.go
@@ -185,6 +185,30 @@
 	}
 }
 
+// Guards against an earlier refusal that is taken for the answer to a call without an ID: only
+// the connection tells whose answer it is.
+func TestRepeatedRefusalOfCallWithoutID(t *testing.T) {
+	for _, path := range []string{"/once/a", "/safe/a"} {
+		t.Run(path, func(t *testing.T) {
+			var executions atomic.Int32
+			f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
+				refusal := platformtest.ResponseTo("400 Bad", platformtest.NotExecutedLine)
+				if r.ConnSequence > 1 {
+					executions.Add(1)
+					refusal += platformtest.Response(r, "200 OK", "", "own")
+				}
+				_, err := io.WriteString(c, refusal)
+				return err == nil
+			})
+			for range 2 {
+				// Both targets refuse the call, and keep their connections open.
+				f.assertResponse(f.send(platformtest.Call("", "POST", path, 1000, "hello")), 503, "")
+			}
+			f.Assert(int(executions.Load()), qt.Equals, 0)
+		})
+	}
+}
+
 // A refusal with the call's ID is proof on any connection, and the call is sent to another target.
 func TestSoundRefusalsAreRetried(t *testing.T) {
 	for _, status := range []string{"503 Busy", "429 Busy", "421 Other", "400 Bad"} {
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -78,6 +78,9 @@
 		Body   []byte
 		// Match reports from the response's header fields whether it belongs to this call.
 		Match func(fields []http1.Field) ResponseMatch
+		// NewConnection is set when the call must not be sent on a kept connection, such as
+		// one whose response cannot be told from those to earlier calls.
+		NewConnection bool
 	}
 
 	// ResponseMatch says which call a response belongs to.
@@ -137,7 +140,7 @@
 // Do sends a call. After use, the caller must release or discard the response through the pool.
 // Cancelling ctx aborts the call and closes its connection.
 func (p *Pool) Do(ctx context.Context, e Endpoint, c Call) (*Response, *Failure) {
-	cn, failure := p.connection(ctx, e)
+	cn, failure := p.connection(ctx, e, c.NewConnection)
 	if failure != nil {
 		return nil, failure
 	}
@@ -240,9 +243,10 @@
 	}
 }
 
-// connection returns an idle connection that is open and has no unread data, or a new one.
-func (p *Pool) connection(ctx context.Context, e Endpoint) (*conn, *Failure) {
-	for {
+// connection returns an idle connection that is open and has no unread data, or a new one if
+// there is none or onlyNew is set.
+func (p *Pool) connection(ctx context.Context, e Endpoint, onlyNew bool) (*conn, *Failure) {
+	for !onlyNew {
 		c := p.popIdle(e.Key)
 		if c == nil {
 			break
