Relay no promise of 'not executed' that a target does not prove

A response with status 429, 503 or 408 without the header of the proof was relayed with that status even if it was not sealed or had no call ID. The status promises callers that the call has not run, so a caller would send an at-most-once call again that may have run.

New test: both kinds of responses, for each status.

Nothing but the header of the proof or status 421 says that a target has not run a call. Such a response now counts as an unknown outcome, like a success without the seal: 502 for at-most-once calls, another target for others. Sealed responses with the call's ID are still returned unchanged.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -202,11 +202,10 @@
 	c.recordProgress(tracked, time.Now())
 	c.framing = framingName(response.Head)
 	c.headAt = time.Since(c.attemptStart)
-	if headers.NotExecuted && headers.CallID != c.headers.ID {
-		// It may be an earlier refusal: targets state the ID of the call that they answer.
+	if reason := c.doubt(response.Head.Status, headers); reason != "" {
 		c.h.Pool.Discard(response)
 		c.progress.PossibleExecutions++
-		c.recordUnusable(target, "unidentified-refusal")
+		c.recordUnusable(target, reason)
 		return
 	}
 	if headers.NotExecuted {
@@ -215,12 +214,6 @@
 		c.recordNotExecuted(target, response.Head.Status)
 		return
 	}
-	if response.Head.Status/100 == 2 && !headers.Sealed {
-		c.h.Pool.Discard(response)
-		c.progress.PossibleExecutions++
-		c.recordUnusable(target, "unsealed-answer")
-		return
-	}
 	if c.route.Streaming && response.Head.Status == http.StatusOK && c.request.Method != http.MethodHead {
 		c.relayStream(ctx, target, tracked, response)
 		return
--- a/internal/fleet/forward/repeated_refusal_test.go
+++ b/internal/fleet/forward/repeated_refusal_test.go
@@ -235,3 +235,25 @@
 		}
 	}
 }
+
+// Guards against a status that promises that a call was not executed, relayed although
+// nothing proves it.
+func TestPromisesWithoutProof(t *testing.T) {
+	for _, status := range []string{"503 Busy", "429 Busy", "408 Late"} {
+		for name, answer := range map[string]string{
+			"without the seal": platformtest.ResponseTo(status, "", presentCall),
+			"without an ID":    platformtest.ResponseTo(status, platformtest.SealLine),
+		} {
+			t.Run(status+", "+name, func(t *testing.T) {
+				f := newFixture(t, 2, func(c net.Conn, _ rawserver.Request) bool {
+					_, err := io.WriteString(c, answer)
+					return err == nil
+				})
+				f.assertResponse(f.call("/once/a"), 502, "")
+				f.Assert(f.targetRequests(), qt.Equals, 1)
+				f.assertResponse(f.call("/safe/a"), 502, "")
+				f.Assert(f.targetRequests(), qt.Equals, 3)
+			})
+		}
+	}
+}
