Take no successful response for proof that a call was not executed

A sealed 200 response with the header of the proof sent an at-most-once call to a second target, and its caller was told 503 in the end, although the first target had answered it.

The response contradicts itself, so the outcome is unknown: it is neither relayed nor taken for proof.

--- a/internal/fleet/forward/proof.go
+++ b/internal/fleet/forward/proof.go
@@ -13,6 +13,8 @@
 	switch {
 	case headers.NotExecuted && !isIdentified:
 		return "unidentified-refusal"
+	case headers.NotExecuted && status/100 == 2:
+		return "contradictory-answer"
 	case headers.NotExecuted:
 		return ""
 	case status/100 == 2 && !headers.Sealed:
--- a/internal/fleet/forward/repeated_refusal_test.go
+++ b/internal/fleet/forward/repeated_refusal_test.go
@@ -257,3 +257,13 @@
 		}
 	}
 }
+
+// Guards against a successful response that claims that the call was not executed and is
+// taken for proof.
+func TestContradictoryResponseIsUnknownOutcome(t *testing.T) {
+	f := newFixture(t, 2, always("200 OK", platformtest.NotExecutedLine, "x"))
+	f.assertResponse(f.call("/once/a"), 502, "")
+	f.Assert(f.targetRequests(), qt.Equals, 1)
+	f.assertResponse(f.call("/safe/a"), 502, "")
+	f.Assert(f.targetRequests(), qt.Equals, 3)
+}
