Send orders and moves to engines on connections of their own

On a kept connection an engine that wrote an earlier answer once more could make an order count as fenced that it carries out, and the cache of one conversation could be moved as that of another: answers of this interface do not say what they belong to, and net/http notices surplus bytes only while a connection is idle.

New tests, both failed before this change: the second order returned "engine rejected a stale fencing token", and "cache of a" was moved as conversation b.

Orders, drains and moves are rare and change an engine's state, so each uses a new connection, as chats do. Load reports and lists of conversations keep their connections; they are estimates that the next one replaces.

--- a/internal/target/engine/kv.go
+++ b/internal/target/engine/kv.go
@@ -16,7 +16,7 @@
 
 // Drain makes the engine refuse new requests and finish those in flight.
 func (c *Client) Drain(ctx context.Context, address string) *outcome.Failure {
-	return c.doControl(ctx, http.MethodPost, address, drainPath, nil, nil)
+	return c.command(ctx, address, drainPath, nil)
 }
 
 // Conversations returns the number of cached tokens of each conversation in the engine's KV cache.
@@ -45,7 +45,8 @@
 	return nil
 }
 
-// roundTrip sends one request; if body is not nil, its body becomes the request body.
+// roundTrip sends one request on a connection of its own, on which the engine cannot repeat the
+// cache of another conversation; if body is not nil, its body becomes the request body.
 func (c *Client) roundTrip(ctx context.Context, method, target string, body *http.Response) (*http.Response, *outcome.Failure) {
 	req, err := http.NewRequestWithContext(ctx, method, target, nil)
 	if err != nil {
@@ -55,7 +56,7 @@
 		req.Body, req.ContentLength = body.Body, body.ContentLength
 		req.Header.Set("Content-Type", body.Header.Get("Content-Type"))
 	}
-	resp, attempt, err := c.pool.Do(req)
+	resp, attempt, err := c.pool.DoNewConn(req)
 	if err != nil {
 		return nil, attempt.Failure(ctx, err)
 	}
--- a/internal/target/engine/load.go
+++ b/internal/target/engine/load.go
@@ -42,6 +42,19 @@
 // doControl sends one control request and decodes its response into v, if v is not nil.
 func (c *Client) doControl(
 	ctx context.Context, method, address, path string, body io.Reader, v any,
+) *outcome.Failure {
+	return c.sendControl(ctx, c.pool.Do, method, address, path, body, v)
+}
+
+// command sends a control request that changes the engine's state. It does so on a connection
+// of its own: on a kept one an earlier answer that the engine repeats could be taken for its own.
+func (c *Client) command(ctx context.Context, address, path string, body io.Reader) *outcome.Failure {
+	return c.sendControl(ctx, c.pool.DoNewConn, http.MethodPost, address, path, body, nil)
+}
+
+func (c *Client) sendControl(
+	ctx context.Context, send func(*http.Request) (*http.Response, *transport.Attempt, error),
+	method, address, path string, body io.Reader, v any,
 ) *outcome.Failure {
 	ctx, cancel := context.WithTimeoutCause(ctx, c.opts.ControlTimeout, transport.ErrSilent)
 	defer cancel()
@@ -49,7 +62,7 @@
 	if err != nil {
 		return outcome.NewNotRun(outcome.ReasonInvalidRequest, "%v", err)
 	}
-	resp, attempt, err := c.pool.Do(req)
+	resp, attempt, err := send(req)
 	if err != nil {
 		f := attempt.Failure(ctx, err)
 		if f.Reason == outcome.ReasonTargetSilent {
--- a/internal/target/engine/orders.go
+++ b/internal/target/engine/orders.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net/http"
 
 	"github.com/rotisserie/eris"
 
@@ -30,7 +29,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode order")
 	}
-	f := o.client.doControl(ctx, http.MethodPost, address, ordersPath, bytes.NewReader(body), nil)
+	f := o.client.command(ctx, address, ordersPath, bytes.NewReader(body))
 	if f == nil {
 		return nil
 	}
