Take no refusal on a reused connection for proof on plain services

A repeatable call was reported as "not run" although its target had run it, if the target wrote an earlier refusal once more before its answer on a kept connection: responses of this interface do not say to which call they belong.

Such a refusal now means that the outcome is unknown. Repeatable calls are sent to another target as before; only what is said of the last attempt changes.

--- a/internal/target/plain/plain.go
+++ b/internal/target/plain/plain.go
@@ -92,7 +92,7 @@
 	defer func() { _ = resp.Body.Close() }()
 
 	body, err := readAll(resp.Body, c.opts.MaxResponseBytes)
-	if f := responseFailure(resp, body); f != nil {
+	if f := responseFailure(resp, body, attempt.Reused()); f != nil {
 		return nil, f
 	}
 	if errors.Is(err, errTooLarge) {
@@ -126,13 +126,14 @@
 	return req, nil
 }
 
-// responseFailure converts a response outside 2xx to a failure.
-func responseFailure(resp *http.Response, body []byte) *outcome.Failure {
+// responseFailure converts a response outside 2xx to a failure. Responses do not say to which call
+// they belong, so a refusal on a reused connection may be that of an earlier call.
+func responseFailure(resp *http.Response, body []byte, reused bool) *outcome.Failure {
 	if resp.StatusCode >= 200 && resp.StatusCode < 300 {
 		return nil
 	}
 	detail := body[:min(len(body), maxDetailBytes)]
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true" {
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true" && !reused {
 		return outcome.NewNotRun(outcome.ReasonTargetRefused, "target refused the call: %s", detail)
 	}
 	return outcome.NewUnknown(outcome.ReasonTargetFailed, "target responded with status %s: %s", resp.Status, detail)
