--- a/internal/fleet/forward/proof.go
+++ b/internal/fleet/forward/proof.go
@@ -19,7 +19,7 @@
 		return ""
 	case status/100 == 2 && !headers.Sealed:
 		return "unsealed-answer"
-	case promisesNotExecuted(status) && !(headers.Sealed && isIdentified):
+	case promisesNotExecuted(status) && (!headers.Sealed || !isIdentified):
 		return "unproven-refusal"
 	}
 	return ""
