Let an unknown outcome outlast a later refusal

A repeatable call was reported as "not run" if its last target had refused it, although an earlier target of the same call may have run it: only the last attempt's failure was kept.

Before this change the call was "not-run" whenever the last target tried was one that refused.

The failure of an attempt that may have run the call is kept, and is returned instead of a later "not run". At-most-once calls were and are not sent on after such an attempt.

--- a/internal/target/dispatch/attempt.go
+++ b/internal/target/dispatch/attempt.go
@@ -39,16 +39,28 @@
 		// sent counts the attempts that were sent to a target.
 		sent        int
 		lastFailure *outcome.Failure
-		anyFull     bool
+		// unknown is the failure of an attempt that may have run the call, or nil.
+		unknown *outcome.Failure
+		anyFull bool
 	}
 )
 
-// dispatch tries the targets in order of preference until the call is finished.
+// dispatch tries the targets in order of preference until the call is finished. The failure
+// speaks for all attempts.
 func (d *Dispatcher) dispatch(ctx context.Context, r request) *outcome.Failure {
-	t := d.table.Load()
 	d.opts.Budget.Request(r.workspace.Name, r.service.Name)
 	var s selection
-	if d.tryTargets(ctx, t, r, &s, true) {
+	f := d.selectAndSend(ctx, r, &s)
+	if f != nil && f.Status == outcome.NotRun && s.unknown != nil {
+		return s.unknown
+	}
+	return f
+}
+
+// selectAndSend returns the failure of the last attempt, or why no attempt was made.
+func (d *Dispatcher) selectAndSend(ctx context.Context, r request, s *selection) *outcome.Failure {
+	t := d.table.Load()
+	if d.tryTargets(ctx, t, r, s, true) {
 		return s.lastFailure
 	}
 	// If the circuit breaker is open for every target, trying one is better than
@@ -56,7 +68,7 @@
 	// down either, so a repeatable call is sent to that target once more, on a new
 	// connection.
 	if s.permitRequests == 0 || (s.sent == 1 && r.repeatable && isConnectionFailure(s.lastFailure)) {
-		if d.tryTargets(ctx, t, r, &s, false) {
+		if d.tryTargets(ctx, t, r, s, false) {
 			return s.lastFailure
 		}
 	}
@@ -118,6 +130,9 @@
 	}
 	s.sent++
 	s.lastFailure = r.send(ctx, t)
+	if s.lastFailure != nil && s.lastFailure.Status == outcome.Unknown {
+		s.unknown = s.lastFailure
+	}
 	d.breaker.record(t.Name, s.lastFailure, d.opts.Now())
 	if s.lastFailure == nil || ctx.Err() != nil || !r.mayRetry(s.lastFailure) {
 		return true
