Send nothing to a target that says in an answer that it leaves

A target that leaves says so in its answers. Routers did not read that and went on until its entry in the store said draining: callers got answers from a target that was about to end, and calls were refused or cut that others could have served.

An answer with the header now marks this incarnation of the target: new calls, retries and resumed streams go elsewhere at once, other targets no longer fetch from its cache, calls in flight there go on, and a service of which all targets leave refuses at once. Successful answers without a seal and those of another server (421) do not count. The watcher keeps the mark as a departure that no entry takes back, so that it holds through heartbeats, lists, changes from other routers and a store that comes back from an earlier state, as long as the incarnation is listed. A restart ends it.

TestTargetThatSaysThatItLeaves failed before: the second call was answered 200 by the target instead of 503 by the router. The tests of the variants at the forwarder and the watcher use what is new here and do not compile before.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -116,7 +116,7 @@
 		candidates[i] = affinity.Candidate{
 			Target: t.Hash, Calls: summaries[i].Calls, PendingTokens: summaries[i].PendingTokens, Slowness: summaries[i].Slowness,
 			Ejected: summaries[i].Ejected || c.h.TargetHealth.SilentFor(t.Hash, now) > limit,
-			Tried:   c.tried[t.Hash], Draining: t.Draining, Exhausted: !c.h.Limits.Allows(t.Hash, now),
+			Tried:   c.tried[t.Hash], Draining: t.Draining, Exhausted: t.Leaving || !c.h.Limits.Allows(t.Hash, now),
 			FailureDomain: t.FailureDomain, SameDomain: t.FailureDomain == c.h.FailureDomain,
 		}
 	}
@@ -192,9 +192,7 @@
 	if headers.HasLoad {
 		c.load, c.hasLoad = headers.Load, true
 	}
-	if response.Head.Status != http.StatusMisdirectedRequest && !headers.HasInvalidLimit {
-		c.h.Limits.Observe(target.Hash, headers.Limit, time.Now())
-	}
+	c.observeTarget(target, response.Head.Status, headers)
 	c.recordProgress(tracked, time.Now())
 	c.framing = framingName(response.Head)
 	c.headAt = time.Since(c.attemptStart)
--- a/internal/fleet/forward/fixture_test.go
+++ b/internal/fleet/forward/fixture_test.go
@@ -97,6 +97,7 @@
 	config := forward.Config{
 		View: f.view.Load, Pool: pool, TargetHealth: f.tracker,
 		CacheIndex: f.cacheIndex, Budgets: f.budgets, LoadFactor: 2, Log: zerolog.Nop(),
+		OnLeaving: f.setLeaving,
 	}
 	for _, opt := range opts {
 		opt(&config)
@@ -114,6 +115,20 @@
 	return func(c *forward.Config) { c.ResponseMemory = bytes }
 }
 
+// setLeaving publishes a view with a target that has said that it leaves.
+func (f *fixture) setLeaving(hash uint64) {
+	view := f.view.Load()
+	var targets []*state.Target
+	for _, old := range view.Targets.ByService["s"] {
+		t := *old
+		if t.Hash == hash {
+			t.Draining, t.Leaving = true, true
+		}
+		targets = append(targets, &t)
+	}
+	f.view.Store(&state.View{Configuration: view.Configuration, Targets: state.NewTargets(targets)})
+}
+
 func (f *fixture) dial() (net.Conn, *bufio.Reader) {
 	c, err := net.Dial("tcp4", f.listener.Addr().String())
 	f.Assert(err, qt.IsNil)
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -69,6 +69,9 @@
 		Quarantine *quarantine.Tracker
 		// Limits knows the limits that targets name. Nil means a tracker of the handler's own.
 		Limits *targetlimits.Tracker
+		// OnLeaving is called with the hash of a target that says in an answer that it leaves.
+		// It must make View return the target as draining before it returns.
+		OnLeaving func(target uint64)
 		// ReportInterval returns the time between two reports of a router's calls to the
 		// others. Nil means that the calls of all routers are known.
 		ReportInterval func() time.Duration
@@ -173,6 +176,9 @@
 	if config.Limits == nil {
 		config.Limits = targetlimits.NewTracker(func() (uint64, []uint64) { return 0, nil })
 	}
+	if config.OnLeaving == nil {
+		config.OnLeaving = func(uint64) {}
+	}
 	return &Handler{Config: config, responseMemory: semaphore.NewWeighted(config.ResponseMemory)}
 }
 
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -104,6 +104,9 @@
 		// Draining is set while the target drains, or is known to have left, and must get no
 		// new calls.
 		Draining bool
+		// Leaving is set when this incarnation has said in an answer that it leaves, which it
+		// never takes back. Draining is then set, too.
+		Leaving bool
 		// StartUnixMilli is the start time of this incarnation in Unix milliseconds;
 		// zero when unknown.
 		StartUnixMilli int64
--- a/internal/fleet/storewatch/departures.go
+++ b/internal/fleet/storewatch/departures.go
@@ -22,6 +22,9 @@
 		// Drained is set if the target has announced that it leaves, which it never takes
 		// back. Otherwise its entry was removed, which may also happen to a live target.
 		Drained bool
+		// Announced is set if the target has said so in an answer. That applies in all eras,
+		// and no entry of the incarnation takes it back.
+		Announced bool
 		// Era is the last era of the store in which that was seen, At the time.
 		Era uint64
 		At  time.Time
@@ -36,6 +39,7 @@
 	old, known := d[n.Target]
 	if known {
 		n.Drained = n.Drained || old.Drained
+		n.Announced = n.Announced || old.Announced
 		n.Era = max(n.Era, old.Era)
 		if old.At.After(n.At) {
 			n.At = old.At
@@ -43,7 +47,7 @@
 	}
 	d[n.Target] = n
 	if len(d) > maxDepartures {
-		oldest := d.recent()[maxDepartures:]
+		oldest := d.list()[maxDepartures:]
 		for _, o := range oldest {
 			delete(d, o.Target)
 		}
@@ -55,7 +59,7 @@
 // be from a copy that is older than the departure.
 func (d departures) retract(target, era uint64, isWrite bool) {
 	old, known := d[target]
-	if known && (old.Era >= era || (isWrite && !old.Drained)) {
+	if known && !old.Announced && (old.Era >= era || (isWrite && !old.Drained)) {
 		delete(d, target)
 	}
 }
@@ -68,22 +72,38 @@
 	return known && old.Era < era && (old.Drained || !hasLapsed)
 }
 
-// recent returns the departures, the latest first.
-func (d departures) recent() []Departure {
+// isAnnounced reports whether an incarnation has said in an answer that it leaves.
+func (d departures) isAnnounced(target uint64) bool { return d[target].Announced }
+
+// list returns the departures, the announced ones first and then the latest.
+func (d departures) list() []Departure {
 	list := make([]Departure, 0, len(d))
 	for _, departure := range d {
 		list = append(list, departure)
 	}
 	slices.SortFunc(list, func(a, b Departure) int {
-		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(cmp.Compare(b.rank(), a.rank()), b.At.Compare(a.At), cmp.Compare(a.Target, b.Target))
 	})
 	return list
 }
 
-// prune removes departures that are no longer needed.
-func (d departures) prune(now time.Time) {
+func (d Departure) rank() int {
+	if d.Announced {
+		return 1
+	}
+	return 0
+}
+
+// prune removes departures that are no longer needed. An announced one is kept as long as the
+// incarnation is listed.
+func (d departures) prune(now time.Time, isListed func(target uint64) bool) {
 	for target, departure := range d {
-		if now.Sub(departure.At) > departureMemory {
+		switch {
+		case now.Sub(departure.At) <= departureMemory:
+		case departure.Announced && isListed(target):
+			departure.At = now
+			d[target] = departure
+		default:
 			delete(d, target)
 		}
 	}
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -286,7 +286,7 @@
 				changed = w.remove(name, time.Time{}) || changed
 			}
 		}
-		w.departures.prune(now)
+		w.departures.prune(now, w.isListed)
 		if changed || (w.withheld && now.Sub(w.eraSince) > w.lapseTime) {
 			w.publishTargets()
 		}
@@ -303,7 +303,8 @@
 		digest ^= xxhash.Sum64(e.raw)
 		if e.target != nil {
 			t := *e.target
-			if !t.Draining && w.hasDeparted(&t) {
+			t.Leaving = w.departures.isAnnounced(t.Incarnation())
+			if !t.Draining && (t.Leaving || w.hasDeparted(&t)) {
 				t.Draining = true
 				w.withheld = w.withheld || !w.departures[t.Incarnation()].Drained
 			}
@@ -337,7 +338,7 @@
 		}
 		return s
 	}
-	s.Full, s.Departures = true, w.departures.recent()
+	s.Full, s.Departures = true, w.departures.list()
 	now := time.Now()
 	for name, e := range w.entries {
 		item := TargetChange{Entry: e.raw}
@@ -349,9 +350,10 @@
 	return s
 }
 
-// Departures returns the incarnations of targets that have left, the latest first.
+// Departures returns the incarnations of targets that have left, the announced ones first and
+// then the latest.
 func (w *Watcher) Departures() []Departure {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.departures.recent()
+	return w.departures.list()
 }
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -165,7 +165,8 @@
 		Targets       Delta
 		// Full is set when Targets holds all targets instead of changes.
 		Full bool
-		// Departures holds incarnations that have left, the latest first.
+		// Departures holds incarnations that have left, the announced ones first and then the
+		// latest.
 		Departures []Departure
 	}
 )
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -120,7 +120,7 @@
 	r.guard = freshness.New(r.confirmView, log, guardOptions...)
 	handler := forward.New(forward.Config{
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
-		Quarantine: r.quarantine, Limits: r.targetLimits, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
+		Quarantine: r.quarantine, Limits: r.targetLimits, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load,
 		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
--- a/internal/node/edge/engines_test.go
+++ b/internal/node/edge/engines_test.go
@@ -48,10 +48,10 @@
 		crashes []time.Time
 		sends   []time.Time
 		stopped bool
-		// limitLines are header lines of the answers of engines by number; arrivals are the
+		// lines are header lines of the answers of engines by number; arrivals are the
 		// times at which calls reached an engine.
-		limitLines map[int]string
-		arrivals   map[int][]time.Time
+		lines    map[int]string
+		arrivals map[int][]time.Time
 	}
 
 	fleetEngine struct {
@@ -66,7 +66,7 @@
 
 func newEngineFleet(t *testing.T, routers, engines int) *engineFleet {
 	f := &engineFleet{
-		C: qt.New(t), store: platformtest.NewStore(), limitLines: make(map[int]string), arrivals: make(map[int][]time.Time),
+		C: qt.New(t), store: platformtest.NewStore(), lines: make(map[int]string), arrivals: make(map[int][]time.Time),
 	}
 	storeServer := httptest.NewServer(f.store)
 	t.Cleanup(storeServer.Close)
@@ -181,14 +181,14 @@
 	if crashes {
 		f.sends = append(f.sends, time.Now())
 	}
-	return platformtest.StreamHeadWith(r, f.limitLines[engine])
+	return platformtest.StreamHeadWith(r, f.lines[engine])
 }
 
-// setLimit makes an engine name a limit in its answers, or no longer with an empty line.
-func (f *engineFleet) setLimit(engine int, line string) {
+// setLines sets header lines that an engine adds to its answers.
+func (f *engineFleet) setLines(engine int, lines string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limitLines[engine] = line
+	f.lines[engine] = lines
 }
 
 // crash ends the engine, which resets its connections, and lets it start again later.
--- a/internal/node/edge/limit_test.go
+++ b/internal/node/edge/limit_test.go
@@ -40,7 +40,7 @@
 	f := newEngineFleet(t, 3, 8)
 	f.warmUp(platformtest.PathChat)
 	for engine := range limited {
-		f.setLimit(engine, platformtest.LimitLine(fmt.Sprint(perSecond)))
+		f.setLines(engine, platformtest.LimitLine(fmt.Sprint(perSecond)))
 	}
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), contactTime+2*limitWindow)
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -50,6 +50,8 @@
 		Address       string `json:"address"`
 		FailureDomain string `json:"failure-domain"`
 		Leaving       bool   `json:"leaving"`
+		// SaysLeaving is set if the target has said in an answer that it leaves.
+		SaysLeaving bool `json:"says-leaving,omitempty"`
 		// Limit is the number of calls a second that the target names, from all routers.
 		Limit *float64 `json:"limit,omitempty"`
 		targetstats.Summary
@@ -70,7 +72,7 @@
 		for i, s := range r.tracker.Summaries(state.Hashes(targets), time.Now()) {
 			t := targets[i]
 			entry := targetView{
-				ID: t.ID, Service: service, Address: t.Address, FailureDomain: t.FailureDomain, Leaving: t.Draining, Summary: s,
+				ID: t.ID, Service: service, Address: t.Address, FailureDomain: t.FailureDomain, Leaving: t.Draining, SaysLeaving: t.Leaving, Summary: s,
 			}
 			if limit, ok := limits[t.Hash]; ok {
 				entry.Limit = &limit
