Send nothing to a target that has asked for it with Retry-After

A target that turns a request away with 503 may say with Retry-After for how long it wants nothing from this router. Routers did not read that and went on sending: the target got calls that it had to refuse, and callers were refused after a detour or told to return at a time at which the target would refuse them again.

A small tracker now keeps the end of the time per incarnation of a target. Until then the target is neither called nor named as a source of cache contents, nor counted as another target for a silent one, nor asked for its list of cached parts. If all targets of a service wait, calls are refused at once as not run, with the earliest end as Retry-After, spread as before; so is a call whose retry the budget denies while none would take it. Any 503 of the target counts, executed or not, but no other status: on 429 the value concerns a caller or a workspace rather than the router. Fractions are read; zero, dates and other values that are not a plain number are ignored; of several values the longest counts, and an answer never shortens a wait, since answers overtake one another. Waits are bounded to an hour, and a restart of the target ends them. The answer to a request for a list of cached parts counts like any other, also if it says that the target leaves.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -22,11 +22,6 @@
 	reasonNoTarget = "no-target"
 	reasonSilent   = "target-silent"
 	reasonTimeout  = "timeout"
-	reasonLimits   = "target-limits"
-
-	// otherRouterDelay is the time after which a caller should try another router if this
-	// one may not send to any target that has named a limit.
-	otherRouterDelay = 100 * time.Millisecond
 
 	// minOverdue is the shortest time after which a call without any response bytes
 	// counts as a failure of its target.
@@ -44,10 +39,8 @@
 	target := c.choose()
 	if target == nil {
 		c.progress.Outcome = NotExecuted
-		c.reason, c.retryAfter = reasonNoTarget, 0
-		if wait, limited := c.untilLimitAllows(time.Now()); limited {
-			c.reason, c.retryAfter = reasonLimits, wait
-		}
+		obstacle := c.untilAccepted(time.Now())
+		c.reason, c.retryAfter = obstacle.reason, obstacle.wait
 		return
 	}
 	c.tried[target.Hash] = true
@@ -116,7 +109,7 @@
 		candidates[i] = affinity.Candidate{
 			Target: t.Hash, Calls: summaries[i].Calls, PendingTokens: summaries[i].PendingTokens, Slowness: summaries[i].Slowness,
 			Ejected: summaries[i].Ejected || c.h.TargetHealth.SilentFor(t.Hash, now) > limit,
-			Tried:   c.tried[t.Hash], Draining: t.Draining, Exhausted: t.Leaving || !c.h.Limits.Allows(t.Hash, now),
+			Tried:   c.tried[t.Hash], Draining: t.Draining, Exhausted: t.Leaving || !c.h.accepts(t, now),
 			FailureDomain: t.FailureDomain, SameDomain: t.FailureDomain == c.h.FailureDomain,
 		}
 	}
@@ -137,22 +130,6 @@
 	return targets[choice.Index]
 }
 
-// untilLimitAllows reports whether the call cannot be sent because of the limits that
-// targets name, and the time until one of them allows it.
-func (c *call) untilLimitAllows(now time.Time) (time.Duration, bool) {
-	var limited []uint64
-	for _, t := range c.targets.ByService[c.service] {
-		if !t.Draining && !c.tried[t.Hash] && !c.h.Limits.Allows(t.Hash, now) {
-			limited = append(limited, t.Hash)
-		}
-	}
-	wait, ok := c.h.Limits.Wait(limited, now)
-	if !ok {
-		wait = otherRouterDelay
-	}
-	return wait, len(limited) > 0
-}
-
 // recordFailure records an attempt without a complete response.
 func (c *call) recordFailure(ctx context.Context, target *state.Target, notExecuted bool, reason string) {
 	c.reason = reason
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -19,6 +19,7 @@
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/retries"
+	"hickoryrock/internal/policy/targetbackoff"
 	"hickoryrock/internal/policy/targetlimits"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/target/http1client"
@@ -69,6 +70,9 @@
 		Quarantine *quarantine.Tracker
 		// Limits knows the limits that targets name. Nil means a tracker of the handler's own.
 		Limits *targetlimits.Tracker
+		// Backoff knows the targets that want no requests for a time. Nil means a tracker of
+		// the handler's own.
+		Backoff *targetbackoff.Tracker
 		// OnLeaving is called with the hash of a target that says in an answer that it leaves.
 		// It must make View return the target as draining before it returns.
 		OnLeaving func(target uint64)
@@ -176,6 +180,9 @@
 	if config.Limits == nil {
 		config.Limits = targetlimits.NewTracker(func() (uint64, []uint64) { return 0, nil })
 	}
+	if config.Backoff == nil {
+		config.Backoff = targetbackoff.NewTracker()
+	}
 	if config.OnLeaving == nil {
 		config.OnLeaving = func(uint64) {}
 	}
@@ -324,7 +331,7 @@
 // budget unless one is reserved or the attempt did not reach a target.
 func (c *call) takeRetry() bool {
 	switch c.reason {
-	case reasonNoTarget, reasonLimits:
+	case reasonNoTarget, reasonLimits, reasonBackoff:
 		return false
 	case http1client.ReasonRefused, http1client.ReasonNoConnection:
 		return true
@@ -357,6 +364,9 @@
 			c.writer.Respond(c.status, c.buffered.head.Reason, endToEndFields(c.buffered.head), c.buffered.body)
 		}
 	case Reject:
+		if o := c.untilAccepted(time.Now()); o.reason == reasonBackoff {
+			c.retryAfter = max(c.retryAfter, o.wait)
+		}
 		c.reject(c.reason)
 	case Fail:
 		c.respond(http.StatusBadGateway, c.reason)
--- a/internal/fleet/forward/leaving_test.go
+++ b/internal/fleet/forward/leaving_test.go
@@ -107,8 +107,7 @@
 		leaving := write(func(r rawserver.Request) string {
 			return platformtest.Response(r, "200 OK", platformtest.LeavingLine, "x")
 		})
-		var f *fixture
-		f = newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
+		f := newFixture(t, 2, func(c net.Conn, r rawserver.Request) bool {
 			if strings.HasPrefix(r.Target, "/once") {
 				return leaving(c, r)
 			}
--- a/internal/node/edge/caches.go
+++ b/internal/node/edge/caches.go
@@ -90,7 +90,14 @@
 }
 
 func (r *Router) loadCacheFromEngine(ctx context.Context, client *http.Client, t *state.Target) {
-	parts, err := platform.ListCachedParts(ctx, client, t.Address)
+	if t.Leaving || r.targetBackoff.Remaining(t.Hash, time.Now()) > 0 {
+		return
+	}
+	parts, headers, err := platform.ListCachedParts(ctx, client, t.Address)
+	r.targetBackoff.Observe(t.Hash, headers.RetryAfter, time.Now())
+	if headers.Leaving {
+		r.watcher.RecordLeaving(t.Hash)
+	}
 	if err != nil {
 		r.log.Warn().Err(err).Str("target", t.ID).Msg("failed to read the target's cache contents")
 		return
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -24,6 +24,7 @@
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/retries"
+	"hickoryrock/internal/policy/targetbackoff"
 	"hickoryrock/internal/policy/targetlimits"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/target/http1client"
@@ -75,9 +76,11 @@
 		retryBudgets *retries.Budgets
 		quarantine   *quarantine.Tracker
 		targetLimits *targetlimits.Tracker
-		server       *ingress.Server
-		guard        *freshness.Guard
-		bounds       atomic.Pointer[platform.Bounds]
+		// targetBackoff knows the targets that want no requests from this router for a time.
+		targetBackoff *targetbackoff.Tracker
+		server        *ingress.Server
+		guard         *freshness.Guard
+		bounds        atomic.Pointer[platform.Bounds]
 		// shutdown is nil until the router is told to stop.
 		shutdown atomic.Pointer[forward.Shutdown]
 		// joined is closed once this router is registered, the router entries have been
@@ -97,6 +100,7 @@
 	r.quarantine = quarantine.NewTracker(quarantine.WithSettleTime(r.settleTime), quarantine.WithOnChange(r.logQuarantine))
 	r.targetLimits = targetlimits.NewTracker(func() (uint64, []uint64) { return r.fleet.LiveRouters() },
 		targetlimits.WithReportInterval(func() time.Duration { return r.fleet.ReportInterval() }))
+	r.targetBackoff = targetbackoff.NewTracker(targetbackoff.WithOnWait(r.logTargetWait))
 	metrics.GetOrCreateGauge(`hickoryrock_quarantined_parts`, r.countQuarantined)
 	store, closeStore := platform.NewStore(s.StoreAddress)
 	r.store = store
@@ -120,7 +124,7 @@
 	r.guard = freshness.New(r.confirmView, log, guardOptions...)
 	handler := forward.New(forward.Config{
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
-		Quarantine: r.quarantine, Limits: r.targetLimits, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
+		Quarantine: r.quarantine, Limits: r.targetLimits, Backoff: r.targetBackoff, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load,
 		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
@@ -306,6 +310,12 @@
 		Float64("results", c.Results).Float64("common-share", c.OthersFailureRate).Msg("target ejected or readmitted because of its failure rate")
 }
 
+func (r *Router) logTargetWait(target uint64, wait time.Duration) {
+	metrics.GetOrCreateCounter(`hickoryrock_target_waits_total`).Inc()
+	r.log.Info().Str("target", r.targetName(target)).Dur("for-ms", wait).
+		Msg("target has turned a request away and wants none for a time")
+}
+
 func (r *Router) targetName(hash uint64) string {
 	for _, list := range r.watcher.View().Targets.ByService {
 		for _, t := range list {
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -54,6 +54,8 @@
 		SaysLeaving bool `json:"says-leaving,omitempty"`
 		// Limit is the number of calls a second that the target names, from all routers.
 		Limit *float64 `json:"limit,omitempty"`
+		// WaitMS is the time for which the target wants no requests from this router.
+		WaitMS int64 `json:"wait-ms,omitempty"`
 		targetstats.Summary
 	}
 )
@@ -67,12 +69,13 @@
 		WatchesStore: r.fleet.WatchesStore(), CallsBeingServed: r.server.Active(),
 		CallerAddresses: r.fleet.CallerAddresses(r.settings.FailureDomain, 1<<10), Quarantine: r.quarantineViews(),
 	}
-	limits := r.targetLimits.Limits(time.Now())
+	limits, waits := r.targetLimits.Limits(time.Now()), r.targetBackoff.Waits(time.Now())
 	for service, targets := range v.Targets.ByService {
 		for i, s := range r.tracker.Summaries(state.Hashes(targets), time.Now()) {
 			t := targets[i]
 			entry := targetView{
-				ID: t.ID, Service: service, Address: t.Address, FailureDomain: t.FailureDomain, Leaving: t.Draining, SaysLeaving: t.Leaving, Summary: s,
+				ID: t.ID, Service: service, Address: t.Address, FailureDomain: t.FailureDomain, Leaving: t.Draining, SaysLeaving: t.Leaving,
+				WaitMS: waits[t.Hash].Milliseconds(), Summary: s,
 			}
 			if limit, ok := limits[t.Hash]; ok {
 				entry.Limit = &limit
