Tell the other routers which targets say that they leave

Each router learned only from its own answers that a target leaves, so that in a large fleet up to one call per router went to a target that was about to end.

Routers pass on only what they heard from the target itself.

TestHistoriesOfARestoredStore covers announcements now: no history of the store brings such a target back, and two routers agree.

--- a/internal/fleet/storewatch/history_test.go
+++ b/internal/fleet/storewatch/history_test.go
@@ -28,7 +28,7 @@
 		alive            map[string]listedTarget
 		born             int
 		reader, follower *storewatch.Watcher
-		// drained holds the incarnations that a router has seen draining.
+		// drained holds the incarnations that a router has known to be leaving.
 		drained map[*storewatch.Watcher]map[string]bool
 	}
 
@@ -65,7 +65,7 @@
 
 func (m *historyModel) act(t *rapid.T) {
 	name := fmt.Sprint("i-", rapid.IntRange(1, 4).Draw(t, "target"))
-	switch live, ok := m.alive[name]; rapid.SampledFrom([]string{"start", "drain", "end", "idle", "save", "restore", "write"}).Draw(t, "action") {
+	switch live, ok := m.alive[name]; rapid.SampledFrom([]string{"start", "drain", "say", "end", "idle", "save", "restore", "write"}).Draw(t, "action") {
 	case "start":
 		if !ok {
 			m.born++
@@ -77,6 +77,10 @@
 			m.alive[name] = listedTarget{live.born, "draining"}
 			m.write(name)
 		}
+	case "say":
+		if ok {
+			m.reader.RecordLeaving(incarnation(name, live.born))
+		}
 	case "end":
 		delete(m.alive, name)
 		m.write(name)
@@ -110,6 +114,7 @@
 // sync brings the follower up to date with the reader.
 func (m *historyModel) sync() {
 	known := m.follower.View().Targets.Revision
+	m.follower.ApplyAnnouncements(m.reader.TakeAnnouncements())
 	s := m.reader.Snapshot(0, known)
 	m.follower.ApplyDepartures(s.Departures)
 	m.follower.ApplyTargets(s.Targets, s.Full, "reader")
--- a/internal/fleet/storewatch/leaving_test.go
+++ b/internal/fleet/storewatch/leaving_test.go
@@ -58,6 +58,42 @@
 	}
 }
 
+// Guards against announcements that are lost with one datagram, or that go on for good.
+func TestAnnouncementsAreToldAFewTimes(t *testing.T) {
+	f := newLeaving(t)
+	for range 3 {
+		list := f.TakeAnnouncements()
+		f.Assert(list, qt.HasLen, 1)
+		other := &fixture{C: f.C, Watcher: storewatch.New(nil, zerolog.Nop(), nil, nil)}
+		other.list(eraOne, 50, bornItem("i-1", "ready", 1), bornItem("i-2", "ready", 1))
+		other.ApplyAnnouncements(list)
+		other.assertLeaving()
+		f.Assert(other.TakeAnnouncements(), qt.HasLen, 0)
+	}
+	f.RecordLeaving(incarnation("i-1", 1))
+	f.Assert(f.TakeAnnouncements(), qt.HasLen, 0)
+}
+
+// Guards against many announcements that are dropped because they do not fit into a datagram.
+func TestManyAnnouncementsAreAllTold(t *testing.T) {
+	f := newLeaving(t)
+	told := map[uint64]bool{incarnation("i-1", 1): true}
+	for target := range uint64(200) {
+		f.RecordLeaving(target)
+		told[target] = true
+	}
+	rounds := 0
+	for list := f.TakeAnnouncements(); len(list) > 0; list = f.TakeAnnouncements() {
+		f.Assert(len(list) <= 30, qt.IsTrue)
+		for _, d := range list {
+			delete(told, d.Target)
+		}
+		rounds++
+	}
+	f.Assert(told, qt.HasLen, 0)
+	f.Assert(rounds <= 22, qt.IsTrue, qt.Commentf("%d rounds", rounds))
+}
+
 // Guards against a target that is called again after it has said that it leaves, because an
 // entry of the same incarnation says that it is ready.
 func TestEntriesDoNotTakeBackThatATargetLeaves(t *testing.T) {
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -89,6 +89,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, d := range list {
+		if d.Announced {
+			w.recordAnnouncement(d, originRouter)
+		}
 		w.departures.record(d)
 	}
 	w.hasDepartures = true
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -104,6 +104,9 @@
 		// expiring holds the time until which each missing entry is kept.
 		expiring   map[string]time.Time
 		departures departures
+		// announcementsLeft is how often other routers are still to be told of incarnations
+		// that have said in answers to this router that they leave.
+		announcementsLeft map[uint64]int
 		// hasDepartures is set once the departures of earlier eras are known.
 		hasDepartures bool
 		// withheld is set while a listed target is not used only because its entry was removed
@@ -181,7 +184,8 @@
 	w := &Watcher{
 		store: store, log: log, onChange: onChange, servesPeers: servesPeers,
 		entries: make(map[string]entry), expiring: make(map[string]time.Time), departures: make(departures),
-		watchWait: defaultWatchWait, maxRetention: scale(retentionFraction, defaultDrainTime),
+		announcementsLeft: make(map[uint64]int),
+		watchWait:         defaultWatchWait, maxRetention: scale(retentionFraction, defaultDrainTime),
 		lapseTime: recoveryGrace + heartbeatsToLapse*defaultHeartbeat,
 	}
 	for _, opt := range opts {
--- a/internal/node/edge/leaving_test.go
+++ b/internal/node/edge/leaving_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -52,3 +54,46 @@
 	f.eventually("the restarted target is called", func() bool { _, body := f.call("/a"); return body == "bye" })
 	assertRefused()
 }
+
+// Guards against a fleet that goes on calling a target that leaves, and against calls that fail
+// meanwhile.
+func TestFleetLearnsThatATargetLeaves(t *testing.T) {
+	f := newEngineFleet(t, 3, 4)
+	f.warmUp(platformtest.PathChat)
+	leaving := f.busiest()
+	f.setLines(leaving, platformtest.LeavingLine)
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	repeat(ctx, 20*time.Millisecond, func(i int) {
+		f.Check(f.call(platformtest.PathChat, "aa", fmt.Sprint("b", i%16), fmt.Sprint("d", i)), qt.Equals, http.StatusOK)
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var first time.Time
+	late := 0
+	for _, at := range f.arrivals[leaving] {
+		switch {
+		case at.Before(started):
+		case first.IsZero():
+			first = at
+		case at.Sub(first) > time.Second:
+			late++
+		}
+	}
+	f.Assert(first.IsZero(), qt.IsFalse)
+	f.Assert(late, qt.Equals, 0)
+}
+
+// busiest returns the number of the engine that has got most calls.
+func (f *engineFleet) busiest() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best := 0
+	for engine, times := range f.arrivals {
+		if len(times) > len(f.arrivals[best]) {
+			best = engine
+		}
+	}
+	return best
+}
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -239,6 +239,7 @@
 	}
 	f.mergeQuarantine(b, now)
 	f.mergeLimits(b, now)
+	f.mergeDepartures(b, now)
 	f.AddPeer(b.GetPeerAddress())
 	if !newer {
 		return
--- a/internal/peer/gossip/fixture_test.go
+++ b/internal/peer/gossip/fixture_test.go
@@ -35,6 +35,8 @@
 	quarantine *quarantine.Tracker
 	limits     *targetlimits.Tracker
 	address    string
+	// confirmed is set if the router confirms its state to its peers.
+	confirmed atomic.Bool
 	// snapshots counts the snapshots that this router's peers have requested from it.
 	snapshots atomic.Int64
 	// cacheSends counts the cache contents that it has sent.
@@ -134,7 +136,7 @@
 	v := r.watcher.View()
 	s := gossip.State{
 		Serving: v.Configuration != nil, TargetsRevision: v.Targets.Revision, TargetsDigest: v.Targets.Digest,
-		TargetsListRevision: v.Targets.ListRevision, LacksDepartures: r.watcher.LacksDepartures(),
+		TargetsListRevision: v.Targets.ListRevision, LacksDepartures: r.watcher.LacksDepartures(), Confirmed: r.confirmed.Load(),
 		StoreAge: r.watcher.StoreAge(), StoreFailing: r.watcher.FailingFor(), TargetCount: len(v.Targets.ByService["s"]),
 	}
 	if v.Configuration != nil {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -276,6 +276,7 @@
 			regular.Reset(f.interval())
 			f.sendQuarantine(f.sendRegular())
 			f.sendLimits()
+			f.sendDepartures()
 			f.markLost(now)
 		}
 	}
--- a/internal/peer/gossip/revision.go
+++ b/internal/peer/gossip/revision.go
@@ -82,7 +82,7 @@
 	out := make([]*peerv1.TargetDeparture, 0, min(len(list), maxDepartureReports))
 	for _, d := range list[:min(len(list), maxDepartureReports)] {
 		out = append(out, &peerv1.TargetDeparture{
-			Target: d.Target, Drained: d.Drained, Era: d.Era, AgeMs: ageMS(d.At, now),
+			Target: d.Target, Drained: d.Drained, Announced: d.Announced, Era: d.Era, AgeMs: ageMS(d.At, now),
 		})
 	}
 	return out
@@ -92,9 +92,28 @@
 	out := make([]storewatch.Departure, 0, len(list))
 	for _, d := range list {
 		out = append(out, storewatch.Departure{
-			Target: d.GetTarget(), Drained: d.GetDrained(), Era: d.GetEra(),
+			Target: d.GetTarget(), Drained: d.GetDrained(), Announced: d.GetAnnounced(), Era: d.GetEra(),
 			At: timeBefore(now, d.GetAgeMs()),
 		})
 	}
 	return out
 }
+
+// sendDepartures tells all peers which targets have said that they leave, if there is anything
+// to tell.
+func (f *Fleet) sendDepartures() {
+	list := f.watcher.TakeAnnouncements()
+	if len(list) == 0 {
+		return
+	}
+	b := f.newBeacon()
+	b.Departures = encodeDepartures(list, time.Now())
+	f.broadcast(b)
+}
+
+// mergeDepartures takes over which targets have told another router that they leave.
+func (f *Fleet) mergeDepartures(b *peerv1.Beacon, now time.Time) {
+	if len(b.GetDepartures()) > 0 {
+		f.watcher.ApplyAnnouncements(decodeDepartures(b.GetDepartures(), now))
+	}
+}
