Cut a stream that goes on with a response of another type

A stream of a resumable route had begun and broke off; the next target answered 200 with an error's text (text/plain, text/html, application/json or no type, or an encoded body). The router took any 200 on a streaming route for events: callers found the text up to its last empty line in the middle of their stream, and an empty body ended the stream as if it were complete.

The media type of what has begun is now kept, and only a response with the same status and type and without a content coding may follow it. This is decided by the head, so that an error's body is no longer read before the call goes to the next target or is cut. Streams whose targets name no type go on as before.

TestStreamsThatGoOnAsAnotherType failed before in all its cases but the one of a parameter and the one without a type: the callers got a complete response with the error's text, or one that ended early without a sign. TestStreamsThatGoOnWithAnErrorStatus passed before: errors with another status than 200 never followed a stream.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -210,6 +210,12 @@
 		c.recordUnusable(target, "unsealed-answer")
 		return
 	}
+	if c.writer.Started() && !c.continuesStream(response.Head) {
+		c.h.Pool.Drain(response)
+		c.progress.PossibleExecutions++
+		c.recordUnusable(target, "no-stream")
+		return
+	}
 	if c.route.Streaming && response.Head.Status == http.StatusOK && c.request.Method != http.MethodHead {
 		c.relayStream(ctx, target, tracked, response)
 		return
@@ -223,11 +229,6 @@
 	c.h.Pool.Release(response)
 	c.progress.PossibleExecutions++
 	c.buffered = &bufferedResponse{head: response.Head, body: body}
-	if c.writer.Started() {
-		// A stream has begun, so only the rest of a stream can follow.
-		c.recordUnusable(target, "no-stream")
-		return
-	}
 	if response.Head.Status >= 500 {
 		c.progress.Outcome = FailedAtTarget
 		c.reason = "target-failed"
@@ -361,7 +362,7 @@
 func (c *call) writeHead(head *http1.Response) {
 	if !c.writer.Started() {
 		c.begun.Store(true)
-		c.status, c.firstEvent = head.Status, time.Now()
+		c.status, c.streamType, c.firstEvent = head.Status, mediaType(head), time.Now()
 		c.writer.StartChunked(head.Status, head.Reason, endToEndFields(head))
 	}
 }
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -117,6 +117,8 @@
 		// retryReserved is set when a retry has been taken from the budget and not used yet.
 		retryReserved atomic.Bool
 		stream        eventBuffer
+		// streamType is the media type of the stream that has begun.
+		streamType string
 		// lastProgress is when the response's head or its last complete event was
 		// received, in nanoseconds after attemptStart by the steady clock; zero before.
 		// begun is set when a stream's first events have been relayed, unresumable while its
--- /dev/null
+++ b/internal/fleet/forward/resumed_error_test.go
@@ -0,0 +1,175 @@
+package forward_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/platform"
+	"hickoryrock/platform/platformtest"
+)
+
+const errorText = "upstream failed\n\nsee the log\n\n"
+
+// breakOffs are the ways in which a target breaks off a stream after three events.
+var breakOffs = map[string]rawserver.Handler{
+	"closed inside an event": sending(platformtest.StreamHead, chunk(wholeStream(3)+"id: 4\nda")),
+	"closed inside a chunk":  sending(platformtest.StreamHead, "ff\r\n"+wholeStream(3)+"id: 4\n"),
+	"closed after an event":  sending(platformtest.StreamHead, chunk(wholeStream(3))),
+	"ended inside an event":  sending(platformtest.StreamHead, chunk(wholeStream(3)+"id: 4\nda")+"0\r\n\r\n"),
+	"without a length":       sending(platformtest.UnframedStreamHead, wholeStream(3)+"id: 4\nda"),
+}
+
+func breakOff(c net.Conn, r rawserver.Request) bool {
+	return breakOffs["closed inside an event"](c, r)
+}
+
+// chunkedResponse is platformtest.Response in chunks.
+func chunkedResponse(r rawserver.Request, status, lines, body string) string {
+	head := platformtest.Response(r, status, lines, "")
+	return strings.Replace(head, "Content-Length: 0", "Transfer-Encoding: chunked", 1) + chunk(body) + "0\r\n\r\n"
+}
+
+// unframedResponse is platformtest.Response with a body that ends with its connection.
+func unframedResponse(r rawserver.Request, status, lines, body string) string {
+	return strings.Replace(platformtest.Response(r, status, lines, ""), "Content-Length: 0\r\n", "", 1) + body
+}
+
+// answering returns a script that sends a response and keeps the connection open.
+func answering(response func(rawserver.Request) string) rawserver.Handler {
+	return func(c net.Conn, r rawserver.Request) bool {
+		_, err := io.WriteString(c, response(r))
+		return err == nil
+	}
+}
+
+// streaming returns a script that sends a whole stream in one chunk.
+func streaming(events string) rawserver.Handler {
+	return answering(func(r rawserver.Request) string { return platformtest.StreamHead(r) + chunk(events) + "0\r\n\r\n" })
+}
+
+// streamingAs returns a script that sends a whole stream with another media type and
+// additional header lines.
+func streamingAs(mediaType, lines, body string) rawserver.Handler {
+	return answering(func(r rawserver.Request) string {
+		head := strings.Replace(platformtest.StreamHeadWith(r, lines), "Content-Type: text/event-stream\r\n", mediaType, 1)
+		return head + chunk(body) + "0\r\n\r\n"
+	})
+}
+
+// assertCut checks that the caller sees that a stream is incomplete, and that it got the
+// first of the stream's events and nothing else.
+func (f *fixture) assertCut(got response) {
+	f.Helper()
+	f.Assert(got.err, qt.IsNotNil, qt.Commentf("%q", got.body))
+	f.Assert(got.Response, qt.IsNotNil)
+	f.Assert(got.Status, qt.Equals, 200)
+	f.Assert(platform.DecodeResponseHeaders(got.Status, got.Fields).Sealed, qt.IsTrue)
+	f.Assert(got.body, qt.Equals, wholeStream(3))
+}
+
+// assertCutAfter checks that a stream that was broken off after three events and sent on to
+// another target, which runs next, is cut for the caller.
+func assertCutAfter(t *testing.T, next rawserver.Handler) {
+	t.Helper()
+	for _, path := range []string{"/resume/a", "/talk/a"} {
+		f := newFixture(t, 2, firstCall(breakOff, next))
+		f.assertCut(f.call(path))
+		f.Assert(f.targetRequests(), qt.Equals, 2)
+	}
+}
+
+// Guards against an error response whose text or head follows the events of a stream.
+func TestStreamsThatGoOnWithAnErrorStatus(t *testing.T) {
+	framings := map[string]func(r rawserver.Request, status, lines, body string) string{
+		"length": platformtest.Response, "chunks": chunkedResponse, "until close": unframedResponse,
+		"unsealed": platformtest.UnsealedResponse,
+	}
+	for framing, respond := range framings {
+		for _, status := range []string{"500 Oops", "502 Oops", "503 Oops", "400 Oops", "401 Oops", "404 Oops", "206 Partial", "201 Created"} {
+			t.Run(status+" "+framing, func(t *testing.T) {
+				assertCutAfter(t, func(c net.Conn, r rawserver.Request) bool {
+					_, _ = io.WriteString(c, respond(r, status, "Content-Type: text/event-stream\r\n", wholeStream(9)))
+					return false
+				})
+			})
+		}
+	}
+	t.Run("204", func(t *testing.T) { assertCutAfter(t, always("204 None", "", "")) })
+	t.Run("after an interim head", func(t *testing.T) {
+		assertCutAfter(t, answering(func(r rawserver.Request) string {
+			return "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + platformtest.Response(r, "500 Oops", "", errorText)
+		}))
+	})
+	for name, first := range breakOffs {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, firstCall(first, always("500 Oops", "", errorText)))
+			f.assertCut(f.call("/resume/a"))
+		})
+	}
+	t.Run("after a silence", func(t *testing.T) {
+		f := newFixture(t, 2, firstCall(func(c net.Conn, r rawserver.Request) bool {
+			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk(wholeStream(3)))
+			_, _ = c.Read(make([]byte, 1))
+			return false
+		}, always("500 Oops", "", errorText)))
+		f.assertCut(f.call("/resume/a"))
+	})
+	t.Run("a stream that may not be sent on is cut", func(t *testing.T) {
+		for _, path := range []string{"/stream/a", "/replay/a"} {
+			f := newFixture(t, 2, firstCall(breakOff, always("500 Oops", "", errorText)))
+			f.assertCut(f.call(path))
+			f.Assert(f.targetRequests(), qt.Equals, 1)
+		}
+	})
+	t.Run("after a refusal it goes to a third target", func(t *testing.T) {
+		f := newFixture(t, 3, firstCall(breakOff, firstCall(answering(platformtest.NotExecuted), eventScript(9, 0))))
+		f.assertResponse(f.call("/resume/a"), 200, wholeStream(9))
+	})
+	for name, refusal := range map[string]func(rawserver.Request) string{
+		"busy": platformtest.NotExecuted, "replaced": platformtest.Misdirected,
+	} {
+		t.Run("a refusal by all others: "+name, func(t *testing.T) { assertCutAfter(t, answering(refusal)) })
+	}
+	t.Run("before the first event it is passed on as it is", func(t *testing.T) {
+		f := newFixture(t, 2, firstCall(sending(platformtest.StreamHead, chunk("id: 1\nda")), always("500 Oops", "X-Own: 1\r\n", errorText)))
+		got := f.call("/resume/a")
+		f.assertResponse(got, 500, errorText)
+		f.Assert(got.Field("x-own"), qt.Equals, "1")
+		f.Assert(platform.DecodeResponseHeaders(got.Status, got.Fields).Sealed, qt.IsTrue)
+	})
+}
+
+// Guards against an error's text that follows the events of a stream because it comes with
+// status 200 and has empty lines.
+func TestStreamsThatGoOnAsAnotherType(t *testing.T) {
+	const (
+		plain = "Content-Type: text/plain\r\n"
+		html  = "Content-Type: text/html; charset=utf-8\r\n"
+		json  = "Content-Type: application/json\r\n"
+		other = "Content-Type: text/event-stream-error\r\n"
+	)
+	for name, mediaType := range map[string]string{"text": plain, "HTML": html, "JSON": json, "no type": "", "a similar type": other} {
+		for kind, body := range map[string]string{
+			"text": errorText, "data": "data: x\n\n", "nothing": "", "numbered events": "id: 4\ndata: x\n\n",
+		} {
+			t.Run(name+" with "+kind, func(t *testing.T) { assertCutAfter(t, streamingAs(mediaType, "", body)) })
+		}
+	}
+	t.Run("an encoded body", func(t *testing.T) {
+		assertCutAfter(t, streamingAs("Content-Type: text/event-stream\r\n", "Content-Encoding: gzip\r\n", "id: 4\ndata: x\n\n"))
+	})
+	t.Run("a parameter or another case is the same type", func(t *testing.T) {
+		f := newFixture(t, 2, firstCall(breakOff, streamingAs("Content-Type: Text/Event-Stream; charset=utf-8\r\n",
+			"Content-Encoding: identity\r\n", "id: 4\ndata: x\n\n")))
+		f.assertResponse(f.call("/resume/a"), 200, wholeStream(4))
+	})
+	t.Run("a stream without a type goes on without one", func(t *testing.T) {
+		f := newFixture(t, 2, firstCall(streamingAs("", "", wholeStream(3)+"id: 4\nda"), streamingAs("", "", "id: 4\ndata: x\n\n")))
+		f.assertResponse(f.call("/resume/a"), 200, wholeStream(4))
+	})
+}
--- a/internal/fleet/forward/whole.go
+++ b/internal/fleet/forward/whole.go
@@ -42,9 +42,24 @@
 	return checkWhole(head, err, true, end > 0, body[end:])
 }
 
-func isEventStream(head *http1.Response) bool {
-	mediaType, _, _ := strings.Cut(head.Field("content-type"), ";")
-	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+func isEventStream(head *http1.Response) bool { return mediaType(head) == "text/event-stream" }
+
+// mediaType returns the media type of a response's body in lower case, or "".
+func mediaType(head *http1.Response) string {
+	value, _, _ := strings.Cut(head.Field("content-type"), ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
+// isEncoded reports whether a response's body has a content coding, such as gzip.
+func isEncoded(head *http1.Response) bool {
+	value := head.Field("content-encoding")
+	return value != "" && !strings.EqualFold(value, "identity")
+}
+
+// continuesStream reports whether the body of a response can follow the events that the
+// caller has received. The caller knows only the head of the first response.
+func (c *call) continuesStream(head *http1.Response) bool {
+	return head.Status == c.status && mediaType(head) == c.streamType && !isEncoded(head)
 }
 
 // isEmptyLines reports whether b holds only empty lines, each with its line end.
