Relay a response of another type on a streaming route as a whole

A target that answers a call of a streaming route with 200 and text or JSON was relayed event by event: the caller got the body up to its last empty line, and then a reset. The body was whole; it only wasn't a stream.

A response of a streaming route is now relayed event by event only if its type is that of an event stream, or if it names none, and if its body has no content coding, since event boundaries mean nothing in encoded bytes. Any other response is read and checked as a whole, and relayed with its own head.

TestOtherTypesOnStreamingRoutesAreWhole failed before: the callers got 200, the first part of the body and a reset.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -216,7 +216,7 @@
 		c.recordUnusable(target, "no-stream")
 		return
 	}
-	if c.route.Streaming && response.Head.Status == http.StatusOK && c.request.Method != http.MethodHead {
+	if c.isStream(response.Head) {
 		c.relayStream(ctx, target, tracked, response)
 		return
 	}
--- a/internal/fleet/forward/resumed_error_test.go
+++ b/internal/fleet/forward/resumed_error_test.go
@@ -173,3 +173,23 @@
 		f.assertResponse(f.call("/resume/a"), 200, wholeStream(4))
 	})
 }
+
+// Guards against a response of another type that is taken for a stream because its route
+// declares streams: it would be cut at its last empty line.
+func TestOtherTypesOnStreamingRoutesAreWhole(t *testing.T) {
+	const body = "first\n\nlast"
+	t.Run("whole", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", "Content-Type: text/plain\r\n", body))
+		f.assertResponse(f.call("/stream/a"), 200, body)
+	})
+	t.Run("cut", func(t *testing.T) {
+		f := newFixture(t, 1, sending(func(r rawserver.Request) string {
+			return strings.Replace(platformtest.StreamHead(r), "text/event-stream", "text/plain", 1)
+		}, chunk(body)))
+		f.assertResponse(f.call("/stream/a"), 502, "")
+	})
+	t.Run("encoded events that nothing shows to be whole", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", "Content-Type: text/event-stream\r\nContent-Encoding: gzip\r\n", body))
+		f.assertResponse(f.call("/stream/a"), 502, "")
+	})
+}
--- a/internal/fleet/forward/whole.go
+++ b/internal/fleet/forward/whole.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 
 	"hickoryrock/internal/wire/http1"
@@ -56,6 +57,13 @@
 	return value != "" && !strings.EqualFold(value, "identity")
 }
 
+// isStream reports whether a response must be relayed event by event. One without a type has
+// the type that its route declares.
+func (c *call) isStream(head *http1.Response) bool {
+	return c.route.Streaming && head.Status == http.StatusOK && c.request.Method != http.MethodHead &&
+		(isEventStream(head) || mediaType(head) == "") && !isEncoded(head)
+}
+
 // continuesStream reports whether the body of a response can follow the events that the
 // caller has received. The caller knows only the head of the first response.
 func (c *call) continuesStream(head *http1.Response) bool {
