Cut a stream that was broken off if the next target sends no event

A stream of a resumable route broke off inside an event; the next target answered with an event stream that ended properly at once, or after a comment. The router ended the caller's stream, which looked complete although its last events were missing.

Such an answer is legitimate only if the first target broke off between its last event and the end of its body. Nothing in the bytes tells this from a target that knows nothing of the stream, and a stream breaks off there far less often than before. A caller that sees its stream cut may resume it itself with the last event ID: then it gets the empty stream with the head of its own target, and knows what it asked for. So a resumed stream without events is now taken as broken off: it goes to a further target if the route and the budget allow it, and is cut otherwise. In the same place, a comment no longer counts as the event that shows a stream without a length or chunks to be whole.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -290,7 +290,7 @@
 func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) {
 	buffer := make([]byte, streamReadBytes)
 	prefilled := false
-	c.stream.beginAttempt()
+	c.stream.beginAttempt(c.writer.Started())
 	var pace streamPace
 	for {
 		n, err := response.Body.Read(buffer)
@@ -325,7 +325,7 @@
 		if err == nil {
 			continue
 		}
-		if err = checkWhole(response.Head, err, true, prefilled, c.stream.pending); err != nil {
+		if err = checkWhole(response.Head, err, c.stream.end()); err != nil {
 			c.logIncomplete(target, err)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -30,10 +30,23 @@
 	// resumedAfter is the ID after which the target should resume the stream, until the first
 	// ID that it sends.
 	resumedAfter string
+	// resumed is set if the caller has received a part of the stream from an earlier target,
+	// hasEvents if the present one has sent an event.
+	resumed   bool
+	hasEvents bool
 }
 
-// beginAttempt prepares for the stream of another target, which resumes after lastID.
-func (e *eventBuffer) beginAttempt() { e.resumedAfter = e.lastID }
+// beginAttempt prepares for the stream of another target, which resumes after lastID if the
+// stream has begun.
+func (e *eventBuffer) beginAttempt(begun bool) {
+	e.resumedAfter = e.lastID
+	e.resumed, e.hasEvents = begun, false
+}
+
+// end returns what is known about the stream at the end of its body.
+func (e *eventBuffer) end() *streamEnd {
+	return &streamEnd{resumed: e.resumed, hasEvents: e.hasEvents, tail: e.pending}
+}
 
 // add appends bytes of the stream and returns the complete events among all
 // pending bytes. The result is a copy. It returns errEventTooLarge when more than
@@ -71,7 +84,7 @@
 		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case len(line) == 0 && isEvent:
-			e.unnumbered = id == ""
+			e.hasEvents, e.unnumbered = true, id == ""
 			if id != "" {
 				e.lastID = id
 			}
--- a/internal/fleet/forward/resumed_error_test.go
+++ b/internal/fleet/forward/resumed_error_test.go
@@ -47,9 +47,19 @@
 	}
 }
 
+// nonEmptyChunk is chunk, or nothing for no bytes: an empty chunk would end the body.
+func nonEmptyChunk(s string) string {
+	if s == "" {
+		return ""
+	}
+	return chunk(s)
+}
+
 // streaming returns a script that sends a whole stream in one chunk.
 func streaming(events string) rawserver.Handler {
-	return answering(func(r rawserver.Request) string { return platformtest.StreamHead(r) + chunk(events) + "0\r\n\r\n" })
+	return answering(func(r rawserver.Request) string {
+		return platformtest.StreamHead(r) + nonEmptyChunk(events) + "0\r\n\r\n"
+	})
 }
 
 // streamingAs returns a script that sends a whole stream with another media type and
@@ -57,7 +67,7 @@
 func streamingAs(mediaType, lines, body string) rawserver.Handler {
 	return answering(func(r rawserver.Request) string {
 		head := strings.Replace(platformtest.StreamHeadWith(r, lines), "Content-Type: text/event-stream\r\n", mediaType, 1)
-		return head + chunk(body) + "0\r\n\r\n"
+		return head + nonEmptyChunk(body) + "0\r\n\r\n"
 	})
 }
 
@@ -193,3 +203,39 @@
 		f.assertResponse(f.call("/stream/a"), 502, "")
 	})
 }
+
+// Guards against a stream that was broken off and ends as if it were complete because the
+// next target sends no event.
+func TestStreamsThatGoOnWithoutAnEvent(t *testing.T) {
+	for name, next := range map[string]rawserver.Handler{
+		"in chunks":   answering(func(r rawserver.Request) string { return platformtest.StreamHead(r) + "0\r\n\r\n" }),
+		"empty lines": streaming("\n\n"),
+		"a comment":   streaming(": heartbeat\n\n"),
+		"with a length": answering(func(r rawserver.Request) string {
+			return platformtest.Response(r, "200 OK", "Content-Type: text/event-stream\r\n", "")
+		}),
+		"until close": sending(platformtest.UnframedStreamHead, ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, path := range []string{"/resume/a", "/talk/a"} {
+				f := newFixture(t, 2, firstCall(breakOff, next))
+				got := f.call(path)
+				f.Assert(got.err, qt.IsNotNil)
+				f.Assert(strings.TrimRight(strings.TrimSuffix(got.body, ": heartbeat\n\n"), "\n")+"\n\n", qt.Equals, wholeStream(3))
+				f.Assert(f.targetRequests(), qt.Equals, 2)
+			}
+		})
+	}
+	t.Run("the caller's own resumption is its own to judge", func(t *testing.T) {
+		f := newFixture(t, 1, streaming(""))
+		f.assertResponse(f.send(platformtest.Request("/resume/a", platformtest.AuthorizationLine+"Last-Event-Id: 3\r\n", "")), 200, "")
+	})
+	t.Run("a stream that ends with its connection after a comment", func(t *testing.T) {
+		f := newFixture(t, 1, sending(platformtest.UnframedStreamHead, ": heartbeat\n\n"))
+		f.assertBrokenOff(f.call("/stream/a"))
+	})
+	t.Run("nothing has been relayed", func(t *testing.T) {
+		f := newFixture(t, 2, firstCall(sending(platformtest.StreamHead, chunk("id: 1\nda")), streaming("")))
+		f.assertResponse(f.call("/resume/a"), 200, "")
+	})
+}
--- a/internal/fleet/forward/whole.go
+++ b/internal/fleet/forward/whole.go
@@ -12,23 +12,32 @@
 
 var (
 	errInsideEvent = errors.New("the event stream ends inside an event")
-	errNoEvent     = errors.New("the event stream ends with its connection before the first event")
+	errNoEvent     = errors.New("the event stream ends before its first event")
 )
 
+// streamEnd is what is known about an event stream whose body has ended.
+type streamEnd struct {
+	// resumed is set if the stream follows events of another response.
+	resumed bool
+	// hasEvents is set if there were complete events, and tail holds the bytes after them.
+	hasEvents bool
+	tail      []byte
+}
+
 // checkWhole returns nil if a response is complete whose body has ended with err, and
 // otherwise why it is not. A body that ends as its framing requires ends with nil or io.EOF.
-// For an event stream, hasEvents tells whether there were complete events, and tail holds the
-// bytes after them; without a length or chunks, only these tell a complete stream from one
-// that was cut.
-func checkWhole(head *http1.Response, err error, isStream, hasEvents bool, tail []byte) error {
+// stream is nil for a body that is not an event stream. Without a length or chunks, only its
+// events tell a complete stream from one that was cut. A resumed stream without events may be
+// complete, but may as well be the response of a target that knows nothing of the stream.
+func checkWhole(head *http1.Response, err error, stream *streamEnd) error {
 	switch {
 	case err != nil && !errors.Is(err, io.EOF):
 		return err
-	case !isStream:
+	case stream == nil:
 		return nil
-	case !isEmptyLines(tail):
+	case !isEmptyLines(stream.tail):
 		return errInsideEvent
-	case head.Length == http1.UntilClose && !hasEvents:
+	case !stream.hasEvents && (stream.resumed || head.Length == http1.UntilClose):
 		return errNoEvent
 	}
 	return nil
@@ -37,10 +46,10 @@
 // checkWholeBody is checkWhole for a response whose body was read as a whole.
 func checkWholeBody(head *http1.Response, body []byte, err error) error {
 	if !isEventStream(head) {
-		return checkWhole(head, err, false, false, nil)
+		return checkWhole(head, err, nil)
 	}
 	end := lastBoundary(body)
-	return checkWhole(head, err, true, end > 0, body[end:])
+	return checkWhole(head, err, &streamEnd{hasEvents: end > 0, tail: body[end:]})
 }
 
 func isEventStream(head *http1.Response) bool { return mediaType(head) == "text/event-stream" }
