Cut a stream that goes on with an error event or events of another one

A stream of a resumable route broke off and the next target answered 200 with an event stream, whose events were an error (event: error), had no IDs although those before had, or went back after a first one that followed. The router checked only the first ID that the target sent: callers got the error as a part of their stream, which then ended as if it were complete, or an event twice.

Each event of a resumed stream is now checked: it must not be named error, must have an ID if all events before had one, and the ID must be after the last one. IDs that are no numbers still say nothing. True events that were read together with the first bad one are relayed, so that a further target resumes after them. What a target sends in its own stream, without a resumption, is not judged: an error event there is the target's own.

A retry delay by itself is no event, so a stream that ends with one can be resumed, and a resumed one may begin with it.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -295,13 +295,6 @@
 	for {
 		n, err := response.Body.Read(buffer)
 		events, invalid := c.stream.add(buffer[:n])
-		if invalid != nil {
-			c.logIncomplete(target, invalid)
-			c.stream.reset()
-			c.h.Pool.Discard(response)
-			c.recordFailure(ctx, target, false, invalidReason(invalid))
-			return
-		}
 		if len(events) > 0 {
 			now := time.Now()
 			c.unresumable.Store(c.stream.unnumbered)
@@ -322,6 +315,13 @@
 			c.progress.Outcome = Responded
 			return
 		}
+		if invalid != nil {
+			c.logIncomplete(target, invalid)
+			c.stream.reset()
+			c.h.Pool.Discard(response)
+			c.recordFailure(ctx, target, false, invalidReason(invalid))
+			return
+		}
 		if err == nil {
 			continue
 		}
@@ -342,8 +342,11 @@
 
 // invalidReason returns the reason of a call whose stream holds invalid events.
 func invalidReason(err error) string {
-	if errors.Is(err, errEventsRepeated) {
+	switch {
+	case errors.Is(err, errEventsRepeated):
 		return "stream-repeats"
+	case errors.Is(err, errForeignEvent):
+		return "foreign-event"
 	}
 	return "event-too-large"
 }
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -13,44 +13,52 @@
 	// boundaryOverlap is the number of bytes before a read at which the end of an
 	// event may begin.
 	boundaryOverlap = 2
+	// errorEventName is the name of events that carry an error instead of a part of the stream.
+	errorEventName = "error"
 )
 
 var (
 	errEventTooLarge  = errors.New("event exceeds the size limit")
 	errEventsRepeated = errors.New("the stream was not resumed after the last event ID but repeats events")
+	errForeignEvent   = errors.New("the stream was not resumed but sends an error event or an event without an ID")
 )
 
-// eventBuffer splits a server-sent event stream at event boundaries.
-type eventBuffer struct {
-	pending []byte
-	// lastID is the ID of the last event with one that was returned; unnumbered is set if
-	// events without an ID have followed it.
-	lastID     string
-	unnumbered bool
-	// resumedAfter is the ID after which the target should resume the stream, until the first
-	// ID that it sends.
-	resumedAfter string
-	// resumed is set if the caller has received a part of the stream from an earlier target,
-	// hasEvents if the present one has sent an event.
-	resumed   bool
-	hasEvents bool
-}
+type (
+	// eventBuffer splits a server-sent event stream at event boundaries and checks its events.
+	eventBuffer struct {
+		pending []byte
+		// lastID is the ID of the last event with one that was returned; unnumbered is set if
+		// events without an ID have followed it, hasUnnumbered if there were any.
+		lastID        string
+		unnumbered    bool
+		hasUnnumbered bool
+		// resumed is set if the caller has received a part of the stream from an earlier target,
+		// hasEvents if the present one has sent an event.
+		resumed   bool
+		hasEvents bool
+	}
+
+	// event is what the lines of one event say about it.
+	event struct {
+		id, name string
+		// isEvent is set if there is more than comments and retry delays.
+		isEvent bool
+	}
+)
 
 // beginAttempt prepares for the stream of another target, which resumes after lastID if the
 // stream has begun.
-func (e *eventBuffer) beginAttempt(begun bool) {
-	e.resumedAfter = e.lastID
-	e.resumed, e.hasEvents = begun, false
-}
+func (e *eventBuffer) beginAttempt(begun bool) { e.resumed, e.hasEvents = begun, false }
 
 // end returns what is known about the stream at the end of its body.
 func (e *eventBuffer) end() *streamEnd {
 	return &streamEnd{resumed: e.resumed, hasEvents: e.hasEvents, tail: e.pending}
 }
 
-// add appends bytes of the stream and returns the complete events among all
-// pending bytes. The result is a copy. It returns errEventTooLarge when more than
-// maxEventBytes are pending, and errEventsRepeated when the target does not resume.
+// add appends bytes of the stream and returns the complete events among all pending bytes. The
+// result is a copy. An error means that the stream must not be relayed beyond them: it is
+// errEventTooLarge when more than maxEventBytes are pending, and another one when the target
+// does not resume the stream.
 func (e *eventBuffer) add(data []byte) ([]byte, error) {
 	searched := max(len(e.pending)-boundaryOverlap, 0)
 	e.pending = append(e.pending, data...)
@@ -62,56 +70,63 @@
 		return nil, nil
 	}
 	end += searched
-	if e.resumedAfter != "" {
-		id := firstID(e.pending[:end])
-		if repeats(id, e.resumedAfter) {
-			return nil, errEventsRepeated
-		}
-		if id != "" {
-			e.resumedAfter = ""
-		}
-	}
-	complete := bytes.Clone(e.pending[:end])
+	valid, err := e.acceptAll(e.pending[:end])
+	complete := bytes.Clone(e.pending[:valid])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
-	e.recordIDs(complete)
-	return complete, nil
+	return complete, err
 }
 
-// recordIDs updates lastID and unnumbered from complete events.
-func (e *eventBuffer) recordIDs(events []byte) {
-	id, isEvent := "", false
+// acceptAll checks complete events. It returns the number of bytes before the first one that
+// must not be relayed, and why.
+func (e *eventBuffer) acceptAll(events []byte) (int, error) {
+	var current event
+	valid, read := 0, 0
 	for line := range bytes.Lines(events) {
+		read += len(line)
 		line = bytes.TrimRight(line, "\r\n")
-		switch {
-		case len(line) == 0 && isEvent:
-			e.hasEvents, e.unnumbered = true, id == ""
-			if id != "" {
-				e.lastID = id
-			}
-			id, isEvent = "", false
-		case len(line) > 0 && line[0] != ':': // Other lines are comments.
-			isEvent = true
-			if value, ok := eventID(line); ok {
-				id = value
-			}
+		if len(line) > 0 {
+			current.addLine(line)
+			continue
 		}
+		if err := e.accept(current); err != nil {
+			return valid, err
+		}
+		valid, current = read, event{}
 	}
+	return valid, nil
 }
 
-// eventID returns the event ID that a line sets.
-func eventID(line []byte) (string, bool) {
-	value, ok := bytes.CutPrefix(line, []byte("id:"))
-	return string(bytes.TrimSpace(value)), ok
+// accept records an event, or returns why it must not be relayed. IDs that are no numbers
+// cannot be compared.
+func (e *eventBuffer) accept(next event) error {
+	switch {
+	case !next.isEvent:
+		return nil
+	case e.resumed && next.name == errorEventName, e.resumed && next.id == "" && e.lastID != "" && !e.hasUnnumbered:
+		return errForeignEvent
+	case e.resumed && repeats(next.id, e.lastID):
+		return errEventsRepeated
+	}
+	e.hasEvents, e.unnumbered = true, next.id == ""
+	e.hasUnnumbered = e.hasUnnumbered || e.unnumbered
+	if next.id != "" {
+		e.lastID = next.id
+	}
+	return nil
 }
 
-// firstID returns the first event ID in complete events, or "".
-func firstID(events []byte) string {
-	for line := range bytes.Lines(events) {
-		if id, ok := eventID(line); ok && id != "" {
-			return id
-		}
+// addLine adds a line that is not empty.
+func (e *event) addLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "retry": // A line without a name is a comment.
+		return
+	case "id":
+		e.id = string(bytes.TrimSpace(value))
+	case "event":
+		e.name = string(bytes.TrimSpace(value))
 	}
-	return ""
+	e.isEvent = true
 }
 
 // repeats reports whether an event with an ID is not after the one with the ID last. IDs of a
--- a/internal/fleet/forward/resumed_error_test.go
+++ b/internal/fleet/forward/resumed_error_test.go
@@ -239,3 +239,56 @@
 		f.assertResponse(f.call("/resume/a"), 200, "")
 	})
 }
+
+// Guards against an error that follows the events of a stream as another event, and against
+// events of another stream.
+func TestStreamsThatGoOnWithForeignEvents(t *testing.T) {
+	for name, events := range map[string]string{
+		"an error event":                             "event: error\ndata: upstream failed\n\n",
+		"an error event with the next ID":            "id: 4\nevent: error\ndata: upstream failed\n\n",
+		"an error event with its ID last":            "event:error\r\ndata: upstream failed\r\nid:4\r\n\r\n",
+		"an event without an ID":                     "data: upstream failed\n\n",
+		"an event with an empty ID":                  "id:\ndata: upstream failed\n\n",
+		"an event without an ID before the next":     "data: upstream failed\n\nid: 4\ndata: x\n\n",
+		"the last event":                             "id: 3\ndata: x\n\n",
+		"the first events":                           "id: 1\ndata: x\n\nid: 2\ndata: x\n\n",
+		"an ID that only repeats in the second line": "data: x\nid: 2\n\n",
+	} {
+		t.Run(name, func(t *testing.T) { assertCutAfter(t, streaming(events)) })
+	}
+	for name, events := range map[string]string{
+		"an error event":          "event: error\ndata: upstream failed\n\n",
+		"an event without an ID":  "data: upstream failed\n\n",
+		"the same event":          "id: 4\ndata: x\n\n",
+		"an earlier event":        "id: 2\ndata: x\n\n",
+		"an event with two IDs":   "id: 5\nid: 3\ndata: x\n\n",
+		"an error event with one": "id: 5\nevent: error\ndata: x\n\n",
+	} {
+		t.Run("after a true one: "+name, func(t *testing.T) {
+			f := newFixture(t, 2, firstCall(breakOff, streaming("id: 4\ndata: x\n\n"+events)))
+			got := f.call("/resume/a")
+			f.Assert(got.err, qt.IsNotNil, qt.Commentf("%q", got.body))
+			f.Assert(got.body, qt.Equals, wholeStream(4))
+		})
+	}
+	t.Run("an error event after a comment", func(t *testing.T) {
+		f := newFixture(t, 2, firstCall(breakOff, streaming("\n\r\n: note\n\nevent: error\ndata: x\n\n")))
+		got := f.call("/resume/a")
+		f.Assert(got.err, qt.IsNotNil)
+		f.Assert(got.body, qt.Equals, wholeStream(3)+"\n\r\n: note\n\n")
+	})
+	t.Run("comments and retry delays are passed on", func(t *testing.T) {
+		f := newFixture(t, 2, firstCall(breakOff, streaming(": note\n\nretry: 100\n\nid: 4\ndata: x\n\n")))
+		f.assertResponse(f.call("/resume/a"), 200, wholeStream(3)+": note\n\nretry: 100\n\nid: 4\ndata: x\n\n")
+	})
+	t.Run("a stream that has events without IDs goes on with them", func(t *testing.T) {
+		begun := "id: 1\ndata: a\n\ndata: note\n\nid: 2\ndata: a\n\n"
+		f := newFixture(t, 2, firstCall(sending(platformtest.StreamHead, chunk(begun)), streaming("data: note\n\nid: 3\ndata: a\n\n")))
+		f.assertResponse(f.call("/resume/a"), 200, begun+"data: note\n\nid: 3\ndata: a\n\n")
+	})
+	t.Run("a target's own error event is passed on", func(t *testing.T) {
+		events := wholeStream(2) + "event: error\ndata: upstream failed\n\n"
+		f := newFixture(t, 1, streaming(events))
+		f.assertResponse(f.call("/stream/a"), 200, events)
+	})
+}
