Cut a stream at bytes that are no event

A target broke off its stream and wrote an error's head or text into the same body, at an event boundary or in the middle of an event ("data: xHTTP/1.1 500 ..."). The router looked only for empty lines: callers found the head in the middle of their stream, with text after it, or the text as the last "event" of a stream that ended as if it were complete. It needs no resumption, but a resumed stream could do it as well.

A complete event is now relayed only if each of its lines is a comment or has one of the names data, event, id and retry, or a lower-case name with x-, such as the line that says that the version of the weights changes. Other bytes end the stream before them: it is resumed where its route allows it, cut otherwise, and fails with 502 if nothing has been relayed. Receivers of event streams should ignore unknown names, but the platform's streams have none, while the fields of a response head are just such lines. Data may still hold any text, a response head included, as long as its lines are data lines.

TestStreamsWithBytesThatAreNoEvent failed before in 56 cases: callers got the foreign bytes, mostly in a complete response. TestStreamsWithUnusualLinesAreWhole, which sends sound streams at once and byte by byte, passed before and passes now.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -347,6 +347,8 @@
 		return "stream-repeats"
 	case errors.Is(err, errForeignEvent):
 		return "foreign-event"
+	case errors.Is(err, errNotAnEvent):
+		return "not-an-event"
 	}
 	return "event-too-large"
 }
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -15,11 +15,17 @@
 	boundaryOverlap = 2
 	// errorEventName is the name of events that carry an error instead of a part of the stream.
 	errorEventName = "error"
+	// extensionPrefix begins the names of the fields that the platform adds to those of an event
+	// stream. Any other unknown name is no part of a stream, but of an error's head or text.
+	extensionPrefix = "x-"
+	// byteOrderMark may begin a stream.
+	byteOrderMark = "\ufeff"
 )
 
 var (
 	errEventTooLarge  = errors.New("event exceeds the size limit")
 	errEventsRepeated = errors.New("the stream was not resumed after the last event ID but repeats events")
+	errNotAnEvent     = errors.New("the stream contains a line that belongs to no event")
 	errForeignEvent   = errors.New("the stream was not resumed but sends an error event or an event without an ID")
 )
 
@@ -36,19 +42,24 @@
 		// hasEvents if the present one has sent an event.
 		resumed   bool
 		hasEvents bool
+		// hasLines is set if complete lines were returned.
+		hasLines bool
 	}
 
 	// event is what the lines of one event say about it.
 	event struct {
 		id, name string
-		// isEvent is set if there is more than comments and retry delays.
-		isEvent bool
+		// isEvent is set if there is more than comments and retry delays, isInvalid if a line
+		// belongs to no event.
+		isEvent, isInvalid bool
 	}
 )
 
 // beginAttempt prepares for the stream of another target, which resumes after lastID if the
 // stream has begun.
-func (e *eventBuffer) beginAttempt(begun bool) { e.resumed, e.hasEvents = begun, false }
+func (e *eventBuffer) beginAttempt(begun bool) {
+	e.resumed, e.hasLines, e.hasEvents = begun, begun, false
+}
 
 // end returns what is known about the stream at the end of its body.
 func (e *eventBuffer) end() *streamEnd {
@@ -57,8 +68,8 @@
 
 // add appends bytes of the stream and returns the complete events among all pending bytes. The
 // result is a copy. An error means that the stream must not be relayed beyond them: it is
-// errEventTooLarge when more than maxEventBytes are pending, and another one when the target
-// does not resume the stream.
+// errEventTooLarge when more than maxEventBytes are pending, errNotAnEvent when other bytes
+// than events follow, and another one when the target does not resume the stream.
 func (e *eventBuffer) add(data []byte) ([]byte, error) {
 	searched := max(len(e.pending)-boundaryOverlap, 0)
 	e.pending = append(e.pending, data...)
@@ -84,6 +95,10 @@
 	for line := range bytes.Lines(events) {
 		read += len(line)
 		line = bytes.TrimRight(line, "\r\n")
+		if !e.hasLines {
+			line = bytes.TrimPrefix(line, []byte(byteOrderMark))
+		}
+		e.hasLines = true
 		if len(line) > 0 {
 			current.addLine(line)
 			continue
@@ -100,6 +115,8 @@
 // cannot be compared.
 func (e *eventBuffer) accept(next event) error {
 	switch {
+	case next.isInvalid:
+		return errNotAnEvent
 	case !next.isEvent:
 		return nil
 	case e.resumed && next.name == errorEventName, e.resumed && next.id == "" && e.lastID != "" && !e.hasUnnumbered:
@@ -125,10 +142,20 @@
 		e.id = string(bytes.TrimSpace(value))
 	case "event":
 		e.name = string(bytes.TrimSpace(value))
+	case "data":
+	default:
+		e.isInvalid = e.isInvalid || !isExtension(name)
 	}
 	e.isEvent = true
 }
 
+// isExtension reports whether name is that of a field that the platform adds, which is written
+// in lower case.
+func isExtension(name []byte) bool {
+	return bytes.HasPrefix(name, []byte(extensionPrefix)) &&
+		!bytes.ContainsFunc(name, func(r rune) bool { return r != '-' && (r < 'a' || r > 'z') && (r < '0' || r > '9') })
+}
+
 // repeats reports whether an event with an ID is not after the one with the ID last. IDs of a
 // stream increase; those that are no numbers cannot be compared.
 func repeats(id, last string) bool {
