Cut a resumed stream that misses events where its IDs show it

A stream whose IDs had stepped by one for its whole length broke off after 20; the next target went on at 22. The router checks that IDs increase, so the caller got a stream with a piece missing that ended as complete.

IDs increase but need not be without gaps, so a jump alone proves nothing: an event may stand for several tokens. A jump is refused only at the first event of a resumed stream, and only if more than 16 IDs have had the same step from the first one on. The price of a wrong guess is a cut that the caller can see and resume; the price of none is a missing piece that nobody sees. Streams with uneven steps, with few events, or with IDs that are no numbers go on as before, and a target's own jumps are its own.

TestStreamsThatGoOnAfterAGap failed before in its five cases with a gap: the callers got a complete response. Its five cases of sound streams passed before and pass now.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -345,6 +345,8 @@
 	switch {
 	case errors.Is(err, errEventsRepeated):
 		return "stream-repeats"
+	case errors.Is(err, errEventsMissing):
+		return "stream-skips"
 	case errors.Is(err, errForeignEvent):
 		return "foreign-event"
 	case errors.Is(err, errNotAnEvent):
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -18,6 +18,9 @@
 	// extensionPrefix begins the names of the fields that the platform adds to those of an event
 	// stream. Any other unknown name is no part of a stream, but of an error's head or text.
 	extensionPrefix = "x-"
+	// minEvenSteps is the number of equal steps from the first ID of a stream on after which a
+	// resumed stream must go on with the same step.
+	minEvenSteps = 16
 	// byteOrderMark may begin a stream.
 	byteOrderMark = "\ufeff"
 )
@@ -25,6 +28,7 @@
 var (
 	errEventTooLarge  = errors.New("event exceeds the size limit")
 	errEventsRepeated = errors.New("the stream was not resumed after the last event ID but repeats events")
+	errEventsMissing  = errors.New("the stream was not resumed right after the last event ID but misses events")
 	errNotAnEvent     = errors.New("the stream contains a line that belongs to no event")
 	errForeignEvent   = errors.New("the stream was not resumed but sends an error event or an event without an ID")
 )
@@ -38,6 +42,7 @@
 		lastID        string
 		unnumbered    bool
 		hasUnnumbered bool
+		ids           idSteps
 		// resumed is set if the caller has received a part of the stream from an earlier target,
 		// hasEvents if the present one has sent an event.
 		resumed   bool
@@ -46,6 +51,15 @@
 		hasLines bool
 	}
 
+	// idSteps holds the step between the IDs of a stream.
+	idSteps struct {
+		last, step uint64
+		// count is the number of IDs.
+		count int
+		// uneven is set if the steps differ or IDs are no numbers.
+		uneven bool
+	}
+
 	// event is what the lines of one event say about it.
 	event struct {
 		id, name string
@@ -114,24 +128,39 @@
 // accept records an event, or returns why it must not be relayed. IDs that are no numbers
 // cannot be compared.
 func (e *eventBuffer) accept(next event) error {
-	switch {
-	case next.isInvalid:
+	if next.isInvalid {
 		return errNotAnEvent
-	case !next.isEvent:
+	}
+	if !next.isEvent {
 		return nil
-	case e.resumed && next.name == errorEventName, e.resumed && next.id == "" && e.lastID != "" && !e.hasUnnumbered:
-		return errForeignEvent
-	case e.resumed && repeats(next.id, e.lastID):
-		return errEventsRepeated
+	}
+	if e.resumed {
+		if err := e.checkResumed(next); err != nil {
+			return err
+		}
 	}
 	e.hasEvents, e.unnumbered = true, next.id == ""
 	e.hasUnnumbered = e.hasUnnumbered || e.unnumbered
 	if next.id != "" {
+		e.ids.add(next.id)
 		e.lastID = next.id
 	}
 	return nil
 }
 
+// checkResumed returns why an event cannot follow those of earlier targets, or nil.
+func (e *eventBuffer) checkResumed(next event) error {
+	switch {
+	case next.name == errorEventName, next.id == "" && e.lastID != "" && !e.hasUnnumbered:
+		return errForeignEvent
+	case repeats(next.id, e.lastID):
+		return errEventsRepeated
+	case !e.hasEvents && e.ids.skips(next.id):
+		return errEventsMissing
+	}
+	return nil
+}
+
 // addLine adds a line that is not empty.
 func (e *event) addLine(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
@@ -156,6 +185,28 @@
 		!bytes.ContainsFunc(name, func(r rune) bool { return r != '-' && (r < 'a' || r > 'z') && (r < '0' || r > '9') })
 }
 
+// add records the next ID of the stream.
+func (s *idSteps) add(id string) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	switch {
+	case err != nil:
+		s.uneven = true
+	case s.count == 1:
+		s.step = n - s.last
+	case s.count > 1 && n-s.last != s.step:
+		s.uneven = true
+	}
+	s.last = n
+	s.count++
+}
+
+// skips reports whether there should be other IDs before id. IDs need not be without gaps:
+// this is known only from enough of them.
+func (s *idSteps) skips(id string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && !s.uneven && s.count > minEvenSteps && n-s.last != s.step
+}
+
 // repeats reports whether an event with an ID is not after the one with the ID last. IDs of a
 // stream increase; those that are no numbers cannot be compared.
 func repeats(id, last string) bool {
--- a/internal/fleet/forward/resumed_error_test.go
+++ b/internal/fleet/forward/resumed_error_test.go
@@ -1,7 +1,9 @@
 package forward_test
 
 import (
+	"fmt"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -292,3 +294,47 @@
 		f.assertResponse(f.call("/stream/a"), 200, events)
 	})
 }
+
+// Guards against a stream that misses events because the next target does not resume it right
+// after the last one.
+func TestStreamsThatGoOnAfterAGap(t *testing.T) {
+	numbered := func(ids ...int) (events string) {
+		for _, id := range ids {
+			events += fmt.Sprintf("id: %d\ndata: x\n\n", id)
+		}
+		return events
+	}
+	steps := func(from, step, count int) (events string) {
+		for i := range count {
+			events += numbered(from + i*step)
+		}
+		return events
+	}
+	for name, c := range map[string]struct {
+		begun, next string
+		gap         bool
+	}{
+		"by one, one is missing":          {steps(1, 1, 20), numbered(22), true},
+		"by one, many are missing":        {steps(1, 1, 20), numbered(900), true},
+		"by ten, one is missing":          {steps(10, 10, 20), numbered(220), true},
+		"by one after the caller's own":   {steps(41, 1, 20), numbered(62), true},
+		"by one, none is missing":         {steps(1, 1, 20), numbered(21, 22), false},
+		"by ten, none is missing":         {steps(10, 10, 20), numbered(210), false},
+		"by several":                      {numbered(1, 3) + steps(4, 1, 20), numbered(25), false},
+		"too few to tell":                 {steps(1, 1, 5), numbered(7), false},
+		"a later gap is the target's own": {steps(1, 1, 20), numbered(21, 30), false},
+		"the largest IDs":                 {steps(math.MaxInt-19, 1, 20), "id: 18446744073709551615\ndata: x\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, firstCall(sending(platformtest.StreamHead, chunk(c.begun)), streaming(c.next)))
+			got := f.call("/resume/a")
+			f.Assert(f.targetRequests(), qt.Equals, 2)
+			if !c.gap {
+				f.assertResponse(got, 200, c.begun+c.next)
+				return
+			}
+			f.Assert(got.err, qt.IsNotNil)
+			f.Assert(got.body, qt.Equals, c.begun)
+		})
+	}
+}
