Keep a second response out of one that has begun

The writer of responses trusted its handler: a response after the start of a chunked one wrote a second head and its text into the caller's stream, one after a complete response became the answer to the caller's next request, and a chunk without a head came as bytes of no response. No path of the forwarder does this today; that held only because each of them asks first.

The writer now has three states and refuses any operation that its state doesn't allow: nothing of it is sent, it is logged and counted (hickoryrock_responses_out_of_order_total), and the connection is not used again. A response that has begun is aborted, so that the caller sees that it is incomplete; a complete one stays whole.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -188,7 +188,7 @@
 	}
 	c.calls++
 	response := &ResponseWriter{
-		conn: c.Conn, closeAfter: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining, sequence: c.calls,
+		conn: c.Conn, log: &s.log, closeAfter: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining, sequence: c.calls,
 	}
 	body, reserved, err := s.readBody(c, req, limits.BodyBytes)
 	if err != nil {
@@ -319,7 +319,7 @@
 	if status == 0 {
 		return
 	}
-	response := &ResponseWriter{conn: c.Conn, closeAfter: true}
+	response := &ResponseWriter{conn: c.Conn, log: &s.log, closeAfter: true}
 	response.Respond(status, http.StatusText(status), fields, nil)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
--- a/internal/caller/ingress/response.go
+++ b/internal/caller/ingress/response.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
 	"hickoryrock/internal/wire/http1"
 )
 
@@ -28,47 +31,65 @@
 	return http1.NewField("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
-// ResponseWriter writes the response to one call. It must not be used concurrently.
-type ResponseWriter struct {
-	conn        net.Conn
-	method      string
-	sequence    int
-	closeAfter  bool
-	draining    *atomic.Bool
-	started     bool
-	complete    bool
-	writeFailed bool
-	buf         []byte
-}
+const (
+	notStarted responseState = iota
+	// inChunks means that a chunked response has been started and not ended.
+	inChunks
+	complete
+)
+
+type (
+	// ResponseWriter writes the response to one call. It must not be used concurrently. It
+	// writes one response at most: an operation out of order is logged and counted, nothing of
+	// it reaches the caller, and the connection is not used again. A response that is not
+	// complete by then is aborted.
+	ResponseWriter struct {
+		conn        net.Conn
+		log         *zerolog.Logger
+		method      string
+		sequence    int
+		closeAfter  bool
+		draining    *atomic.Bool
+		state       responseState
+		misused     bool
+		writeFailed bool
+		buf         []byte
+	}
+
+	responseState uint8
+)
 
 // Started reports whether the response has been started.
-func (w *ResponseWriter) Started() bool { return w.started }
+func (w *ResponseWriter) Started() bool { return w.state != notStarted }
 
 // Sequence returns the position of the call among those of its connection, from 1.
 func (w *ResponseWriter) Sequence() int { return w.sequence }
 
 // Respond sends a complete response with a Content-Length.
 func (w *ResponseWriter) Respond(status int, reason string, fields []http1.Field, body []byte) {
-	w.markStarted()
+	if !w.advance(notStarted, complete) {
+		return
+	}
 	b := http1.AppendResponse(nil, status, reason, fields, int64(len(body)), w.closeAfter)
 	if w.method != "HEAD" && status != 204 && status != 304 {
 		b = append(b, body...)
 	}
 	w.write(b)
-	w.complete = true
 }
 
 // StartChunked begins a chunked response. Its head is buffered and sent with the first
 // chunk.
 func (w *ResponseWriter) StartChunked(status int, reason string, fields []http1.Field) {
-	w.markStarted()
+	if !w.advance(notStarted, inChunks) {
+		return
+	}
 	w.buf = http1.AppendResponse(w.buf[:0], status, reason, fields, http1.Chunked, w.closeAfter)
 }
 
 // WriteChunk sends a part of the body immediately, preceded by the head if that is
 // still buffered.
 func (w *ResponseWriter) WriteChunk(data []byte) {
-	if len(data) == 0 {
+	if len(data) == 0 || !w.advance(inChunks, inChunks) {
 		return
 	}
 	w.buf = strconv.AppendInt(w.buf, int64(len(data)), 16)
@@ -81,8 +102,38 @@
 
 // EndChunked sends the final chunk of a chunked response.
 func (w *ResponseWriter) EndChunked() {
-	w.write(append(w.buf, "0\r\n\r\n"...))
-	w.complete = true
+	if w.advance(inChunks, complete) {
+		w.write(append(w.buf, "0\r\n\r\n"...))
+	}
+}
+
+// advance changes the state for an operation that is allowed in the state from, and reports
+// whether it is.
+func (w *ResponseWriter) advance(from, to responseState) bool {
+	if w.misused || w.state != from {
+		w.refuse(to)
+		return false
+	}
+	w.state = to
+	if from == notStarted && w.draining != nil && w.draining.Load() {
+		w.closeAfter = true
+	}
+	return true
+}
+
+// refuse keeps an operation out of order from reaching the caller, which would take it for a
+// part of the response.
+func (w *ResponseWriter) refuse(to responseState) {
+	if w.misused {
+		return
+	}
+	w.misused, w.closeAfter = true, true
+	metrics.GetOrCreateCounter(`hickoryrock_responses_out_of_order_total`).Inc()
+	w.log.Error().Int("connection-call", w.sequence).Uint8("state", uint8(w.state)).Uint8("next-state", uint8(to)).
+		Msg("response out of order, not sent")
+	if w.state != complete {
+		w.Abort()
+	}
 }
 
 // Abort resets the connection, so that the caller sees an incomplete response.
@@ -97,13 +148,6 @@
 // WriteFailed reports whether a write to the caller failed or the response was aborted.
 func (w *ResponseWriter) WriteFailed() bool { return w.writeFailed }
 
-func (w *ResponseWriter) markStarted() {
-	w.started = true
-	if w.draining != nil && w.draining.Load() {
-		w.closeAfter = true
-	}
-}
-
 func (w *ResponseWriter) write(b []byte) {
 	if w.writeFailed {
 		return
@@ -116,5 +160,5 @@
 
 // reusable reports whether the connection may be kept open for another call.
 func (w *ResponseWriter) reusable() bool {
-	return w.complete && !w.writeFailed && !w.closeAfter
+	return w.state == complete && !w.writeFailed && !w.closeAfter
 }
