Take no events from an engine's response of another type

On the own interface, a stream whose connection to the engine was lost is resumed on a new one. A 200 with text/plain or application/json was parsed for events like a stream: lines that begin with "data:" in it became parts of the response, and one with a finish reason and [DONE] completed it.

Such a response is now a failure of the attempt, as any status but 200 is; after the attempts that are left, the response ends with the error event and an aborted connection. One that names no type is still taken for a stream.

TestStreamsThatGoOnAsAnotherType failed before: the response was complete with the foreign event. TestStreamsThatGoOnWithAnError, with errors, empty streams, gaps and raw bytes, passed before and passes now.

--- a/internal/target/engine/stream.go
+++ b/internal/target/engine/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -256,7 +257,11 @@
 		_ = resp.Body.Close()
 		return abandon(outcome.NewNotRun(outcome.ReasonNotFound, "stream not found on the engine"))
 	}
-	if f := responseFailure(resp); f != nil {
+	f := responseFailure(resp)
+	if f == nil {
+		f = typeFailure(resp)
+	}
+	if f != nil {
 		_ = resp.Body.Close()
 		return abandon(f)
 	}
@@ -266,6 +271,16 @@
 	return nil
 }
 
+// typeFailure converts a response that is no event stream to a failure. One that names no type
+// is taken for a stream.
+func typeFailure(resp *http.Response) *outcome.Failure {
+	contentType := resp.Header.Get("Content-Type")
+	if mediaType, _, _ := mime.ParseMediaType(contentType); contentType == "" || mediaType == sse.ContentType {
+		return nil
+	}
+	return outcome.NewUnknown(outcome.ReasonTargetFailed, "engine responded with type %q in place of a stream", contentType)
+}
+
 func (s *Stream) closeConnection() {
 	if s.conn == nil {
 		return
