Deliver no error event of an engine as a part of a response

On the own interface, an engine that answered a resumption with an error event, or with an event without an ID although those before had IDs, had its error's text delivered to the caller as the next event: the reader of event streams ignored names, and events without IDs were numbered by their position. With a finish reason in it and [DONE] after it, the response even ended as complete.

Events named error now have a kind of their own, and they and events without an ID after others with one end the connection. The response is resumed after its last event as after any lost connection, or ends with the router's error event and an aborted connection. Responses whose events all have no IDs go on as before.

TestStreamsThatGoOnWithForeignEvents failed before: "upstream failed" was delivered as the third event, and one response was complete with it.

--- a/internal/caller/sse/reader.go
+++ b/internal/caller/sse/reader.go
@@ -32,6 +32,8 @@
 
 	fieldID           = []byte("id:")
 	fieldData         = []byte("data:")
+	fieldEvent        = []byte("event:")
+	errorName         = []byte("error")
 	doneMarker        = []byte("[DONE]")
 	finishReasonField = []byte(`"finish_reason":`)
 
@@ -52,7 +54,7 @@
 // Next returns the next event, whose data is valid until the next call. The end of the input is
 // always ErrTruncated, since a complete response ends with a Done event.
 func (r *Reader) Next() (Event, error) {
-	id, hasData := 0, false
+	id, hasData, isError := 0, false, false
 	r.data = r.data[:0]
 	for {
 		line, err := r.readLine()
@@ -63,6 +65,8 @@
 			return Event{}, err
 		}
 		switch {
+		case len(line) == 0 && isError:
+			return Event{Kind: Error, ID: id, Data: r.data}, nil
 		case len(line) == 0 && hasData:
 			return r.newEvent(id), nil
 		case len(line) > 0 && line[0] == ':':
@@ -74,6 +78,8 @@
 			if err != nil {
 				return Event{}, err
 			}
+		case bytes.HasPrefix(line, fieldEvent):
+			isError = bytes.Equal(trimSpace(line[len(fieldEvent):]), errorName)
 		case bytes.HasPrefix(line, fieldData):
 			if hasData {
 				r.data = append(r.data, '\n')
--- a/internal/caller/sse/sequence.go
+++ b/internal/caller/sse/sequence.go
@@ -13,6 +13,9 @@
 	Truncated
 	// Skip means that there is nothing to deliver.
 	Skip
+	// Foreign means that the event is an error, or has no ID although those before have: it must
+	// not be delivered as a part of the response.
+	Foreign
 )
 
 type (
@@ -45,6 +48,9 @@
 	if e.Kind == Comment {
 		return Skip
 	}
+	if e.Kind == Error || (e.Kind == Data && e.ID == 0 && s.last > 0 && !s.unnumbered) {
+		return Foreign
+	}
 	id := e.ID
 	if id == 0 {
 		// Number events without IDs by position; the response is not resumable then.
--- a/internal/caller/sse/sse.go
+++ b/internal/caller/sse/sse.go
@@ -17,6 +17,8 @@
 	Done
 	// Comment is a heartbeat without data.
 	Comment
+	// Error is an event named "error", whose data is no part of the response.
+	Error
 )
 
 type (
--- a/internal/caller/sse/sse_test.go
+++ b/internal/caller/sse/sse_test.go
@@ -28,6 +28,8 @@
 		"long":          {"id: 1\ndata: " + long + "\n\n", Event{ID: 1, Data: []byte(long)}, nil},
 		"done":          {"id: 9\ndata: [DONE]\n\n", Event{Kind: Done, ID: 9}, nil},
 		"comment":       {": heartbeat\n\n", Event{Kind: Comment}, nil},
+		"error":         {"event: error\nid: 3\ndata: {}\n\n", Event{Kind: Error, ID: 3, Data: []byte("{}")}, nil},
+		"named":         {"event: token\nid: 3\ndata: {}\n\n", Event{ID: 3, Data: []byte("{}")}, nil},
 		"finish":        {`data: {"finish_reason": "stop"}` + "\n\n", Event{Data: []byte(`{"finish_reason": "stop"}`), HasFinishReason: true}, nil},
 		"no finish yet": {`data: {"finish_reason":null}` + "\n\n", Event{Data: []byte(`{"finish_reason":null}`)}, nil},
 		"finish in the text": {
--- a/internal/target/engine/foreign_test.go
+++ b/internal/target/engine/foreign_test.go
@@ -129,3 +129,22 @@
 		t.Run(name, func(t *testing.T) { assertCutAfter(t, next) })
 	}
 }
+
+// Guards against an error that is delivered as the next event of a response.
+func TestStreamsThatGoOnWithForeignEvents(t *testing.T) {
+	for name, next := range map[string]http.HandlerFunc{
+		"an error event":                   withStatus(200, sse.ContentType, "event: error\ndata: "+failedText+"\n\n"),
+		"an error event with an ID":        withStatus(200, sse.ContentType, "id: 3\nevent: error\ndata: "+failedText+"\n\n"),
+		"an error event without data":      withStatus(200, sse.ContentType, "event: error\n\n"+piece(3, `"stop"`)+doneEvent),
+		"an event without an ID":           withStatus(200, sse.ContentType, "data: "+failedText+"\n\n"+doneEvent),
+		"an end that an error event gives": withStatus(200, sse.ContentType, `data: {"finish_reason":"error"}`+"\n\n"+doneEvent),
+	} {
+		t.Run(name, func(t *testing.T) { assertCutAfter(t, next) })
+	}
+	t.Run("an error in the first connection", func(t *testing.T) {
+		pieces, complete := readPieces(t, withStatus(200, sse.ContentType, piece(1, "null")+piece(2, "null")+"data: "+failedText+"\n\n"),
+			withStatus(200, sse.ContentType, piece(3, `"stop"`)+doneEvent))
+		qt.Assert(t, complete, qt.IsTrue)
+		qt.Assert(t, pieces, qt.HasLen, 3)
+	})
+}
--- a/internal/target/engine/stream.go
+++ b/internal/target/engine/stream.go
@@ -49,7 +49,10 @@
 	sendFunc func(context.Context) (*http.Response, *transport.Attempt, error)
 )
 
-var errMissingEvent = errors.New("gap in event ids")
+var (
+	errMissingEvent = errors.New("gap in event ids")
+	errForeignEvent = errors.New("error event, or event without an id after others with one")
+)
 
 func newStream(ctx context.Context, c *Client, req Request, after int) *Stream {
 	ctx, stop := context.WithCancel(ctx)
@@ -125,6 +128,8 @@
 			return errMissingEvent
 		case sse.Truncated:
 			return sse.ErrTruncated
+		case sse.Foreign:
+			return errForeignEvent
 		case sse.Complete:
 			return nil
 		case sse.Skip:
