Deliver no response head inside an event of an engine

On the own interface, an engine (or a proxy in front of it) that broke off in the middle of an event and wrote an error response into the same body had the first line of that head delivered as the end of the event's data: the reader ignored the lines after it, whose names event streams don't have, and the empty line after the head completed the event.

A line that is neither a comment nor has the name data, event, id or retry now ends the connection before its event is delivered, and the response is resumed after the last event.

TestStreamsWithLinesOfNoEvent failed before: the third event held "HTTP/1.1 500 Oops".

--- a/internal/caller/sse/reader.go
+++ b/internal/caller/sse/reader.go
@@ -27,6 +27,8 @@
 var (
 	// ErrTruncated means that a stream ended before its response was complete.
 	ErrTruncated = errors.New("the stream ended before the response was complete")
+	// ErrNotAnEvent means a line that belongs to no event, such as those of a response's head.
+	ErrNotAnEvent = errors.New("the stream contains a line that belongs to no event")
 	// ErrTooLarge means an event larger than maxEventBytes.
 	ErrTooLarge = errors.New("event exceeds the size limit")
 
@@ -86,6 +88,8 @@
 			}
 			r.data = append(r.data, trimSpace(line[len(fieldData):])...)
 			hasData = true
+		case len(line) > 0 && !isKnownField(line):
+			return Event{}, ErrNotAnEvent
 		}
 		if len(r.data) > maxEventBytes {
 			return Event{}, ErrTooLarge
@@ -100,6 +104,17 @@
 	return Event{Kind: Data, ID: id, Data: r.data, HasFinishReason: hasFinishReason(r.data)}
 }
 
+// isKnownField reports whether a line has the name of a field of event streams, with or without
+// a value.
+func isKnownField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	return false
+}
+
 // readLine returns the next line without its line ending.
 func (r *Reader) readLine() ([]byte, error) {
 	line, err := r.buf.ReadSlice('\n')
--- a/internal/caller/sse/sse_test.go
+++ b/internal/caller/sse/sse_test.go
@@ -30,6 +30,9 @@
 		"comment":       {": heartbeat\n\n", Event{Kind: Comment}, nil},
 		"error":         {"event: error\nid: 3\ndata: {}\n\n", Event{Kind: Error, ID: 3, Data: []byte("{}")}, nil},
 		"named":         {"event: token\nid: 3\ndata: {}\n\n", Event{ID: 3, Data: []byte("{}")}, nil},
+		"other fields":  {"retry: 9\n\ndata\nid: 7\n: x\ndata: {}\n\n", Event{ID: 7, Data: []byte("{}")}, nil},
+		"head":          {"HTTP/1.1 500 Oops\r\n\r\n", Event{}, ErrNotAnEvent},
+		"glued head":    {"id: 7\ndata: {HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n", Event{}, ErrNotAnEvent},
 		"finish":        {`data: {"finish_reason": "stop"}` + "\n\n", Event{Data: []byte(`{"finish_reason": "stop"}`), HasFinishReason: true}, nil},
 		"no finish yet": {`data: {"finish_reason":null}` + "\n\n", Event{Data: []byte(`{"finish_reason":null}`)}, nil},
 		"finish in the text": {
--- a/internal/target/engine/foreign_test.go
+++ b/internal/target/engine/foreign_test.go
@@ -148,3 +148,13 @@
 		qt.Assert(t, pieces, qt.HasLen, 3)
 	})
 }
+
+// Guards against a response head that is delivered in an event of a response.
+func TestStreamsWithLinesOfNoEvent(t *testing.T) {
+	for name, next := range map[string]http.HandlerFunc{
+		"a head inside an event": withStatus(200, sse.ContentType, "id: 3\ndata: {"+failedText+"HTTP/1.1 500 Oops\r\ncontent-type: text/plain\r\n\r\n"),
+		"text inside an event":   withStatus(200, sse.ContentType, "id: 3\n"+failedText+"\ndata: {}\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) { assertCutAfter(t, next) })
+	}
+}
