Test that a resumed stream keeps the head of its first response

A resumed stream may come with another framing, other header fields or an interim head. All of this held before.

--- a/internal/fleet/forward/resumed_error_test.go
+++ b/internal/fleet/forward/resumed_error_test.go
@@ -338,3 +338,51 @@
 		})
 	}
 }
+
+// Guards against a resumed stream whose caller gets a part of the second head.
+func TestResumedStreamsKeepTheirHead(t *testing.T) {
+	head := func(lines string) func(rawserver.Request) string {
+		return func(r rawserver.Request) string { return platformtest.StreamHeadWith(r, lines) }
+	}
+	first := sending(head("X-Own: first\r\n"), chunk(wholeStream(3)+"id: 4\nda"))
+	rest := strings.TrimPrefix(wholeStream(9), wholeStream(3))
+	for name, next := range map[string]rawserver.Handler{
+		"in chunks": answering(func(r rawserver.Request) string {
+			return head("X-Own: second\r\nX-More: 1\r\n")(r) + chunk(rest) + "0\r\n\r\n"
+		}),
+		"with a length": answering(func(r rawserver.Request) string {
+			return platformtest.Response(r, "200 OK", "X-Own: second\r\nContent-Type: text/event-stream\r\n", rest)
+		}),
+		"until close": sending(platformtest.UnframedStreamHead, rest),
+		"after an interim head": answering(func(r rawserver.Request) string {
+			return "HTTP/1.1 103 Early\r\nX-Own: second\r\n\r\n" + platformtest.StreamHead(r) + chunk(rest) + "0\r\n\r\n"
+		}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, firstCall(first, next))
+			got := f.call("/resume/a")
+			f.assertResponse(got, 200, wholeStream(9))
+			f.Assert(got.Field("x-own"), qt.Equals, "first")
+			f.Assert(got.Field("x-more"), qt.Equals, "")
+		})
+	}
+	t.Run("with a length that is too long", func(t *testing.T) {
+		f := newFixture(t, 2, firstCall(first, func(c net.Conn, r rawserver.Request) bool {
+			raw := platformtest.Response(r, "200 OK", "Content-Type: text/event-stream\r\n", rest+"id: 10\n")
+			_, _ = io.WriteString(c, strings.TrimSuffix(raw, "id: 10\n"))
+			return false
+		}))
+		got := f.call("/resume/a")
+		f.Assert(got.err, qt.IsNotNil)
+		f.Assert(got.body, qt.Equals, wholeStream(9))
+	})
+	t.Run("after a reset", func(t *testing.T) {
+		f := newFixture(t, 2, firstCall(func(c net.Conn, r rawserver.Request) bool {
+			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk(wholeStream(3)))
+			return reset(c, r)
+		}, always("500 Oops", "", errorText)))
+		got := f.call("/resume/a") // The reset may overtake the events.
+		f.Assert(got.err != nil || (got.Status == 500 && got.body == errorText), qt.IsTrue, qt.Commentf("%+v", got))
+		f.Assert(got.err == nil || strings.HasPrefix(wholeStream(3), got.body), qt.IsTrue, qt.Commentf("%+v", got))
+	})
+}
