Relay an error whose type is that of a stream

A target that answered with an error status and the type text/event-stream, but with text in the body, had its answer replaced by 502, and an idempotent call was repeated, also after 400, 401 or 404: the body, complete by its length or chunks, was taken for a stream that ends inside an event.

The events of a body are now asked only for a success, or where nothing but the end of the connection ends the body. Errors that are cut are still seen as such.

TestErrorsWithTheTypeOfAStreamAreRelayed failed before in its 20 cases of whole errors, with 502 in place of the target's status.

--- a/internal/fleet/forward/whole.go
+++ b/internal/fleet/forward/whole.go
@@ -43,9 +43,11 @@
 	return nil
 }
 
-// checkWholeBody is checkWhole for a response whose body was read as a whole.
+// checkWholeBody is checkWhole for a response whose body was read as a whole. An error may have
+// the type of a stream; its body is text, and whole if it ends as its framing requires.
 func checkWholeBody(head *http1.Response, body []byte, err error) error {
-	if !isEventStream(head) {
+	isFramedError := head.Status/100 != 2 && head.Length != http1.UntilClose
+	if !isEventStream(head) || isFramedError {
 		return checkWhole(head, err, nil)
 	}
 	end := lastBoundary(body)
--- a/internal/fleet/forward/whole_test.go
+++ b/internal/fleet/forward/whole_test.go
@@ -185,3 +185,32 @@
 		f.Assert(head.Status, qt.Equals, want)
 	}
 }
+
+// Guards against an error that is replaced by 502, and repeated, because it has the type of a
+// stream but no events.
+func TestErrorsWithTheTypeOfAStreamAreRelayed(t *testing.T) {
+	const stream = "Content-Type: text/event-stream\r\n"
+	for _, path := range []string{"/once/a", "/stream/a"} {
+		for _, status := range []int{400, 401, 404, 500, 503} {
+			for framing, respond := range map[string]func(r rawserver.Request, status, lines, body string) string{
+				"length": platformtest.Response, "chunks": chunkedResponse,
+			} {
+				t.Run(fmt.Sprint(status, " ", framing, " on ", path), func(t *testing.T) {
+					f := newFixture(t, 2, answering(func(r rawserver.Request) string {
+						return respond(r, fmt.Sprint(status, " Oops"), stream, "failed")
+					}))
+					f.assertResponse(f.call(path), status, "failed")
+					f.Assert(f.targetRequests(), qt.Equals, 1)
+				})
+			}
+		}
+		t.Run("cut on "+path, func(t *testing.T) {
+			f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
+				raw := platformtest.Response(r, "500 Oops", stream, "failed")
+				_, _ = io.WriteString(c, raw[:len(raw)-2])
+				return false
+			})
+			f.assertBrokenOff(f.call(path))
+		})
+	}
+}
