--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -213,7 +213,7 @@
 		return false
 	}
 	response := &ResponseWriter{
-		conn: c.Conn, closeAfter: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining, sequence: c.calls,
+		conn: c.Conn, log: &s.log, closeAfter: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining, sequence: c.calls,
 	}
 	body, reserved, err := s.readBody(c, req, limits.BodyBytes)
 	if err != nil {
@@ -225,7 +225,7 @@
 	ctx, stop := s.watchDisconnect(c)
 	s.handler.ServeCall(ctx, response, req, body)
 	stop()
-	c.lingers = response.complete && !response.writeFailed
+	c.lingers = response.state == complete && !response.writeFailed
 	return response.reusable() && ctx.Err() == nil
 }
 
@@ -376,7 +376,7 @@
 	if status == 0 {
 		return
 	}
-	response := &ResponseWriter{conn: c.Conn, closeAfter: true}
+	response := &ResponseWriter{conn: c.Conn, log: &s.log, closeAfter: true}
 	response.Respond(status, http.StatusText(status), fields, nil)
 	c.lingers = true
 }
--- a/internal/caller/sse/reader.go
+++ b/internal/caller/sse/reader.go
@@ -27,11 +27,15 @@
 var (
 	// ErrTruncated means that a stream ended before its response was complete.
 	ErrTruncated = errors.New("the stream ended before the response was complete")
+	// ErrNotAnEvent means a line that belongs to no event, such as those of a response's head.
+	ErrNotAnEvent = errors.New("the stream contains a line that belongs to no event")
 	// ErrTooLarge means an event larger than maxEventBytes.
 	ErrTooLarge = errors.New("event exceeds the size limit")
 
 	fieldID           = []byte("id:")
 	fieldData         = []byte("data:")
+	fieldEvent        = []byte("event:")
+	errorName         = []byte("error")
 	doneMarker        = []byte("[DONE]")
 	finishReasonField = []byte(`"finish_reason":`)
 
@@ -52,7 +56,7 @@
 // Next returns the next event, whose data is valid until the next call. The end of the input is
 // always ErrTruncated, since a complete response ends with a Done event.
 func (r *Reader) Next() (Event, error) {
-	id, hasData := 0, false
+	id, hasData, isError := 0, false, false
 	r.data = r.data[:0]
 	for {
 		line, err := r.readLine()
@@ -63,6 +67,8 @@
 			return Event{}, err
 		}
 		switch {
+		case len(line) == 0 && isError:
+			return Event{Kind: Error, ID: id, Data: r.data}, nil
 		case len(line) == 0 && hasData:
 			return r.newEvent(id), nil
 		case len(line) > 0 && line[0] == ':':
@@ -74,12 +80,16 @@
 			if err != nil {
 				return Event{}, err
 			}
+		case bytes.HasPrefix(line, fieldEvent):
+			isError = bytes.Equal(trimSpace(line[len(fieldEvent):]), errorName)
 		case bytes.HasPrefix(line, fieldData):
 			if hasData {
 				r.data = append(r.data, '\n')
 			}
 			r.data = append(r.data, trimSpace(line[len(fieldData):])...)
 			hasData = true
+		case len(line) > 0 && !isKnownField(line):
+			return Event{}, ErrNotAnEvent
 		}
 		if len(r.data) > maxEventBytes {
 			return Event{}, ErrTooLarge
@@ -94,6 +104,17 @@
 	return Event{Kind: Data, ID: id, Data: r.data, HasFinishReason: hasFinishReason(r.data)}
 }
 
+// isKnownField reports whether a line has the name of a field of event streams, with or without
+// a value.
+func isKnownField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	return false
+}
+
 // readLine returns the next line without its line ending.
 func (r *Reader) readLine() ([]byte, error) {
 	line, err := r.buf.ReadSlice('\n')
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -189,7 +189,13 @@
 		c.recordNotExecuted(target, response.Head.Status)
 		return
 	}
-	if c.route.Streaming && response.Head.Status == http.StatusOK && c.request.Method != http.MethodHead {
+	if c.writer.Started() && !c.continuesStream(response.Head) {
+		c.h.Pool.Drain(response)
+		c.progress.PossibleExecutions++
+		c.recordUnusable(target, "no-stream")
+		return
+	}
+	if c.isStream(response.Head) {
 		c.relayStream(ctx, target, tracked, response)
 		return
 	}
@@ -202,11 +208,6 @@
 	c.h.Pool.Release(response)
 	c.progress.PossibleExecutions++
 	c.buffered = &bufferedResponse{head: response.Head, body: body}
-	if c.writer.Started() {
-		// A stream has begun, so only the rest of a stream can follow.
-		c.recordUnusable(target, "no-stream")
-		return
-	}
 	if response.Head.Status >= 500 {
 		c.progress.Outcome = FailedAtTarget
 		c.reason = "target-failed"
@@ -268,18 +269,11 @@
 func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) {
 	buffer := make([]byte, streamReadBytes)
 	prefilled := false
-	c.stream.beginAttempt()
+	c.stream.beginAttempt(c.writer.Started())
 	var pace streamPace
 	for {
 		n, err := response.Body.Read(buffer)
 		events, invalid := c.stream.add(buffer[:n])
-		if invalid != nil {
-			c.logIncomplete(target, invalid)
-			c.stream.reset()
-			c.h.Pool.Discard(response)
-			c.recordFailure(ctx, target, false, invalidReason(invalid))
-			return
-		}
 		if len(events) > 0 {
 			now := time.Now()
 			c.unresumable.Store(c.stream.unnumbered)
@@ -300,10 +294,17 @@
 			c.progress.Outcome = Responded
 			return
 		}
+		if invalid != nil {
+			c.logIncomplete(target, invalid)
+			c.stream.reset()
+			c.h.Pool.Discard(response)
+			c.recordFailure(ctx, target, false, invalidReason(invalid))
+			return
+		}
 		if err == nil {
 			continue
 		}
-		if err = checkWhole(response.Head, err, true, prefilled, c.stream.pending); err != nil {
+		if err = checkWhole(response.Head, err, c.stream.end()); err != nil {
 			c.logIncomplete(target, err)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
@@ -320,8 +321,15 @@
 
 // invalidReason returns the reason of a call whose stream holds invalid events.
 func invalidReason(err error) string {
-	if errors.Is(err, errEventsRepeated) {
+	switch {
+	case errors.Is(err, errEventsRepeated):
 		return "stream-repeats"
+	case errors.Is(err, errEventsMissing):
+		return "stream-skips"
+	case errors.Is(err, errForeignEvent):
+		return "foreign-event"
+	case errors.Is(err, errNotAnEvent):
+		return "not-an-event"
 	}
 	return "event-too-large"
 }
@@ -340,7 +348,7 @@
 func (c *call) writeHead(head *http1.Response) {
 	if !c.writer.Started() {
 		c.begun.Store(true)
-		c.status, c.firstEvent = head.Status, time.Now()
+		c.status, c.streamType, c.firstEvent = head.Status, mediaType(head), time.Now()
 		c.writer.StartChunked(head.Status, head.Reason, endToEndFields(head))
 	}
 }
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -13,31 +13,77 @@
 	// boundaryOverlap is the number of bytes before a read at which the end of an
 	// event may begin.
 	boundaryOverlap = 2
+	// errorEventName is the name of events that carry an error instead of a part of the stream.
+	errorEventName = "error"
+	// extensionPrefix begins the names of the fields that the platform adds to those of an event
+	// stream. Any other unknown name is no part of a stream, but of an error's head or text.
+	extensionPrefix = "x-"
+	// minEvenSteps is the number of equal steps from the first ID of a stream on after which a
+	// resumed stream must go on with the same step.
+	minEvenSteps = 16
+	// byteOrderMark may begin a stream.
+	byteOrderMark = "\ufeff"
 )
 
 var (
 	errEventTooLarge  = errors.New("event exceeds the size limit")
 	errEventsRepeated = errors.New("the stream was not resumed after the last event ID but repeats events")
+	errEventsMissing  = errors.New("the stream was not resumed right after the last event ID but misses events")
+	errNotAnEvent     = errors.New("the stream contains a line that belongs to no event")
+	errForeignEvent   = errors.New("the stream was not resumed but sends an error event or an event without an ID")
 )
 
-// eventBuffer splits a server-sent event stream at event boundaries.
-type eventBuffer struct {
-	pending []byte
-	// lastID is the ID of the last event with one that was returned; unnumbered is set if
-	// events without an ID have followed it.
-	lastID     string
-	unnumbered bool
-	// resumedAfter is the ID after which the target should resume the stream, until the first
-	// ID that it sends.
-	resumedAfter string
+type (
+	// eventBuffer splits a server-sent event stream at event boundaries and checks its events.
+	eventBuffer struct {
+		pending []byte
+		// lastID is the ID of the last event with one that was returned; unnumbered is set if
+		// events without an ID have followed it, hasUnnumbered if there were any.
+		lastID        string
+		unnumbered    bool
+		hasUnnumbered bool
+		ids           idSteps
+		// resumed is set if the caller has received a part of the stream from an earlier target,
+		// hasEvents if the present one has sent an event.
+		resumed   bool
+		hasEvents bool
+		// hasLines is set if complete lines were returned.
+		hasLines bool
+	}
+
+	// idSteps holds the step between the IDs of a stream.
+	idSteps struct {
+		last, step uint64
+		// count is the number of IDs.
+		count int
+		// uneven is set if the steps differ or IDs are no numbers.
+		uneven bool
+	}
+
+	// event is what the lines of one event say about it.
+	event struct {
+		id, name string
+		// isEvent is set if there is more than comments and retry delays, isInvalid if a line
+		// belongs to no event.
+		isEvent, isInvalid bool
+	}
+)
+
+// beginAttempt prepares for the stream of another target, which resumes after lastID if the
+// stream has begun.
+func (e *eventBuffer) beginAttempt(begun bool) {
+	e.resumed, e.hasLines, e.hasEvents = begun, begun, false
 }
 
-// beginAttempt prepares for the stream of another target, which resumes after lastID.
-func (e *eventBuffer) beginAttempt() { e.resumedAfter = e.lastID }
+// end returns what is known about the stream at the end of its body.
+func (e *eventBuffer) end() *streamEnd {
+	return &streamEnd{resumed: e.resumed, hasEvents: e.hasEvents, tail: e.pending}
+}
 
-// add appends bytes of the stream and returns the complete events among all
-// pending bytes. The result is a copy. It returns errEventTooLarge when more than
-// maxEventBytes are pending, and errEventsRepeated when the target does not resume.
+// add appends bytes of the stream and returns the complete events among all pending bytes. The
+// result is a copy. An error means that the stream must not be relayed beyond them: it is
+// errEventTooLarge when more than maxEventBytes are pending, errNotAnEvent when other bytes
+// than events follow, and another one when the target does not resume the stream.
 func (e *eventBuffer) add(data []byte) ([]byte, error) {
 	searched := max(len(e.pending)-boundaryOverlap, 0)
 	e.pending = append(e.pending, data...)
@@ -49,56 +95,116 @@
 		return nil, nil
 	}
 	end += searched
-	if e.resumedAfter != "" {
-		id := firstID(e.pending[:end])
-		if repeats(id, e.resumedAfter) {
-			return nil, errEventsRepeated
-		}
-		if id != "" {
-			e.resumedAfter = ""
-		}
-	}
-	complete := bytes.Clone(e.pending[:end])
+	valid, err := e.acceptAll(e.pending[:end])
+	complete := bytes.Clone(e.pending[:valid])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
-	e.recordIDs(complete)
-	return complete, nil
+	return complete, err
 }
 
-// recordIDs updates lastID and unnumbered from complete events.
-func (e *eventBuffer) recordIDs(events []byte) {
-	id, isEvent := "", false
+// acceptAll checks complete events. It returns the number of bytes before the first one that
+// must not be relayed, and why.
+func (e *eventBuffer) acceptAll(events []byte) (int, error) {
+	var current event
+	valid, read := 0, 0
 	for line := range bytes.Lines(events) {
+		read += len(line)
 		line = bytes.TrimRight(line, "\r\n")
-		switch {
-		case len(line) == 0 && isEvent:
-			e.unnumbered = id == ""
-			if id != "" {
-				e.lastID = id
-			}
-			id, isEvent = "", false
-		case len(line) > 0 && line[0] != ':': // Other lines are comments.
-			isEvent = true
-			if value, ok := eventID(line); ok {
-				id = value
-			}
+		if !e.hasLines {
+			line = bytes.TrimPrefix(line, []byte(byteOrderMark))
+		}
+		e.hasLines = true
+		if len(line) > 0 {
+			current.addLine(line)
+			continue
+		}
+		if err := e.accept(current); err != nil {
+			return valid, err
+		}
+		valid, current = read, event{}
+	}
+	return valid, nil
+}
+
+// accept records an event, or returns why it must not be relayed. IDs that are no numbers
+// cannot be compared.
+func (e *eventBuffer) accept(next event) error {
+	if next.isInvalid {
+		return errNotAnEvent
+	}
+	if !next.isEvent {
+		return nil
+	}
+	if e.resumed {
+		if err := e.checkResumed(next); err != nil {
+			return err
 		}
 	}
+	e.hasEvents, e.unnumbered = true, next.id == ""
+	e.hasUnnumbered = e.hasUnnumbered || e.unnumbered
+	if next.id != "" {
+		e.ids.add(next.id)
+		e.lastID = next.id
+	}
+	return nil
 }
 
-// eventID returns the event ID that a line sets.
-func eventID(line []byte) (string, bool) {
-	value, ok := bytes.CutPrefix(line, []byte("id:"))
-	return string(bytes.TrimSpace(value)), ok
+// checkResumed returns why an event cannot follow those of earlier targets, or nil.
+func (e *eventBuffer) checkResumed(next event) error {
+	switch {
+	case next.name == errorEventName, next.id == "" && e.lastID != "" && !e.hasUnnumbered:
+		return errForeignEvent
+	case repeats(next.id, e.lastID):
+		return errEventsRepeated
+	case !e.hasEvents && e.ids.skips(next.id):
+		return errEventsMissing
+	}
+	return nil
 }
 
-// firstID returns the first event ID in complete events, or "".
-func firstID(events []byte) string {
-	for line := range bytes.Lines(events) {
-		if id, ok := eventID(line); ok && id != "" {
-			return id
-		}
+// addLine adds a line that is not empty.
+func (e *event) addLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "retry": // A line without a name is a comment.
+		return
+	case "id":
+		e.id = string(bytes.TrimSpace(value))
+	case "event":
+		e.name = string(bytes.TrimSpace(value))
+	case "data":
+	default:
+		e.isInvalid = e.isInvalid || !isExtension(name)
 	}
-	return ""
+	e.isEvent = true
+}
+
+// isExtension reports whether name is that of a field that the platform adds, which is written
+// in lower case.
+func isExtension(name []byte) bool {
+	return bytes.HasPrefix(name, []byte(extensionPrefix)) &&
+		!bytes.ContainsFunc(name, func(r rune) bool { return r != '-' && (r < 'a' || r > 'z') && (r < '0' || r > '9') })
+}
+
+// add records the next ID of the stream.
+func (s *idSteps) add(id string) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	switch {
+	case err != nil:
+		s.uneven = true
+	case s.count == 1:
+		s.step = n - s.last
+	case s.count > 1 && n-s.last != s.step:
+		s.uneven = true
+	}
+	s.last = n
+	s.count++
+}
+
+// skips reports whether there should be other IDs before id. IDs need not be without gaps:
+// this is known only from enough of them.
+func (s *idSteps) skips(id string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && !s.uneven && s.count > minEvenSteps && n-s.last != s.step
 }
 
 // repeats reports whether an event with an ID is not after the one with the ID last. IDs of a
