Set a write deadline before 100 Continue is sent

A caller with Expect: 100-continue on a connection whose last response was more than 5 s before got 408 at once instead of 100 Continue, although its body was not late.

Each response sets the connection's write deadline and leaves it there; the interim response was written without a new one, so the write failed with a timeout, which counts as the caller's. The test failed before with "HTTP/1.1 408 Request Timeout" on the second call of a connection; now the interim response has a deadline of its own.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -297,6 +297,7 @@
 		return nil, 0, errBodyMemory
 	}
 	if req.ExpectContinue {
+		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // That of an earlier response may have passed.
 		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, initial, eris.Wrap(err, "send 100 Continue")
 		}
