--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -249,23 +249,6 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request. It skips empty lines before it, which
-// some callers send after a body (RFC 9112, section 2.2).
-func (c *conn) awaitRequest() error {
-	const emptyLine = "\r\n"
-	for {
-		first, err := c.reader.Peek(1)
-		if err != nil || first[0] != emptyLine[0] {
-			return err
-		}
-		both, err := c.reader.Peek(len(emptyLine))
-		if err != nil || string(both) != emptyLine {
-			return err
-		}
-		_, _ = c.reader.Discard(len(emptyLine)) // It is buffered.
-	}
-}
-
 // awaitEnd returns the error with which reading from the caller ends. What the caller sends
 // until then stays in the buffer; it returns nil if that is full.
 func (c *conn) awaitEnd() error {
