Refuse calls that a stopping router has not got executed yet

A call that waited in a router (for a confirmed view, for the cache index, because a part of its prompt was suspected), or that its first target had refused, when the router was told to stop, was sent to a target although it could outlast the router, and was cut with it. Its caller could not know whether it had run; refused, it would have been served elsewhere.

The stop was looked at once, when the call was taken. Now it is looked at before each attempt of a call that no target has executed: one that may outlast the router by its deadline, and is not expected to end sooner, is refused with 503, which is true of it. Calls that may have been executed go on as before. Two of the three cases of the test failed before, with 200 from a target instead of 503; the third shows that a call which usually ends in time is still sent.

--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -236,7 +236,7 @@
 	}
 	c.awaitCacheIndex(ctx)
 	for {
-		if !c.passQuarantine(ctx) {
+		if !c.passQuarantine(ctx) || c.refuseIfLate() {
 			return
 		}
 		c.attempt(ctx)
--- a/internal/fleet/forward/shutdown.go
+++ b/internal/fleet/forward/shutdown.go
@@ -85,11 +85,17 @@
 // to. An expected time of zero is unknown. A call that is refused can be made elsewhere, one
 // that is cut may be lost.
 func (s Shutdown) Admits(now time.Time, timeout, expected time.Duration) bool {
-	left := s.End.Sub(now) - shutdownSlack
-	if timeout <= left {
-		return true
+	if !now.Before(s.HeldUntil) {
+		expected = 0
 	}
-	return now.Before(s.HeldUntil) && expected > 0 && expected <= left
+	return s.endsInTime(now, timeout, expected)
+}
+
+// endsInTime reports whether a call ends before the router's calls are cut, surely or as
+// expected. An expected time of zero is unknown.
+func (s Shutdown) endsInTime(now time.Time, timeout, expected time.Duration) bool {
+	left := s.End.Sub(now) - shutdownSlack
+	return timeout <= left || (expected > 0 && expected <= left)
 }
 
 func (c *call) shutdown() *Shutdown {
@@ -114,6 +120,21 @@
 	return true
 }
 
+// refuseIfLate is refuseIfStopping for a call that was taken, perhaps before the stop began, but
+// has been executed by no target yet. The others go on.
+func (c *call) refuseIfLate() bool {
+	s := c.shutdown()
+	if s == nil || c.progress.PossibleExecutions > 0 {
+		return false
+	}
+	c.expected, _ = c.h.callTimes.expected(c.route.Name)
+	if now := time.Now(); s.endsInTime(now, c.deadline.Sub(now), c.expected) {
+		return false
+	}
+	c.rejectWith(reasonStopping, ingress.RetryNowField())
+	return true
+}
+
 // logShutdown adds to a call's log line when it arrived and ended in a planned stop.
 func (c *call) logShutdown(line *zerolog.Event, now time.Time) *zerolog.Event {
 	s := c.shutdown()
--- a/internal/fleet/forward/shutdown_test.go
+++ b/internal/fleet/forward/shutdown_test.go
@@ -97,3 +97,53 @@
 	}
 	f.Assert(f.targetRequests(), qt.Equals, 2)
 }
+
+// Guards against a stopping router that sends on a call which may outlast it, because the stop
+// began while the call waited or while its first target refused it.
+func TestCallsThatAreNotExecutedYetWhenTheStopBeginsAreRefused(t *testing.T) {
+	var shutdown atomic.Pointer[forward.Shutdown]
+	stop := func(left time.Duration) {
+		now := time.Now()
+		shutdown.Store(&forward.Shutdown{Since: now, End: now.Add(left), HeldUntil: now.Add(time.Minute)})
+	}
+	withShutdown := func(c *forward.Config) { c.Shutdown = shutdown.Load }
+	assertRefused := func(f *fixture, got response, targetRequests int) {
+		f.Helper()
+		f.assertResponse(got, 503, "")
+		f.Assert(got.Field("retry-after"), qt.Equals, "0")
+		f.Assert(f.targetRequests(), qt.Equals, targetRequests)
+	}
+	t.Run("while it waits", func(t *testing.T) {
+		f := newFixture(t, 1, always("200 OK", "", "hi"), withShutdown)
+		c, r := f.dial()
+		_, err := io.WriteString(c, platformtest.Request("/chat/a", platformtest.AuthorizationLine+platformtest.PromptLine, "x"))
+		f.Assert(err, qt.IsNil)
+		time.Sleep(20 * time.Millisecond) // The call waits until it is known which targets hold its prompt.
+		stop(600 * time.Millisecond)
+		assertRefused(f, readResponse(r), 0)
+	})
+	refuseAfter := func(left time.Duration) rawserver.Handler {
+		var refused atomic.Bool
+		return func(c net.Conn, r rawserver.Request) bool {
+			if r.Target == "/safe/refused" && !refused.Swap(true) {
+				stop(left)
+				_, _ = io.WriteString(c, platformtest.NotExecuted(r))
+				return false
+			}
+			return always("200 OK", "", "hi")(c, r)
+		}
+	}
+	t.Run("while its target refuses it", func(t *testing.T) {
+		shutdown.Store(nil)
+		f := newFixture(t, 2, refuseAfter(600*time.Millisecond), withShutdown)
+		assertRefused(f, f.call("/safe/refused"), 1)
+	})
+	t.Run("unless it usually ends in time", func(t *testing.T) {
+		shutdown.Store(nil)
+		f := newFixture(t, 2, refuseAfter(900*time.Millisecond), withShutdown)
+		for range 20 {
+			f.assertResponse(f.call("/safe/a"), 200, "hi")
+		}
+		f.assertResponse(f.call("/safe/refused"), 200, "hi")
+	})
+}
