Keep a smaller margin before the end of a short grace period

With a grace period of one second, a planned stop cut the calls in progress after 0.6 s, with two seconds after 1.6 s, although their targets were at work and had a fifth or more of the period left.

The router stops 400 ms before the end of the grace period, whatever that is.

--- a/internal/node/edge/drain.go
+++ b/internal/node/edge/drain.go
@@ -18,8 +18,10 @@
 	// accepted although callers still come, so that they try other routers.
 	acceptFraction = 0.5
 	// drainMargin is how long before the end of the grace period a draining router stops in
-	// any case.
-	drainMargin = 400 * time.Millisecond
+	// any case, maxMarginFraction the largest part of that period that this may be: calls in
+	// progress have nearly the whole period.
+	drainMargin       = 400 * time.Millisecond
+	maxMarginFraction = 0.125
 	// defaultGrace is the grace period for shutdown when the settings specify none.
 	defaultGrace = 8 * time.Second
 	// drainCheckInterval is how often a draining router checks whether it may stop.
@@ -39,7 +41,8 @@
 		grace = defaultGrace
 	}
 	start := time.Now()
-	end := start.Add(grace - drainMargin)
+	margin := min(drainMargin, time.Duration(maxMarginFraction*float64(grace)))
+	end := start.Add(grace - margin)
 	r.shutdown.Store(&forward.Shutdown{Since: start, End: end, HeldUntil: start.Add(minDrainTime)})
 	r.logDrain("router draining", "sigterm")
 	r.server.Drain()
