Reckon a planned stop from when the router may have been told

A router that waited for a processor when it was told to stop learned of it late and reckoned its grace period from then. With half a second of waiting, as routers had around the reported stops, it would end its calls 100 ms after the process is killed: its callers would get no answer where they get a refusal or a 502, the log would name none of the calls, and callers would be held, and new calls taken by their expected time, later than the stop allows.

The router records every 50 ms that it runs. A stop that it learns of while that is overdue, or within 100 ms after, now begins when the process was last seen to run. It never begins so early that calls in progress would be cut before five sixths of the period.

--- a/internal/node/edge/drain.go
+++ b/internal/node/edge/drain.go
@@ -40,10 +40,10 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	start := time.Now()
-	margin := min(drainMargin, time.Duration(maxMarginFraction*float64(grace)))
-	end := start.Add(grace - margin)
-	r.shutdown.Store(&forward.Shutdown{Since: start, End: end, HeldUntil: start.Add(minDrainTime)})
+	now := time.Now()
+	planned := planStop(r.stalls.earliest(now), now, grace)
+	start, end := planned.Since, planned.End
+	r.shutdown.Store(&planned)
 	r.logDrain("router draining", "sigterm")
 	r.server.Drain()
 	r.fleet.Leave()
@@ -80,6 +80,15 @@
 	r.logDrain("router stopped", reason)
 }
 
+// planStop returns the planned stop of a router that learns now that it must stop, and that may
+// have been told so since an earlier time, at which it waited for a processor. Calls in progress
+// have the first five sixths of the grace period in any case.
+func planStop(earliest, now time.Time, grace time.Duration) forward.Shutdown {
+	margin := min(drainMargin, time.Duration(maxMarginFraction*float64(grace)))
+	since := now.Add(-min(now.Sub(earliest), grace/6-margin))
+	return forward.Shutdown{Since: since, End: since.Add(grace - margin), HeldUntil: since.Add(minDrainTime)}
+}
+
 // logDrain logs a step of the drain and why it was taken.
 func (r *Router) logDrain(step, reason string) {
 	s := r.shutdown.Load()
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -45,11 +45,6 @@
 	// retryBudgetFraction is the part of the fleet's retry budget that the routers use
 	// together. It is below 1 because each router sees only its own requests.
 	retryBudgetFraction = 0.8
-	// stallCheckInterval is how often the router checks whether the process was stalled.
-	// After a delay of more than stallThreshold, silence of a target is no evidence against
-	// it.
-	stallCheckInterval = 50 * time.Millisecond
-	stallThreshold     = 150 * time.Millisecond
 	// bodyMemoryFraction is the part of the process's memory that buffered request bodies
 	// may use.
 	bodyMemoryFraction = 0.25
@@ -81,6 +76,7 @@
 		server        *ingress.Server
 		guard         *freshness.Guard
 		bounds        atomic.Pointer[platform.Bounds]
+		stalls        *stalls
 		// shutdown is nil until the router is told to stop.
 		shutdown atomic.Pointer[forward.Shutdown]
 		// joined is closed once this router is registered, the router entries have been
@@ -95,6 +91,7 @@
 // resources. On error nothing stays bound.
 func New(path string, s platform.Settings, log zerolog.Logger) (*Router, func(), error) {
 	r := &Router{path: path, settings: s, log: log, cacheIndex: affinity.NewCacheIndex(), joined: make(chan struct{})}
+	r.stalls = newStalls(time.Now())
 	r.bounds.Store(&s.Bounds)
 	r.tracker = targetstats.NewTracker(r.logTargetChange)
 	r.quarantine = quarantine.NewTracker(quarantine.WithSettleTime(r.settleTime), quarantine.WithOnChange(r.logQuarantine))
@@ -326,17 +323,3 @@
 	}
 	return strconv.FormatUint(hash, 16)
 }
-
-// detectStalls notices when the process did not run for a while and then restarts the
-// silence timers of all targets.
-func (r *Router) detectStalls(ctx context.Context) {
-	last := time.Now()
-	for objects.Sleep(ctx, stallCheckInterval) == nil {
-		now := time.Now()
-		if late := now.Sub(last) - stallCheckInterval; late > stallThreshold {
-			r.log.Warn().Dur("late-ms", late).Msg("process was stalled")
-			r.tracker.ResetSilence(now)
-		}
-		last = now
-	}
-}
