--- a/internal/node/edge/drain.go
+++ b/internal/node/edge/drain.go
@@ -18,8 +18,10 @@
 	// accepted although callers still come, so that they try other routers.
 	acceptFraction = 0.5
 	// drainMargin is how long before the end of the grace period a draining router stops in
-	// any case.
-	drainMargin = 400 * time.Millisecond
+	// any case, maxMarginFraction the largest part of that period that this may be: calls in
+	// progress have nearly the whole period.
+	drainMargin       = 400 * time.Millisecond
+	maxMarginFraction = 0.125
 	// defaultGrace is the grace period for shutdown when the settings specify none.
 	defaultGrace = 8 * time.Second
 	// drainCheckInterval is how often a draining router checks whether it may stop.
@@ -38,9 +40,10 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	start := time.Now()
-	end := start.Add(grace - drainMargin)
-	r.shutdown.Store(&forward.Shutdown{Since: start, End: end, HeldUntil: start.Add(minDrainTime)})
+	now := time.Now()
+	planned := planStop(r.stalls.earliest(now), now, grace)
+	start, end := planned.Since, planned.End
+	r.shutdown.Store(&planned)
 	r.logDrain("router draining", "sigterm")
 	r.server.Drain()
 	r.fleet.Leave()
@@ -77,6 +80,15 @@
 	r.logDrain("router stopped", reason)
 }
 
+// planStop returns the planned stop of a router that learns now that it must stop, and that may
+// have been told so since an earlier time, at which it waited for a processor. Calls in progress
+// have the first five sixths of the grace period in any case.
+func planStop(earliest, now time.Time, grace time.Duration) forward.Shutdown {
+	margin := min(drainMargin, time.Duration(maxMarginFraction*float64(grace)))
+	since := now.Add(-min(now.Sub(earliest), grace/6-margin))
+	return forward.Shutdown{Since: since, End: since.Add(grace - margin), HeldUntil: since.Add(minDrainTime)}
+}
+
 // logDrain logs a step of the drain and why it was taken.
 func (r *Router) logDrain(step, reason string) {
 	s := r.shutdown.Load()
