Complete a stream whose resumption shows that only its end was missing

What callers saw: a stream of which they had all events was cut.

A resumed stream without events is now complete unless another event must follow: a target broke off inside an event, or sent one that could not be relayed. Those cases are cut as before.

Evidence: the two new cases of TestStreamsThatGoOnWithoutAnEvent, in which only the end was missing, failed before. What cannot be told is a target that knows nothing of the stream, and ends an empty one as it should, after another had broken off exactly between two events.

--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -47,6 +47,9 @@
 		// hasEvents if the present one has sent an event.
 		resumed   bool
 		hasEvents bool
+		// unfinished is set if another event must follow: a target has broken off inside one, or
+		// has sent one that must not be relayed.
+		unfinished bool
 		// hasLines is set if complete lines were returned.
 		hasLines bool
 	}
@@ -77,7 +80,7 @@
 
 // end returns what is known about the stream at the end of its body.
 func (e *eventBuffer) end() *streamEnd {
-	return &streamEnd{resumed: e.resumed, hasEvents: e.hasEvents, tail: e.pending}
+	return &streamEnd{resumed: e.resumed, unfinished: e.unfinished, hasEvents: e.hasEvents, tail: e.pending}
 }
 
 // add appends bytes of the stream and returns the complete events among all pending bytes. The
@@ -90,12 +93,14 @@
 	end := lastBoundary(e.pending[searched:])
 	if end == 0 {
 		if len(e.pending) > maxEventBytes {
+			e.unfinished = true
 			return nil, errEventTooLarge
 		}
 		return nil, nil
 	}
 	end += searched
 	valid, err := e.acceptAll(e.pending[:end])
+	e.unfinished = e.unfinished || err != nil
 	complete := bytes.Clone(e.pending[:valid])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
 	return complete, err
@@ -139,7 +144,7 @@
 			return err
 		}
 	}
-	e.hasEvents, e.unnumbered = true, next.id == ""
+	e.hasEvents, e.unfinished, e.unnumbered = true, false, next.id == ""
 	e.hasUnnumbered = e.hasUnnumbered || e.unnumbered
 	if next.id != "" {
 		e.ids.add(next.id)
@@ -216,7 +221,10 @@
 }
 
 // reset discards an incomplete event.
-func (e *eventBuffer) reset() { e.pending = e.pending[:0] }
+func (e *eventBuffer) reset() {
+	e.unfinished = e.unfinished || !isEmptyLines(e.pending)
+	e.pending = e.pending[:0]
+}
 
 // lastBoundary returns the index after the last empty line, which ends an event,
 // or zero.
--- a/internal/fleet/forward/resumed_error_test.go
+++ b/internal/fleet/forward/resumed_error_test.go
@@ -30,6 +30,13 @@
 	return breakOffs["closed inside an event"](c, r)
 }
 
+// silentAfterEvents sends three events and nothing more until the router closes the connection.
+func silentAfterEvents(c net.Conn, r rawserver.Request) bool {
+	_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk(wholeStream(3)))
+	_, _ = c.Read(make([]byte, 1))
+	return false
+}
+
 // chunkedResponse is platformtest.Response in chunks.
 func chunkedResponse(r rawserver.Request, status, lines, body string) string {
 	head := platformtest.Response(r, status, lines, "")
@@ -124,11 +131,7 @@
 		})
 	}
 	t.Run("after a silence", func(t *testing.T) {
-		f := newFixture(t, 2, firstCall(func(c net.Conn, r rawserver.Request) bool {
-			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk(wholeStream(3)))
-			_, _ = c.Read(make([]byte, 1))
-			return false
-		}, always("500 Oops", "", errorText)))
+		f := newFixture(t, 2, firstCall(silentAfterEvents, always("500 Oops", "", errorText)))
 		f.assertCut(f.call("/resume/a"))
 	})
 	t.Run("a stream that may not be sent on is cut", func(t *testing.T) {
@@ -228,6 +231,20 @@
 			}
 		})
 	}
+	for name, first := range map[string]rawserver.Handler{
+		"closed": breakOffs["closed after an event"], "silent": silentAfterEvents,
+	} {
+		t.Run("the stream may have lacked only its end: "+name, func(t *testing.T) {
+			f := newFixture(t, 2, firstCall(first, streaming("")))
+			f.assertResponse(f.call("/resume/a"), 200, wholeStream(3))
+			f.Assert(f.targetRequests(), qt.Equals, 2)
+		})
+	}
+	t.Run("an event that must not be relayed came before", func(t *testing.T) {
+		first := sending(platformtest.StreamHead, chunk(wholeStream(3)+"HTTP/1.1 500 Oops\r\n\r\n"))
+		f := newFixture(t, 2, firstCall(first, streaming("")))
+		f.assertCut(f.call("/resume/a"))
+	})
 	t.Run("the caller's own resumption is its own to judge", func(t *testing.T) {
 		f := newFixture(t, 1, streaming(""))
 		f.assertResponse(f.send(platformtest.Request("/resume/a", platformtest.AuthorizationLine+"Last-Event-Id: 3\r\n", "")), 200, "")
--- a/internal/fleet/forward/whole.go
+++ b/internal/fleet/forward/whole.go
@@ -17,8 +17,9 @@
 
 // streamEnd is what is known about an event stream whose body has ended.
 type streamEnd struct {
-	// resumed is set if the stream follows events of another response.
-	resumed bool
+	// resumed is set if the stream follows events of another response, unfinished if that
+	// response lacks an event that must follow.
+	resumed, unfinished bool
 	// hasEvents is set if there were complete events, and tail holds the bytes after them.
 	hasEvents bool
 	tail      []byte
@@ -27,8 +28,8 @@
 // checkWhole returns nil if a response is complete whose body has ended with err, and
 // otherwise why it is not. A body that ends as its framing requires ends with nil or io.EOF.
 // stream is nil for a body that is not an event stream. Without a length or chunks, only its
-// events tell a complete stream from one that was cut. A resumed stream without events may be
-// complete, but may as well be the response of a target that knows nothing of the stream.
+// events tell a complete stream from one that was cut. A resumed stream without events is
+// complete if the one before may have lacked only its end.
 func checkWhole(head *http1.Response, err error, stream *streamEnd) error {
 	switch {
 	case err != nil && !errors.Is(err, io.EOF):
@@ -37,7 +38,7 @@
 		return nil
 	case !isEmptyLines(stream.tail):
 		return errInsideEvent
-	case !stream.hasEvents && (stream.resumed || head.Length == http1.UntilClose):
+	case !stream.hasEvents && (stream.resumed && stream.unfinished || head.Length == http1.UntilClose):
 		return errNoEvent
 	}
 	return nil
