Leave entries without a readable name out of what routers compare

Two entries of other writers whose names can't be read made routers disagree on their targets for as long as both existed.

All such entries had the same place, under the empty name, and the last one remained: the first by name after a list, the latest after a watch, and none once one of them was removed. Such an entry names no target, and no later change can be told to be the same entry's, so it is now logged and dropped, also when another router passes it on.

TestRoutersAgreeBesideUnreadableNames failed before: the digests differed between a router that had listed the entries and one that had watched them come. That a known target whose entry becomes odd is not used until the entry is sound again is now tested, from the store and from another router; with the entry's name read apart from the rest it already was so.

--- a/internal/fleet/storewatch/entries_test.go
+++ b/internal/fleet/storewatch/entries_test.go
@@ -5,7 +5,9 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
+	"hickoryrock/internal/fleet/storewatch"
 	"hickoryrock/platform/platformtest"
 )
 
@@ -81,3 +83,73 @@
 		})
 	}
 }
+
+// Guards against routers that never agree on their targets, and fetch snapshots from each
+// other, because of two entries whose names cannot be read.
+func TestRoutersAgreeBesideUnreadableNames(t *testing.T) {
+	store := platformtest.NewStore()
+	watching := newFixtureWithStore(t, true, store)
+	assertKnown := func(f *fixture) {
+		t.Helper()
+		f.eventually("the latest revision", func() bool { return f.View().Targets.Revision.Number == store.Revision() })
+	}
+	assertKnown(watching)
+	store.Set(platformtest.KindTargets, "i-1", target("ready"))
+	for _, name := range []string{"odd-b", "odd-a"} {
+		store.SetRaw(platformtest.KindTargets, name, `{"metadata":{"name":5},"spec":"`+name+`"}`)
+		assertKnown(watching)
+	}
+	listing := newFixtureWithStore(t, true, store)
+	assertKnown(listing)
+	watching.Assert(watching.View().Targets.Digest, qt.Equals, listing.View().Targets.Digest)
+	store.Remove(platformtest.KindTargets, "odd-a")
+	assertKnown(watching)
+	assertKnown(listing)
+	watching.Assert(watching.View().Targets.Digest, qt.Equals, listing.View().Targets.Digest)
+	watching.Assert(watching.ready(), qt.Equals, 1)
+}
+
+// Guards against calls to a target whose entry another writer has replaced.
+func TestTargetIsNotUsedWhileItsEntryIsOdd(t *testing.T) {
+	odd := map[string]string{
+		"nested":  deepObject("i-1"),
+		"port":    string(platformtest.Entry("i-1", platformtest.Target("10.0.0.1:99999", "ready", 0))),
+		"number":  string(platformtest.Entry("i-1", `{"service":"s","address":"10.0.0.1:80","state":"ready","born":1e300}`)),
+		"no spec": `{"metadata":{"name":"i-1"}}`,
+		"large":   string(platformtest.Entry("i-1", `"`+strings.Repeat("x", 1_000_000)+`"`)),
+	}
+	for name, raw := range odd {
+		t.Run("in the store: "+name, func(t *testing.T) {
+			f := newFixture(t, true)
+			f.store.Set(platformtest.KindTargets, "i-1", target("ready"))
+			f.store.Set(platformtest.KindTargets, "i-2", target("ready"))
+			f.eventually("the targets are known", func() bool { return f.ready() == 2 })
+			f.store.SetRaw(platformtest.KindTargets, "i-1", raw)
+			f.eventually("one target is used", func() bool { return f.ready() == 1 })
+			f.store.Set(platformtest.KindTargets, "i-1", target("ready"))
+			f.eventually("both targets are used again", func() bool { return f.ready() == 2 })
+		})
+		t.Run("from another router: "+name, func(t *testing.T) {
+			f := newFollower(t)
+			for number, items := range [][]storewatch.TargetChange{
+				{item("i-1", "ready"), item("i-2", "ready")}, {{Entry: []byte(raw)}}, {item("i-1", "ready")}, {{Entry: []byte(raw)}},
+			} {
+				f.Assert(f.ApplyTargets(storewatch.Delta{
+					After: at(uint64(number) + 1), Revision: at(uint64(number) + 2), Items: items,
+				}, false, "other"), qt.IsTrue)
+				f.Assert(f.ready(), qt.Equals, 2-number%2)
+			}
+			other := newFollower(t)
+			other.ApplyTargets(f.Snapshot(0, at(0)).Targets, true, "other")
+			other.Assert(other.ready(), qt.Equals, 1)
+			other.Assert(other.View().Targets.Digest, qt.Equals, f.View().Targets.Digest)
+		})
+	}
+}
+
+// newFollower returns a router without a store that knows no targets as of revision 1.
+func newFollower(t *testing.T) *fixture {
+	f := &fixture{C: qt.New(t), Watcher: storewatch.New(nil, zerolog.Nop(), nil, nil)}
+	f.ApplyTargets(storewatch.Delta{Revision: at(1)}, true, "other")
+	return f
+}
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -26,17 +26,12 @@
 	}
 	after := w.revision
 	w.enterEra(page.Revision, originStore)
-	if !w.apply(page, full, w.keepUntil(full)) || full {
+	changes := w.decodeEntries(page.Objects)
+	w.apply(changes, page.Revision, full, w.keepUntil(full))
+	if full || len(changes) == 0 {
 		return true
 	}
-	delta := Delta{After: after, Revision: w.revision}
-	for _, o := range page.Objects {
-		if o.Deleted {
-			delta.Items = append(delta.Items, TargetChange{Deleted: o.Name})
-			continue
-		}
-		delta.Items = append(delta.Items, TargetChange{Entry: o.Raw})
-	}
+	delta := newDelta(after, w.revision, changes)
 	w.recordDelta(delta)
 	w.onChange(&delta)
 	return true
@@ -47,7 +42,7 @@
 // names its origin, from. It returns false when changes between the known
 // revision and d.After are missing.
 func (w *Watcher) ApplyTargets(d Delta, full bool, from string) bool {
-	page := platform.Page{Revision: d.Revision}
+	objects := make([]platform.Object, 0, len(d.Items))
 	kept := make(map[string]time.Duration)
 	for _, item := range d.Items {
 		o := platform.Object{Name: item.Deleted, Deleted: true}
@@ -57,7 +52,7 @@
 		if item.KeptFor > 0 {
 			kept[o.Name] = min(item.KeptFor, recoveryGrace)
 		}
-		page.Objects = append(page.Objects, o)
+		objects = append(objects, o)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -72,12 +67,13 @@
 	if full {
 		keepUntil = w.rewriteEnd()
 	}
-	w.apply(page, full, keepUntil)
+	changes := w.decodeEntries(objects)
+	w.apply(changes, d.Revision, full, keepUntil)
 	for name, d := range kept {
 		w.expiring[name] = time.Now().Add(d)
 	}
 	if !full {
-		w.recordDelta(d)
+		w.recordDelta(newDelta(d.After, d.Revision, changes))
 	}
 	w.log.Info().Uint64("store-era", d.Revision.Era).Uint64("targets-revision", d.Revision.Number).Bool("all", full).
 		Str("from", from).Int("kept", len(kept)).Msg("targets received from another router")
@@ -171,31 +167,25 @@
 	w.publishTargets()
 }
 
-// apply applies a page to the entries and publishes the result; full is set for a
-// list of all targets. Missing entries are kept until keepUntil. It reports whether the
-// page holds any objects. w.mu must be held.
-func (w *Watcher) apply(page platform.Page, full bool, keepUntil time.Time) bool {
-	listed := make(map[string]bool, len(page.Objects))
+// apply applies changes up to a revision to the entries and publishes the result; full is set
+// for a list of all targets. Missing entries are kept until keepUntil. w.mu must be held.
+func (w *Watcher) apply(changes []entryChange, revision state.Revision, full bool, keepUntil time.Time) {
+	listed := make(map[string]bool, len(changes))
 	changed := false
-	for _, o := range page.Objects {
-		if o.Deleted {
-			changed = w.remove(o.Name, keepUntil) || changed
+	for _, c := range changes {
+		if c.deleted {
+			changed = w.remove(c.name, keepUntil) || changed
 			continue
 		}
-		target, err := platform.DecodeTarget(o)
-		if err != nil {
-			w.log.Info().Err(err).Msg("target entry skipped")
-			target = nil
-		}
-		old := w.entries[o.Name]
-		if target != nil && old.target != nil && w.supersedes(old.target, target) {
+		old := w.entries[c.name]
+		if c.target != nil && old.target != nil && w.supersedes(old.target, c.target) {
 			continue
 		}
-		listed[o.Name] = true
-		w.recordState(old.target, target, !full || o.Revision > w.eraBase)
-		delete(w.expiring, o.Name)
-		changed = changed || !bytes.Equal(old.raw, o.Raw)
-		w.entries[o.Name] = entry{raw: o.Raw, target: target}
+		listed[c.name] = true
+		w.recordState(old.target, c.target, !full || c.revision > w.eraBase)
+		delete(w.expiring, c.name)
+		changed = changed || !bytes.Equal(old.raw, c.raw)
+		w.entries[c.name] = entry{raw: c.raw, target: c.target}
 	}
 	if full {
 		for name := range w.entries {
@@ -204,8 +194,8 @@
 			}
 		}
 	}
-	if w.revision.Before(page.Revision) {
-		w.revision = page.Revision
+	if w.revision.Before(revision) {
+		w.revision = revision
 	}
 	if full && changed {
 		w.recentDeltas, w.recentAfter, w.listRevision = nil, w.revision, w.revision
@@ -213,7 +203,6 @@
 	if changed || w.View().Targets.Revision != w.revision {
 		w.publishTargets()
 	}
-	return len(page.Objects) > 0
 }
 
 // supersedes reports whether a known incarnation is later than the one that the store lists
