Bound the memory of the changes of targets that are kept for other routers

A router kept the entries of the last 256 changes of targets whatever their size.

An entry that describes no usable target is now kept and passed on by its name only: nothing else of it is needed, and routers compare what they keep, so they still agree. The kept changes are bounded by 4 MB as well as by their number; a router that is further behind gets all targets, as with too many changes.

That the process runs out of memory was not tried.

--- a/internal/fleet/storewatch/entries.go
+++ b/internal/fleet/storewatch/entries.go
@@ -25,6 +25,8 @@
 			var err error
 			if c.target, err = platform.DecodeTarget(o); err != nil {
 				w.log.Info().Err(err).Msg("target entry skipped")
+				// Nothing else of it is needed, and it may be large.
+				c.raw = platform.UnusableTarget(o.Name)
 			}
 		}
 		if c.name != "" {
@@ -34,6 +36,31 @@
 	return changes
 }
 
+// recordDelta keeps a delta for Snapshot. w.mu must be held.
+func (w *Watcher) recordDelta(d Delta) {
+	w.recentDeltas = append(w.recentDeltas, d)
+	w.recentBytes += d.size()
+	for len(w.recentDeltas) > maxRecentDeltas || (w.recentBytes > maxRecentBytes && len(w.recentDeltas) > 0) {
+		w.recentAfter = w.recentDeltas[0].Revision
+		w.recentBytes -= w.recentDeltas[0].size()
+		w.recentDeltas = w.recentDeltas[1:]
+	}
+}
+
+// dropDeltas forgets the deltas that were kept up to a revision. w.mu must be held.
+func (w *Watcher) dropDeltas(revision state.Revision) {
+	w.recentDeltas, w.recentBytes, w.recentAfter = nil, 0, revision
+}
+
+// size returns the bytes of the entries and names.
+func (d *Delta) size() int {
+	size := 0
+	for _, item := range d.Items {
+		size += len(item.Entry) + len(item.Deleted)
+	}
+	return size
+}
+
 // newDelta returns changes after a revision up to another for other routers.
 func newDelta(after, revision state.Revision, changes []entryChange) Delta {
 	d := Delta{After: after, Revision: revision}
--- a/internal/fleet/storewatch/entries_test.go
+++ b/internal/fleet/storewatch/entries_test.go
@@ -1,6 +1,7 @@
 package storewatch_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -153,3 +154,30 @@
 	f.ApplyTargets(storewatch.Delta{Revision: at(1)}, true, "other")
 	return f
 }
+
+// Guards against a router that runs out of memory, and whose snapshots are too large for
+// others, because large entries change often.
+func TestLargeEntriesAreNotKept(t *testing.T) {
+	large := strings.Repeat("x", 900_000)
+	for name, spec := range map[string]string{
+		"odd":   `{"service":"s","state":"%d","more":"` + large + `"}`,
+		"sound": `{"service":"s","address":"10.0.0.1:80","state":"ready","born":%d,"more":"` + large + `"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFollower(t)
+			for n := range uint64(20) {
+				entry := platformtest.Entry("i-1", fmt.Sprintf(spec, n))
+				f.ApplyTargets(storewatch.Delta{
+					After: at(n + 1), Revision: at(n + 2), Items: []storewatch.TargetChange{{Entry: entry}},
+				}, false, "other")
+			}
+			for _, after := range []uint64{0, 1, 10} {
+				size := 0
+				for _, change := range f.Snapshot(0, at(after)).Targets.Items {
+					size += len(change.Entry)
+				}
+				f.Assert(size < 8<<20, qt.IsTrue, qt.Commentf("%d bytes after revision %d", size, after))
+			}
+		})
+	}
+}
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -110,7 +110,7 @@
 		return
 	}
 	w.revision, w.listRevision = r, r
-	w.recentDeltas, w.recentAfter = nil, r
+	w.dropDeltas(r)
 	w.eraSince, w.eraBase = time.Now(), r.Number
 	if known.Era == 0 {
 		return // This is the first answer of the store with an era.
@@ -144,15 +144,6 @@
 	return minTime(w.targetWatch.recoveredAt.Add(recoveryGrace), time.Now().Add(w.maxRetention))
 }
 
-// recordDelta keeps a delta for Snapshot. w.mu must be held.
-func (w *Watcher) recordDelta(d Delta) {
-	w.recentDeltas = append(w.recentDeltas, d)
-	if len(w.recentDeltas) > maxRecentDeltas {
-		w.recentAfter = w.recentDeltas[0].Revision
-		w.recentDeltas = w.recentDeltas[1:]
-	}
-}
-
 // AdvanceRevision advances the known revision when another router has the same
 // targets, by their digest, as of a later revision of the same era. A later era takes a
 // snapshot, which tells which of the targets the store has lost.
@@ -198,7 +189,8 @@
 		w.revision = revision
 	}
 	if full && changed {
-		w.recentDeltas, w.recentAfter, w.listRevision = nil, w.revision, w.revision
+		w.dropDeltas(w.revision)
+		w.listRevision = w.revision
 	}
 	if changed || w.View().Targets.Revision != w.revision {
 		w.publishTargets()
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -56,8 +56,10 @@
 	// heartbeatsToLapse is the number of heartbeats after which the entry of a target that
 	// has gone has expired.
 	heartbeatsToLapse = 4
-	// maxRecentDeltas is the number of deltas of targets kept for other routers.
+	// maxRecentDeltas is the number of deltas of targets kept for other routers, and
+	// maxRecentBytes bounds their entries.
 	maxRecentDeltas = 256
+	maxRecentBytes  = 4 << 20
 	// originStore names the store as the origin of a configuration.
 	originStore = "store"
 	// sweepInterval is how often entries past their retention are removed.
@@ -99,6 +101,7 @@
 		// recentDeltas holds all deltas after revision recentAfter, oldest first.
 		recentDeltas []Delta
 		recentAfter  state.Revision
+		recentBytes  int
 		// listRevision is the revision of the last full list of targets.
 		listRevision state.Revision
 		// expiring holds the time until which each missing entry is kept.
