List a kind again when its changes cannot be read

A router followed no more changes once a watch returned what it can't read: an entry whose bytes don't show where it ends, or more changes of large entries than the 8 MB that it reads, as after an outage of the store. It repeated the watch from the same revision, which returns the same, even when the entry was long gone.

It now lists the kind after such an answer, since a list holds only what exists now, in pages of about 1 MB. While the listed entries can't be told apart either, the list is repeated with the same pauses as before and the last known state stays in use.

TestUnreadableWatchIsFollowedByAList failed before in both cases: no change known after 5 s.

--- a/internal/fleet/storewatch/entries_test.go
+++ b/internal/fleet/storewatch/entries_test.go
@@ -181,3 +181,30 @@
 		})
 	}
 }
+
+// Guards against a router that asks again and again for changes that it cannot read, although
+// a list no longer holds them.
+func TestUnreadableWatchIsFollowedByAList(t *testing.T) {
+	for name, write := range map[string]func(s *platformtest.Store, kind string){
+		"not delimited": func(s *platformtest.Store, kind string) {
+			s.SetRaw(kind, "odd", `{"metadata":{"name":"odd"},"spec":{`)
+			s.Remove(kind, "odd")
+		},
+		"more than is read": func(s *platformtest.Store, kind string) {
+			for n := range 10 {
+				s.Set(kind, "odd", fmt.Sprintf("[%d,%q]", n, strings.Repeat("x", 900_000)))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, true)
+			f.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.Configuration(1))
+			f.eventually("the first configuration", func() bool { return f.version() == 1 })
+			f.store.Fail(503)
+			write(f.store, platformtest.KindTargets)
+			write(f.store, platformtest.KindConfigurations)
+			f.store.Fail(0)
+			f.assertFollows()
+		})
+	}
+}
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -273,6 +273,24 @@
 	return 0
 }
 
+// read lists a kind, or watches it after a revision; the first list is a cached one. A watch
+// that repeats a failed call does not wait.
+func (w *Watcher) read(
+	ctx context.Context, s *watchState, revision state.Revision, full, cached, repeats bool, shouldWatch func() bool,
+) (platform.Page, error) {
+	switch {
+	case cached:
+		// A cached list is sufficient at the start: later changes arrive with
+		// the first watch, or from routers that have them.
+		return w.store.ListCached(ctx, s.kind)
+	case full:
+		return w.store.List(ctx, s.kind)
+	case repeats:
+		return w.store.Watch(ctx, s.kind, revision.Number, 0)
+	}
+	return w.store.Watch(ctx, s.kind, revision.Number, w.awaitNextCall(ctx, s, shouldWatch))
+}
+
 // listAndWatch lists a kind and then watches it until ctx is done. It passes each
 // page to apply, with full set for a list; apply returns false for a stale list.
 func (w *Watcher) listAndWatch(
@@ -282,21 +300,8 @@
 	backoff := objects.Backoff{Base: retryBaseDelay, Max: retryMaxDelay}
 	failures, staleAnswers, started, full := 0, 0, false, true
 	for ctx.Err() == nil {
-		var page platform.Page
-		var err error
 		cached := full && !started
-		switch {
-		case cached:
-			// A cached list is sufficient at the start: later changes arrive with
-			// the first watch, or from routers that have them.
-			page, err = w.store.ListCached(ctx, s.kind)
-		case full:
-			page, err = w.store.List(ctx, s.kind)
-		case failures > 0:
-			page, err = w.store.Watch(ctx, s.kind, revision.Number, 0)
-		default:
-			page, err = w.store.Watch(ctx, s.kind, revision.Number, w.awaitNextCall(ctx, s, shouldWatch))
-		}
+		page, err := w.read(ctx, s, revision, full, cached, failures > 0, shouldWatch)
 		if errors.Is(err, objects.ErrTooOld) {
 			w.log.Info().Str("kind", s.kind).Stringer("revision", revision).
 				Msg("watch revision not in the store's history, listing again")
@@ -305,6 +310,9 @@
 		}
 		if err != nil {
 			failures++
+			// The same watch would return the same again; a list need not hold the objects that
+			// cannot be read.
+			full = full || errors.Is(err, platform.ErrUnreadable)
 			w.recordFailure(s, err)
 			_ = objects.Sleep(ctx, backoff.Delay(failures))
 			continue
