Skip peer addresses that no router has

An entry of another writer among those of the routers became a peer if it held any text as its address: port zero, an address that means the router itself, or IPv6, where beacons are sent over IPv4 only. Such peers are never live, but each makes a router wait longer at its start and send its regular beacons less often. A beacon that states an IPv6 address as its sender's ended the process: choosing a relay among the live peers of a failure domain asks for the four bytes of each address.

Peers are known by the text of their address, so it must be the usual one (no leading zeros in the port).

--- a/internal/peer/gossip/peers.go
+++ b/internal/peer/gossip/peers.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	peerv1 "hickoryrock/api/peer/v1"
 )
 
@@ -18,7 +20,7 @@
 }
 
 // AddPeer adds a peer, which may or may not be running, and introduces this router to
-// it. It ignores this router's own address and logs addresses that are not IP:port.
+// it. It ignores this router's own address and logs addresses that are not IPv4:port.
 func (f *Fleet) AddPeer(peerAddress string) {
 	if peerAddress == f.self.PeerAddress {
 		return
@@ -29,7 +31,7 @@
 	if known {
 		return
 	}
-	address, err := netip.ParseAddrPort(peerAddress)
+	address, err := parsePeerAddress(peerAddress)
 	if err != nil {
 		f.log.Warn().Err(err).Str("address", peerAddress).Msg("peer address skipped")
 		return
@@ -43,6 +45,20 @@
 	f.greet(address)
 }
 
+// parsePeerAddress returns the address of another router, or an error if it is not the IPv4
+// address and port of one host as Go writes it: peers are known by its text.
+func parsePeerAddress(text string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, eris.Errorf("%.60q is not IP:port", text)
+	}
+	ip := address.Addr()
+	if !ip.Is4() || ip.IsUnspecified() || ip.IsMulticast() || address.Port() == 0 || address.String() != text {
+		return netip.AddrPort{}, eris.Errorf("%.60q is not the address of one host", text)
+	}
+	return address, nil
+}
+
 // LiveCount returns the number of live routers, this one included.
 func (f *Fleet) LiveCount() int {
 	f.mu.Lock()
