Keep the age of an old crash in beacons

A quarantine record whose last crash was more than 49 days ago looked newer to the routers that learned of it from a beacon: its age in milliseconds was cut to 32 bits. Complete answers later than the real crash then did not release the part there. The age is now the longest that a beacon can hold.

TestOldCrashesStayOld failed before: the other router knew a last crash an hour old instead of 49 days.

--- a/internal/peer/gossip/quarantine.go
+++ b/internal/peer/gossip/quarantine.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
 	peerv1 "hickoryrock/api/peer/v1"
@@ -50,8 +51,10 @@
 	}
 }
 
-// ageMS returns the time since at in milliseconds.
-func ageMS(at, now time.Time) uint32 { return uint32(max(now.Sub(at), 0).Milliseconds()) }
+// ageMS returns the time since at in milliseconds, or the longest that a beacon can hold.
+func ageMS(at, now time.Time) uint32 {
+	return uint32(min(max(now.Sub(at), 0).Milliseconds(), math.MaxUint32))
+}
 
 func timeBefore(now time.Time, ageMS uint32) time.Time {
 	return now.Add(-time.Duration(ageMS) * time.Millisecond)
--- a/internal/peer/gossip/reports_test.go
+++ b/internal/peer/gossip/reports_test.go
@@ -50,3 +50,18 @@
 	f.eventually("the record is known", func() bool { return standing(late, 9) == quarantine.Quarantined })
 	f.Assert(late.quarantine.Records(time.Now())[0].Crashes, qt.Equals, 4)
 }
+
+// Guards against a record whose age exceeds what a beacon can hold and that looks new to
+// others.
+func TestOldCrashesStayOld(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.start("a", f.storeAddress), f.start("b", f.storeAddress)
+	a.AddPeer(b.address)
+	f.eventually("the routers know each other", func() bool { return a.LiveCount() == 2 && b.LiveCount() == 2 })
+	now := time.Now()
+	// An hour more than the milliseconds that 32 bits hold.
+	crashed := now.Add(-(1<<32)*time.Millisecond - time.Hour)
+	a.quarantine.Restore([]quarantine.Record{{Part: 9, Crashes: 4, LastCrash: crashed, LastSeen: now}}, now)
+	f.eventually("the record is known", func() bool { return len(b.quarantine.Records(time.Now())) == 1 })
+	f.Assert(now.Sub(b.quarantine.Records(now)[0].LastCrash) > 1000*time.Hour, qt.IsTrue)
+}
