Ignore quarantine records that no router has written

A record of another writer could condemn a prompt part for good: with its last crash in the future no complete answer counts as later, and the record overrode answers that the router had just seen.

The tracker ignores records more than an hour ahead of its clock, and takes the others as of now at the latest, for the last crash as for the last call.

--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -32,6 +32,9 @@
 	// quarantined part are let through again. Until recordTTL, one more crash is enough.
 	quarantineTTL = 10 * time.Minute
 	recordTTL     = 24 * time.Hour
+	// maxClockSkew is the time by which the clock of another VM may be ahead. A record that is
+	// later than that was not written by a router.
+	maxClockSkew = time.Hour
 	// answerTTL is the time for which the last complete answer with a part is remembered.
 	answerTTL = 30 * time.Second
 	// defaultSettleTime is the age from which a crash counts, so that the answers that
--- a/internal/policy/quarantine/report.go
+++ b/internal/policy/quarantine/report.go
@@ -139,27 +139,34 @@
 		t.outbox.addAnswer(Answer{r.Part, answered})
 		return
 	}
-	if now.Sub(r.LastSeen) > recordTTL {
+	if now.Sub(r.LastSeen) > recordTTL || later(r.LastCrash, r.LastSeen).Sub(now) > maxClockSkew {
 		return
 	}
 	isNew := t.records[r.Part] == nil
 	known := t.record(r.Part)
 	known.Crashes = max(known.Crashes, r.Crashes)
-	if r.LastCrash.After(known.LastCrash) {
-		known.LastCrash = r.LastCrash
-	}
-	if seen := r.LastSeen; seen.After(known.LastSeen) {
-		known.LastSeen = seen
-		if seen.After(now) {
-			known.LastSeen = now
-		}
-	}
+	known.LastCrash = later(known.LastCrash, earlier(r.LastCrash, now))
+	known.LastSeen = later(known.LastSeen, earlier(r.LastSeen, now))
 	if isNew {
 		t.opts.OnChange(Change{Record: *known, Reported: true})
 		t.signalChange()
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // addCrash queues a crash. The calls that it has cut are reported together.
 func (o *outbox) addCrash(c Crash) {
 	defer o.signal()
