Read chunked bodies under the largest limit

A configuration whose limit for bodies is the largest integer, as one who wants no limit may write it, ended each router at its first request with a chunked body: one more than the limit is negative, and the semaphore for the memory of bodies panics.

TestLargestBodyLimit failed before: "panic: semaphore: n < 0". The sums now stay within the limit.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -234,7 +234,7 @@
 	}
 	initial := max(req.Length, 0)
 	if req.Length < 0 {
-		initial = min(bodyChunkBytes, limit+1)
+		initial = min(bodyChunkBytes-1, limit) + 1 // The limit may be the largest integer.
 	}
 	if !s.bodyMemory.TryAcquire(initial) {
 		return nil, 0, errBodyMemory
@@ -276,7 +276,7 @@
 		}
 		// Double the buffer, so that large bodies are copied rarely, up to one byte over the limit,
 		// which shows that the body exceeds it.
-		more := min(reserved, limit+1-reserved)
+		more := min(reserved-1, limit-reserved) + 1
 		if !s.bodyMemory.TryAcquire(more) {
 			return nil, reserved, errBodyMemory
 		}
--- a/internal/caller/ingress/ingress_test.go
+++ b/internal/caller/ingress/ingress_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -44,10 +45,14 @@
 }
 
 func newFixture(t *testing.T, opts ...ingress.Option) *fixture {
+	return newFixtureWithLimit(t, bodyLimit, opts...)
+}
+
+func newFixtureWithLimit(t *testing.T, bodyBytes int64, opts ...ingress.Option) *fixture {
 	f := &fixture{C: qt.New(t), blockingHandler: blockingHandler{make(chan int, 10), make(chan struct{}, 10)}}
 	limits := func() state.Limits {
 		return state.Limits{
-			HeaderBytes: 1 << 10, BodyBytes: bodyLimit, HeaderTimeout: time.Second, IdleTimeout: time.Second,
+			HeaderBytes: 1 << 10, BodyBytes: bodyBytes, HeaderTimeout: time.Second, IdleTimeout: time.Second,
 		}
 	}
 	f.server = ingress.New(f.blockingHandler, limits, zerolog.Nop(), append(opts, ingress.WithBodyMemory(bodyMemory))...)
@@ -149,3 +154,12 @@
 	_, err = unusedReader.ReadByte()
 	f.Assert(err, qt.Equals, io.EOF)
 }
+
+// Guards against a configuration whose limit for bodies ends the process at the first chunked
+// request.
+func TestLargestBodyLimit(t *testing.T) {
+	f := newFixtureWithLimit(t, math.MaxInt64)
+	f.proceed <- struct{}{}
+	f.assertStatus(f.send(chunkedRequest(100<<10)), 200)
+	f.Assert(<-f.received, qt.Equals, 100<<10)
+}
