Test that routers agree beside odd entries

Two routers, one of which the store refuses, and a third that starts later, keep the same targets, by their digest, through the coming and going of eight odd entries, and while a known target's entry is one.

--- a/internal/peer/gossip/entries_test.go
+++ b/internal/peer/gossip/entries_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -48,3 +49,52 @@
 		return len(a.watcher.View().Targets.ByService["s"]) == 1 && len(b.watcher.View().Targets.ByService["s"]) == 1
 	})
 }
+
+// Guards against routers that disagree on their targets, or learn nothing more from each other,
+// because of entries of other writers.
+func TestChangesSpreadBesideOddEntries(t *testing.T) {
+	f := newFixture(t)
+	f.configure(1)
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	small := strings.Repeat("[", 300) + strings.Repeat("]", 300)
+	a, b := f.start("a", f.storeAddress), f.start("b", f.failingStoreAddress)
+	b.AddPeer(a.address)
+	assertAgree := func(what string, targets int) {
+		f.Helper()
+		f.eventually(what, func() bool {
+			ours, theirs := a.watcher.View().Targets, b.watcher.View().Targets
+			return len(ours.ByService["s"]) == targets && len(theirs.ByService["s"]) == targets &&
+				ours.Digest == theirs.Digest && ours.Revision == theirs.Revision && ours.Revision.Number == f.store.Revision()
+		})
+	}
+	f.target("i-1", "ready")
+	assertAgree("both know the target", 1)
+	for name, raw := range map[string]string{
+		"odd-nested":  string(platformtest.Entry("odd-nested", deep)),
+		"odd-small":   string(platformtest.Entry("odd-small", small)),
+		"odd-number":  string(platformtest.Entry("odd-number", `{"slots":NaN}`)),
+		"odd-large":   string(platformtest.Entry("odd-large", `"`+strings.Repeat("x", 1_000_000)+`"`)),
+		"odd-utf8":    "{\"metadata\":{\"name\":\"odd-utf8\"},\"spec\":{\"service\":\"\xff\"}}",
+		"odd-name":    "{\"metadata\":{\"name\":\"\xff\"}}",
+		"odd-unnamed": `{"metadata":{"name":5}}`,
+		"odd-null":    `null`,
+	} {
+		f.store.SetRaw(platformtest.KindTargets, name, raw)
+		assertAgree("both have seen "+name, 1)
+	}
+	f.store.SetRaw(platformtest.KindTargets, "i-1", string(platformtest.Entry("i-1", deep)))
+	assertAgree("neither uses the target", 0)
+	f.target("i-1", "ready")
+	f.target("i-2", "ready")
+	assertAgree("both know two targets", 2)
+	late := f.start("late", f.failingStoreAddress)
+	late.AddPeer(a.address)
+	f.eventually("a router that starts later knows them", func() bool {
+		targets := late.watcher.View().Targets
+		return len(targets.ByService["s"]) == 2 && targets.Digest == a.watcher.View().Targets.Digest
+	})
+	f.store.Remove(platformtest.KindTargets, "odd-nested")
+	f.store.Remove(platformtest.KindTargets, "odd-unnamed")
+	f.store.Remove(platformtest.KindTargets, "i-2")
+	assertAgree("both know that one target and two odd entries have left", 1)
+}
