--- a/internal/caller/ingress/linger_test.go
+++ b/internal/caller/ingress/linger_test.go
@@ -37,9 +37,9 @@
 // Guards against a close with unread bytes of the caller, which resets the connection and
 // loses the end of a response that the caller has not received.
 func TestLastResponseIsCompleteAlthoughTheCallerSendsMore(t *testing.T) {
-	c := qt.New(t)
+	c := newFixture(t)
 	handler := largeResponse{bytes.Repeat([]byte("x"), 2<<20)}
-	server := ingress.New(handler, testLimits, zerolog.Nop())
+	server := ingress.New(handler, c.limits, zerolog.Nop())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
