Count connections that are being accepted when a listener is closed

A stopping router that had just accepted a connection, and waited for a processor before it counted it, could take itself for idle, end, and reset the connection with its request.

The accepting goroutine and the one that closes the listener did not wait for each other. Now closing a listener waits until its accept loop has returned, so all accepted connections are counted. In the test, Accept returns late; before, no connection was counted when the listener was closed (0 instead of 1).

--- a/internal/caller/ingress/accept.go
+++ b/internal/caller/ingress/accept.go
@@ -14,6 +14,11 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) {
+	done := make(chan struct{})
+	defer close(done)
+	s.mu.Lock()
+	s.serving[l] = done
+	s.mu.Unlock()
 	for {
 		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -29,13 +34,22 @@
 }
 
 // CloseListener closes a listener after it has accepted the connections that callers have
-// established: the kernel resets those that are not accepted.
+// established: the kernel resets those that are not accepted. When it returns, Connections counts
+// all that were accepted.
 func (s *Server) CloseListener(l net.Listener) error {
 	pending, err := acceptPending(l)
 	for _, c := range pending {
 		s.serveAccepted(c)
 	}
-	return errors.Join(err, l.Close())
+	err = errors.Join(err, l.Close())
+	s.mu.Lock()
+	done := s.serving[l]
+	delete(s.serving, l)
+	s.mu.Unlock()
+	if done != nil {
+		<-done // Serve may have accepted a connection that it has not counted yet.
+	}
+	return err
 }
 
 func (s *Server) serveAccepted(c net.Conn) {
--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -80,6 +80,8 @@
 
 		mu    sync.Mutex
 		conns map[*conn]struct{}
+		// serving holds, for each listener, what is closed when Serve returns.
+		serving map[net.Listener]chan struct{}
 	}
 
 	conn struct {
@@ -102,6 +104,7 @@
 func New(handler Handler, limits func() state.Limits, log zerolog.Logger, opts ...Option) *Server {
 	s := &Server{
 		handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{}),
+		serving:    make(map[net.Listener]chan struct{}),
 		bodyMemory: semaphore.NewWeighted(defaultBodyMemory), closeDelay: defaultCloseDelay,
 	}
 	s.stopped, s.stop = context.WithCancelCause(context.Background())
