Log no call as done whose response was not written

A call whose caller had stopped reading, or whose connection broke while its response was written, was logged and counted as done, although the caller got a part of the response at most. Those who looked for cut calls in the log did not find them, and the times of such calls counted for how long a route's calls are expected to last when a router stops.

The reason "done" went by the target's response alone. It now needs the writes to the caller to have succeeded; otherwise the reason is "caller-gone", as for other callers that have left. The test, with a caller that reads nothing, failed before with "reason":"done".

--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -260,7 +260,7 @@
 	if !errors.Is(context.Cause(ctx), ingress.ErrCallerClosed) {
 		return false
 	}
-	c.reason = "caller-gone"
+	c.reason = reasonCallerGone
 	c.writer.Abort()
 	return true
 }
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -11,6 +11,15 @@
 	"hickoryrock/internal/wire/http1"
 )
 
+// reasonCallerGone is the reason of calls whose caller has disconnected or does not read.
+const reasonCallerGone = "caller-gone"
+
+// hasSuccess reports whether the target returned a successful response.
+func (c *call) hasSuccess() bool { return c.status/100 == 2 && c.progress.Outcome == Responded }
+
+// isDone reports whether a successful response was written to the caller to its end.
+func (c *call) isDone() bool { return c.hasSuccess() && !c.writer.WriteFailed() }
+
 // record updates the metrics and writes the call's log line.
 func (c *call) record() {
 	elapsed := time.Since(c.start)
@@ -23,8 +32,11 @@
 		configuration = c.view.Configuration.Version
 	}
 	reason := c.reason
-	if c.status/100 == 2 && c.progress.Outcome == Responded {
+	switch {
+	case c.isDone():
 		reason = "done"
+	case c.hasSuccess():
+		reason = reasonCallerGone
 	}
 	metrics.GetOrCreateCounter(`hickoryrock_calls_total{reason="` + reason + `",status="` +
 		strconv.Itoa(c.status) + `"}`).Inc()
--- a/internal/fleet/forward/shutdown.go
+++ b/internal/fleet/forward/shutdown.go
@@ -147,8 +147,7 @@
 
 // recordTime records how long a call took that got a response or reached its deadline.
 func (c *call) recordTime(took time.Duration) {
-	isComplete := c.progress.Outcome == Responded && c.status/100 == 2
-	if c.route != nil && c.progress.PossibleExecutions > 0 && (isComplete || c.reason == reasonTimeout) {
+	if c.route != nil && c.progress.PossibleExecutions > 0 && (c.isDone() || c.reason == reasonTimeout) {
 		c.h.callTimes.add(c.route.Name, took)
 	}
 }
