--- a/internal/fleet/forward/shutdown.go
+++ b/internal/fleet/forward/shutdown.go
@@ -67,17 +67,16 @@
 	r.count++
 }
 
-// expected returns the time in which nearly all calls of a route end, and false until it is
-// known.
-func (t *callTimes) expected(route string) (time.Duration, bool) {
+// expected returns the time in which nearly all calls of a route end, or zero until it is known.
+func (t *callTimes) expected(route string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.routes[route]
 	if r == nil || r.count < minRecentCalls {
-		return 0, false
+		return 0
 	}
 	sorted := slices.Sorted(slices.Values(r.times[:min(r.count, recentCalls)]))
-	return sorted[int(math.Ceil(expectedQuantile*float64(len(sorted))))-1], true
+	return sorted[int(math.Ceil(expectedQuantile*float64(len(sorted))))-1]
 }
 
 // Admits reports whether a stopping router should take a call at a time: one that surely ends
@@ -112,7 +111,7 @@
 	if s == nil {
 		return false
 	}
-	c.expected, _ = c.h.callTimes.expected(c.route.Name)
+	c.expected = c.h.callTimes.expected(c.route.Name)
 	if s.Admits(c.start, timeout, c.expected) {
 		return false
 	}
@@ -127,7 +126,7 @@
 	if s == nil || c.progress.PossibleExecutions > 0 {
 		return false
 	}
-	c.expected, _ = c.h.callTimes.expected(c.route.Name)
+	c.expected = c.h.callTimes.expected(c.route.Name)
 	if now := time.Now(); s.endsInTime(now, c.deadline.Sub(now), c.expected) {
 		return false
 	}
