End writes to callers that do not read when a router stops

A call whose caller did not read, or read slowly, when the grace period was over had no log line: its write went on for up to 5 s, and the process ended before the call did.

Stopping ended the contexts of calls but not their writes. Now the writes in progress, and those that begin later, have 50 ms, which is within the time for which the stop waits for calls to end.

--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -89,7 +89,7 @@
 		server *Server
 		reader *bufio.Reader
 
-		// mu guards idle and calls, and the read deadline while idle is true.
+		// mu guards idle and calls, the write deadline, and the read deadline while idle is true.
 		mu sync.Mutex
 		// idle is true while no call is being read or served.
 		idle bool
@@ -120,8 +120,16 @@
 // Active returns the number of calls that are being read or served.
 func (s *Server) Active() int64 { return s.active.Load() }
 
-// Stop ends the calls in progress. Their handlers see ErrStopped as the cause.
-func (s *Server) Stop() { s.stop(ErrStopped) }
+// Stop ends the calls in progress. Their handlers see ErrStopped as the cause; writes to callers
+// that do not read fail soon.
+func (s *Server) Stop() {
+	s.stop(ErrStopped)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.limitWrite()
+	}
+}
 
 // Connections returns the number of open connections.
 func (s *Server) Connections() int {
@@ -216,7 +224,7 @@
 		return false
 	}
 	response := &ResponseWriter{
-		conn: c.Conn, closeAfter: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining, sequence: c.calls,
+		conn: c, closeAfter: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining, sequence: c.calls,
 	}
 	body, reserved, err := s.readBody(c, req, limits.BodyBytes)
 	if err != nil {
@@ -283,7 +291,7 @@
 		return nil, 0, errBodyMemory
 	}
 	if req.ExpectContinue {
-		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // That of an earlier response may have passed.
+		c.limitWrite() // The deadline of an earlier response may have passed.
 		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, initial, eris.Wrap(err, "send 100 Continue")
 		}
@@ -363,7 +371,7 @@
 	if status == 0 {
 		return
 	}
-	response := &ResponseWriter{conn: c.Conn, closeAfter: true}
+	response := &ResponseWriter{conn: c, closeAfter: true}
 	response.Respond(status, http.StatusText(status), fields, nil)
 	c.lingers = true
 }
--- a/internal/caller/ingress/response.go
+++ b/internal/caller/ingress/response.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// writeTimeout bounds each write to a caller that does not read.
-	writeTimeout = 5 * time.Second
+	// writeTimeout bounds each write to a caller that does not read, stopWriteTimeout the
+	// writes that are in progress or begin when the server has stopped.
+	writeTimeout     = 5 * time.Second
+	stopWriteTimeout = 50 * time.Millisecond
 	// retryAfterBase and retryAfterJitter determine the Retry-After of a rejected
 	// call. The delay is short, since callers spend at most a third of their time
 	// budget waiting, and randomized to spread the retries.
@@ -34,7 +36,7 @@
 
 // ResponseWriter writes the response to one call. It must not be used concurrently.
 type ResponseWriter struct {
-	conn        net.Conn
+	conn        *conn
 	method      string
 	sequence    int
 	closeAfter  bool
@@ -92,7 +94,7 @@
 // Abort resets the connection, so that the caller sees an incomplete response.
 func (w *ResponseWriter) Abort() {
 	w.writeFailed = true
-	if tcp, ok := w.conn.(*net.TCPConn); ok {
+	if tcp, ok := w.conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = w.conn.Close() // The error does not matter: the caller sees a reset.
@@ -112,12 +114,23 @@
 	if w.writeFailed {
 		return
 	}
-	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.conn.limitWrite()
 	if _, err := w.conn.Write(b); err != nil {
 		w.writeFailed = true
 	}
 }
 
+// limitWrite sets the write deadline of the next write, or of the one in progress.
+func (c *conn) limitWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timeout := writeTimeout
+	if c.server.stopped.Err() != nil {
+		timeout = stopWriteTimeout
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(timeout))
+}
+
 // reusable reports whether the connection may be kept open for another call.
 func (w *ResponseWriter) reusable() bool {
 	return w.complete && !w.writeFailed && !w.closeAfter
