Ask for a pause when no other router takes a refused call

A caller whose call a stopping router refused was asked to return at once (Retry-After: 0), although no other router served, as when all stop together or the last one does. It could then repeat its call as fast as it was refused, for the rest of the grace period.

In the test, a refusal without others had "0" before.

--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -82,6 +82,8 @@
 		// Shutdown returns the router's planned stop, or nil before it is told to stop. A nil
 		// function means that it never is.
 		Shutdown func() *Shutdown
+		// OthersServe reports whether other routers serve callers. Nil means that they do.
+		OthersServe func() bool
 		// FailureDomain is the router's failure domain.
 		FailureDomain string
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
@@ -190,6 +192,9 @@
 	if config.OnLeaving == nil {
 		config.OnLeaving = func(uint64) {}
 	}
+	if config.OthersServe == nil {
+		config.OthersServe = func() bool { return true }
+	}
 	return &Handler{Config: config, responseMemory: semaphore.NewWeighted(config.ResponseMemory)}
 }
 
--- a/internal/fleet/forward/shutdown.go
+++ b/internal/fleet/forward/shutdown.go
@@ -105,7 +105,7 @@
 }
 
 // refuseIfStopping refuses a call that may last longer than the router, and reports whether it
-// did. The caller is asked to return at once, since other routers serve.
+// did.
 func (c *call) refuseIfStopping(timeout time.Duration) bool {
 	s := c.shutdown()
 	if s == nil {
@@ -115,7 +115,7 @@
 	if s.Admits(c.start, timeout, c.expected) {
 		return false
 	}
-	c.rejectWith(reasonStopping, ingress.RetryNowField())
+	c.rejectStopping()
 	return true
 }
 
@@ -130,10 +130,20 @@
 	if now := time.Now(); s.endsInTime(now, c.deadline.Sub(now), c.expected) {
 		return false
 	}
-	c.rejectWith(reasonStopping, ingress.RetryNowField())
+	c.rejectStopping()
 	return true
 }
 
+// rejectStopping responds to a call that a stopping router refuses. The caller is asked to return
+// at once if other routers serve, and otherwise after a pause.
+func (c *call) rejectStopping() {
+	if c.h.OthersServe() {
+		c.rejectWith(reasonStopping, ingress.RetryNowField())
+		return
+	}
+	c.reject(reasonStopping)
+}
+
 // logShutdown adds to a call's log line when it arrived and ended in a planned stop.
 func (c *call) logShutdown(line *zerolog.Event, now time.Time) *zerolog.Event {
 	s := c.shutdown()
--- a/internal/fleet/forward/shutdown_test.go
+++ b/internal/fleet/forward/shutdown_test.go
@@ -147,3 +147,20 @@
 		f.assertResponse(f.call("/safe/refused"), 200, "hi")
 	})
 }
+
+// Guards against callers that repeat a refused call at once, again and again, because no other
+// router serves.
+func TestRefusalOfTheLastRouterAsksForAPause(t *testing.T) {
+	now := time.Now()
+	for name, others := range map[string]bool{"others serve": true, "no other serves": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1, always("200 OK", "", "hi"), func(c *forward.Config) {
+				c.Shutdown = func() *forward.Shutdown { return &forward.Shutdown{Since: now, End: now, HeldUntil: now} }
+				c.OthersServe = func() bool { return others }
+			})
+			got := f.call("/safe/a")
+			f.assertResponse(got, 503, "")
+			f.Assert(got.Field("retry-after") == "0", qt.Equals, others)
+		})
+	}
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -122,7 +122,7 @@
 	handler := forward.New(forward.Config{
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
 		Quarantine: r.quarantine, Limits: r.targetLimits, Backoff: r.targetBackoff, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
-		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load,
+		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load, OthersServe: r.othersServe,
 		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	r.server = ingress.New(handler, r.limits, log,
@@ -245,6 +245,12 @@
 	return platform.DefaultLimits()
 }
 
+// othersServe reports whether other routers serve callers.
+func (r *Router) othersServe() bool {
+	_, others := r.fleet.LiveRouters()
+	return len(others) > 0
+}
+
 func (r *Router) gossipState() gossip.State {
 	v := r.watcher.View()
 	s := gossip.State{
