--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -82,6 +82,8 @@
 		// Shutdown returns the router's planned stop, or nil before it is told to stop. A nil
 		// function means that it never is.
 		Shutdown func() *Shutdown
+		// OthersServe reports whether other routers serve callers. Nil means that they do.
+		OthersServe func() bool
 		// FailureDomain is the router's failure domain.
 		FailureDomain string
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
@@ -192,6 +194,9 @@
 	if config.OnLeaving == nil {
 		config.OnLeaving = func(uint64) {}
 	}
+	if config.OthersServe == nil {
+		config.OthersServe = func() bool { return true }
+	}
 	return &Handler{Config: config, responseMemory: semaphore.NewWeighted(config.ResponseMemory)}
 }
 
@@ -262,7 +267,7 @@
 	if !errors.Is(context.Cause(ctx), ingress.ErrCallerClosed) {
 		return false
 	}
-	c.reason = "caller-gone"
+	c.reason = reasonCallerGone
 	c.writer.Abort()
 	return true
 }
