--- a/internal/wire/jsonsplit/jsonsplit.go
+++ b/internal/wire/jsonsplit/jsonsplit.go
@@ -18,15 +18,20 @@
 
 // Member returns the value of the last member of an object with the given name, or nil if
 // there is none or data is not an object. It does not find names that are written with escapes.
-func Member(data []byte, name string) []byte {
-	var found []byte
+func Member(data []byte, name string) []byte { return Members(data, name)[0] }
+
+// Members is Member for several names, in their order.
+func Members(data []byte, names ...string) [][]byte {
+	found := make([][]byte, len(names))
 	err := split(data, '{', '}', func(key, value []byte) {
-		if string(key) == name {
-			found = value
+		for i, name := range names {
+			if string(key) == name {
+				found[i] = value
+			}
 		}
 	})
 	if err != nil {
-		return nil
+		clear(found)
 	}
 	return found
 }
--- a/internal/wire/jsonsplit/jsonsplit_test.go
+++ b/internal/wire/jsonsplit/jsonsplit_test.go
@@ -64,6 +64,13 @@
 	}
 }
 
+func TestMembers(t *testing.T) {
+	c := qt.New(t)
+	got := jsonsplit.Members([]byte(`{"a":1,"b":[2],"c":3}`), "b", "x", "a")
+	c.Assert(got, qt.DeepEquals, [][]byte{[]byte("[2]"), nil, []byte("1")})
+	c.Assert(jsonsplit.Members([]byte(`{"a":1,"b":2`), "a", "b"), qt.DeepEquals, [][]byte{nil, nil})
+}
+
 // FuzzElements checks that valid arrays are split as encoding/json splits them.
 func FuzzElements(f *testing.F) {
 	for _, seed := range []string{`[1,{"a":[2]},"]"]`, `[[],[{}], null]`, `["\"",{"a":"\\"}]`, `[`, `{"a":1}`} {
