Measure the time since the last connection by the steady clock

A stopping router waits until no caller has connected for 1.2 s. It measured that by the time of day: a clock that steps ahead in that time ended the wait early, one that steps back prolonged it to half of the grace period.

--- a/internal/caller/ingress/accept.go
+++ b/internal/caller/ingress/accept.go
@@ -53,7 +53,8 @@
 }
 
 func (s *Server) serveAccepted(c net.Conn) {
-	s.lastAccept.Store(time.Now().UnixNano())
+	now := time.Now()
+	s.lastAccept.Store(&now)
 	accepted := &conn{Conn: c, server: s, reader: bufio.NewReaderSize(c, readBufferBytes)}
 	s.mu.Lock()
 	s.conns[accepted] = struct{}{}
--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -74,8 +74,8 @@
 		// stopped is cancelled, with ErrStopped, when calls in progress must end.
 		stopped context.Context //nolint:containedctx // Ends the calls of the whole server.
 		stop    context.CancelCauseFunc
-		// lastAccept is the time of the last accepted connection, in Unix nanoseconds.
-		lastAccept atomic.Int64
+		// lastAccept is the time of the last accepted connection, or of the server's creation.
+		lastAccept atomic.Pointer[time.Time]
 		active     atomic.Int64
 
 		mu    sync.Mutex
@@ -107,6 +107,8 @@
 		serving:    make(map[net.Listener]chan struct{}),
 		bodyMemory: semaphore.NewWeighted(defaultBodyMemory), closeDelay: defaultCloseDelay,
 	}
+	now := time.Now()
+	s.lastAccept.Store(&now)
 	s.stopped, s.stop = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(s)
@@ -138,9 +140,9 @@
 	return len(s.conns)
 }
 
-// SinceAccept returns the time since the last connection was accepted.
+// SinceAccept returns the time since the last connection was accepted, by the steady clock.
 func (s *Server) SinceAccept() time.Duration {
-	return time.Since(time.Unix(0, s.lastAccept.Load()))
+	return time.Since(*s.lastAccept.Load())
 }
 
 // CloseIdle closes each connection, now and when its call ends, on which no request arrives
