Count the checks of a stop rather than its time, and accept all that is pending

Both from a review: a stall right after the router ended its calls used up the time in which it waits for their lines, and an aborted connection ended the accepting of pending ones. What is pending is bounded against a flood.

--- a/internal/caller/ingress/accept.go
+++ b/internal/caller/ingress/accept.go
@@ -12,6 +12,10 @@
 	"github.com/rotisserie/eris"
 )
 
+// maxPending bounds the connections that are accepted when a listener is closed. It is above
+// the usual length of the kernel's queue.
+const maxPending = 8192
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) {
 	done := make(chan struct{})
@@ -74,12 +78,15 @@
 	}
 	var descriptors []int
 	err = raw.Control(func(fd uintptr) {
-		for {
+		for len(descriptors) < maxPending {
 			d, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-			if err != nil {
+			switch {
+			case errors.Is(err, syscall.ECONNABORTED), errors.Is(err, syscall.EINTR):
+			case err != nil:
 				return // None is pending, or there is no free descriptor.
+			default:
+				descriptors = append(descriptors, d)
 			}
-			descriptors = append(descriptors, d)
 		}
 	})
 	var conns []net.Conn
--- a/internal/node/edge/drain.go
+++ b/internal/node/edge/drain.go
@@ -26,10 +26,10 @@
 	defaultGrace = 8 * time.Second
 	// drainCheckInterval is how often a draining router checks whether it may stop.
 	drainCheckInterval = 50 * time.Millisecond
-	// stopTime bounds the time in which the calls that are cut end and are logged, and
-	// stopCheckInterval is how often a stopping router checks whether they have.
-	stopTime          = 100 * time.Millisecond
+	// stopCheckInterval is how often a stopping router checks whether the calls that are cut
+	// have ended and are logged, and maxStopChecks how many times it does at most.
 	stopCheckInterval = 5 * time.Millisecond
+	maxStopChecks     = 20
 )
 
 // drain keeps serving callers that hold a cached address of this router until they have
@@ -74,7 +74,8 @@
 	}
 	r.logDrain("router stops", reason)
 	r.server.Stop()
-	for stopEnd := time.Now().Add(stopTime); r.server.Active() > 0 && time.Now().Before(stopEnd); {
+	// Counted, since time also passes while the process waits for a processor.
+	for n := 0; r.server.Active() > 0 && n < maxStopChecks; n++ {
 		time.Sleep(stopCheckInterval)
 	}
 	r.logDrain("router stopped", reason)
