--- a/internal/soak/oracle/oracle.go
+++ b/internal/soak/oracle/oracle.go
@@ -60,6 +60,7 @@
 		mu       sync.Mutex
 		runs     map[string]int
 		arrivals map[string]int
+		work     map[string]*work
 		// sent holds the times at which callers sent calls in the last two retry windows;
 		// retries holds the times of arrivals after the first of each call, in the last
 		// window.
@@ -84,7 +85,7 @@
 	return &Recorder{
 		start: now, lastFaultEnd: now, runs: make(map[string]int), arrivals: make(map[string]int),
 		refused: make(map[string]string), counts: make(map[Invariant]int), outcomes: make(map[string]int),
-		disconnected: make(map[string]time.Time),
+		disconnected: make(map[string]time.Time), work: make(map[string]*work),
 	}
 }
 
@@ -152,6 +153,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[call]++
+	r.work[call] = &work{target: target}
 	atMostOnce := maxRuns == 1
 	switch {
 	case r.runs[call] > maxRuns && atMostOnce:
