Let the callers and the stops of the soak do what real ones do

The soak did not see that planned stops cut calls: its callers left an address early, made short calls, and its stops came one by one. Callers now follow from their name and the seed: they keep a lookup response for its TTL, three or ten times as long or for good, use open connections until they are closed, also at once after an answer, come all at once, send bodies slowly, in chunks, after 100 Continue or with an empty line after them, repeat what was refused, and make calls that targets work on for 0.5 to 7 s (streams with and without resume, and whole answers). Grace period and the excuse of late work are the users'.

Stops come in series before the first process is gone, at least two routers stay, with SIGHUP before and after SIGTERM, SIGTERM twice and during the start, beside configurations and replaced targets, and beside four busy processes; a draining router is also paused. -routers and -callers set their numbers.

--- a/internal/soak/scenario/command.go
+++ b/internal/soak/scenario/command.go
@@ -13,11 +13,18 @@
 const (
 	exitViolated = 1
 	exitUsage    = 2
+	// maxRouters and maxCallers bound the memory and the processes of a run.
+	maxRouters = 20
+	maxCallers = 500
 )
 
 // Main runs the soak test with command-line arguments and returns the exit
 // status: 0, 1 when an invariant was violated, 2 when it could not run.
 func Main(args []string, out, errs io.Writer) int {
+	if len(args) == 2 && args[0] == BusyCommand {
+		Busy(args[1])
+		return 0
+	}
 	flags := flag.NewFlagSet("soak", flag.ContinueOnError)
 	flags.SetOutput(errs)
 	program := flags.String("program", "bin/hickoryrock", "path of the router's binary")
@@ -26,8 +33,18 @@
 	days := flags.Int("days", 1, "number of runs, with consecutive seeds")
 	minutes := flags.Float64("minutes", 1, "minutes in which events are started in each run")
 	storeReturns := flags.Bool("store-returns", true, "let the store also come back from earlier states")
-	if flags.Parse(args) != nil || flags.NArg() > 0 || *days < 1 || *minutes <= 0 {
-		_, _ = fmt.Fprintln(errs, "usage: soak [-program P] [-logs DIR] [-seed N] [-days N] [-minutes M] [-store-returns=false]")
+	realCallers := flags.Bool("real-callers", true, "let callers and planned stops do what they do on the users' platform")
+	routers := flags.Int("routers", routerCount, "number of routers")
+	callers := flags.Int("callers", 0, "number of callers (default 24, or 60 real ones)")
+	if flags.Parse(args) != nil || flags.NArg() > 0 || *days < 1 || *minutes <= 0 ||
+		*routers < routerCount || *routers > maxRouters || *callers < 0 || *callers > maxCallers {
+		_, _ = fmt.Fprintln(errs, "usage: soak [-program P] [-logs DIR] [-seed N] [-days N] [-minutes M] [-store-returns=false] "+
+			"[-real-callers=false] [-routers 5..20] [-callers 0..500]")
+		return exitUsage
+	}
+	self, err := os.Executable()
+	if err != nil {
+		_, _ = fmt.Fprintln(errs, err)
 		return exitUsage
 	}
 	status := 0
@@ -39,6 +56,7 @@
 		}
 		report, err := Run(Options{
 			Program: *program, Dir: dir, Seed: *seed + n, StoreReturns: *storeReturns, Out: out,
+			RealCallers: *realCallers, Routers: *routers, Callers: *callers, Self: self,
 			Duration: time.Duration(*minutes * float64(time.Minute)),
 		})
 		if err != nil {
--- a/internal/soak/scenario/faults.go
+++ b/internal/soak/scenario/faults.go
@@ -31,7 +31,9 @@
 	name string
 	// planned events are not faults: invariants that assume no faults hold during them.
 	planned bool
-	run     func(tb *testbed, rng *rand.Rand, duration time.Duration)
+	// stops is set for planned stops of routers that do not reserve them.
+	stops bool
+	run   func(tb *testbed, rng *rand.Rand, duration time.Duration)
 }
 
 var events = []event{
@@ -52,8 +54,8 @@
 			r.Signal(syscall.SIGCONT)
 		}
 	}},
-	{name: "stop a router", planned: true, run: func(tb *testbed, rng *rand.Rand, _ time.Duration) { tb.restartAll(tb.pickRouters(rng, 1)) }},
-	{name: "stop routers in turn", planned: true, run: func(tb *testbed, rng *rand.Rand, _ time.Duration) {
+	{name: "stop a router", planned: true, stops: true, run: func(tb *testbed, rng *rand.Rand, _ time.Duration) { tb.restartAll(tb.pickRouters(rng, 1)) }},
+	{name: "stop routers in turn", planned: true, stops: true, run: func(tb *testbed, rng *rand.Rand, _ time.Duration) {
 		tb.restartAll(tb.pickRouters(rng, 2))
 	}},
 	{name: "change settings", planned: true, run: func(tb *testbed, rng *rand.Rand, _ time.Duration) {
@@ -132,8 +134,12 @@
 }}
 
 // plannedEvents returns the events that are planned changes.
-func plannedEvents() []event {
-	return slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
+func (tb *testbed) plannedEvents() []event {
+	planned := slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
+	if !tb.options.RealCallers {
+		return planned
+	}
+	return append(slices.DeleteFunc(planned, func(e event) bool { return e.stops }), stopEvents...)
 }
 
 func targetFault(name string, fault traffic.Fault) event {
@@ -177,9 +183,9 @@
 	}
 }
 
-// waitReady waits until a started router is ready, for at most stopGrace.
+// waitReady waits until a started router is ready, for at most its grace period.
 func (tb *testbed) waitReady(r *router) {
-	for end := time.Now().Add(stopGrace); time.Now().Before(end) && !r.isReady(); {
+	for end := time.Now().Add(r.grace); time.Now().Before(end) && !r.isReady(); {
 		time.Sleep(stepInterval / 4)
 	}
 }
@@ -234,7 +240,7 @@
 // pickProxies returns the proxies that proxyOf selects, for some random routers.
 func (tb *testbed) pickProxies(rng *rand.Rand, proxyOf func(*router) *faultproxy.Proxy) []*faultproxy.Proxy {
 	var proxies []*faultproxy.Proxy
-	for _, r := range tb.pickRouters(rng, 1+rng.IntN(routerCount)) {
+	for _, r := range tb.pickRouters(rng, 1+rng.IntN(len(tb.routers))) {
 		proxies = append(proxies, proxyOf(r))
 	}
 	return proxies
--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -1,10 +1,12 @@
 package scenario
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +15,13 @@
 )
 
 const (
-	callerCount = 24
+	// defaultCallers and defaultRealCallers are the numbers of callers; calls of real ones
+	// last longer.
+	defaultCallers     = 24
+	defaultRealCallers = 60
+	// realPlannedRounds is how often planned events start together in a planned phase with
+	// real callers.
+	realPlannedRounds = 2
 	// startupTime is the time that the fleet gets to start before the first event.
 	startupTime = 2 * time.Second
 	// minFaultPhase and maxFaultPhase bound the time in which the events of a fault
@@ -52,6 +60,14 @@
 		Duration time.Duration
 		// StoreReturns lets the store also come back from earlier states.
 		StoreReturns bool
+		// RealCallers lets callers and planned stops do what they do on the users' platform,
+		// with its grace period.
+		RealCallers bool
+		// Routers and Callers are their numbers; 0 means the default.
+		Routers, Callers int
+		// Self is the path of a program that runs Busy for the argument BusyCommand. Without
+		// it, no run starves routers of processor time.
+		Self string
 		// Out receives a line for each event.
 		Out io.Writer
 	}
@@ -67,7 +83,14 @@
 // Run runs a fleet through random events and returns the violations of
 // invariants. An error means that the fleet could not be started.
 func Run(o Options) (Report, error) {
-	tb, stop, err := newTestbed(o.Program, o.Dir, o.Seed)
+	o.Routers = cmp.Or(o.Routers, routerCount)
+	rounds := 1
+	if o.RealCallers {
+		rounds = realPlannedRounds
+		o.Callers = cmp.Or(o.Callers, defaultRealCallers)
+	}
+	o.Callers = cmp.Or(o.Callers, defaultCallers)
+	tb, stop, err := newTestbed(o)
 	if err != nil {
 		return Report{}, err
 	}
@@ -76,6 +99,9 @@
 	if o.StoreReturns {
 		tb.events = append(slices.Clone(events), storeReturns, storeReturns) // Twice as often as others.
 	}
+	if o.RealCallers {
+		tb.events = append(slices.Clone(tb.events), pauseDraining, pauseDraining)
+	}
 	start := time.Now()
 	logLine := func(line string) { _, _ = fmt.Fprintf(o.Out, "%7.3f %s\n", time.Since(start).Seconds(), line) }
 	for _, r := range tb.routers {
@@ -83,15 +109,21 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for i := range callerCount {
-		wg.Go(func() { traffic.NewCaller(fmt.Sprint("caller-", i), tb, tb.recorder).Run(ctx) })
+	for i := range o.Callers {
+		name, behavior := fmt.Sprint("caller-", i), traffic.Behavior{}
+		if o.RealCallers {
+			behavior = traffic.DrawBehavior(name, o.Seed)
+		}
+		wg.Go(func() { traffic.NewCaller(name, tb, tb.recorder, behavior).Run(ctx) })
 	}
 	wg.Go(func() { tb.probeVersions(ctx) })
 	time.Sleep(startupTime)
 	for end := time.Now().Add(o.Duration); time.Now().Before(end); {
 		tb.runFaultPhase(logLine)
 		time.Sleep(oracle.SettleTime)
-		tb.runPlannedPhase(logLine)
+		for range rounds {
+			tb.runPlannedPhase(logLine)
+		}
 	}
 	for _, r := range tb.routers {
 		tb.attempt(r.Start)
@@ -129,8 +161,11 @@
 // after them.
 func (tb *testbed) runPlannedPhase(logLine func(string)) {
 	var running sync.WaitGroup
+	if tb.options.RealCallers {
+		tb.startStep(tb.drawStep(stopEvents[:1]), &running, logLine)
+	}
 	for range plannedEventCount {
-		tb.startStep(tb.drawStep(plannedEvents()), &running, logLine)
+		tb.startStep(tb.drawStep(tb.plannedEvents()), &running, logLine)
 	}
 	tb.measureServed(oracle.TooFewServed, minServedWithoutFaults, logLine)
 	running.Wait()
@@ -145,6 +180,9 @@
 	after := tb.recorder.Outcomes()
 	served, all := 0, 0
 	for k, total := range after {
+		if strings.HasPrefix(k, traffic.IgnoredOutcome) {
+			continue
+		}
 		n := total - before[k]
 		all += n
 		if k == "200" || k == "left" {
--- a/internal/soak/scenario/testbed.go
+++ b/internal/soak/scenario/testbed.go
@@ -28,8 +28,9 @@
 	domainCount = 3
 	targetCount = 4
 	// stopGrace is the time between SIGTERM and SIGKILL, the same as grace_s in the
-	// routers' settings.
-	stopGrace = 6 * time.Second
+	// routers' settings; realStopGrace is that of fleets with real callers.
+	stopGrace     = 6 * time.Second
+	realStopGrace = 8 * time.Second
 	// drainTime is how long a target keeps serving after the store has acknowledged
 	// that it is draining.
 	drainTime = 3 * time.Second
@@ -43,7 +44,8 @@
 	testbed struct {
 		recorder *oracle.Recorder
 		rng      *rand.Rand
-		dir      string
+		options  Options
+		grace    time.Duration
 		// events are those of fault phases.
 		events []event
 		store  *platformtest.Store
@@ -52,6 +54,9 @@
 		routers      []*router
 		cleanups     []func()
 
+		// starving is locked while child processes keep processors busy.
+		starving sync.Mutex
+
 		mu           sync.Mutex
 		targets      map[string]*target
 		lastTargetID int
@@ -70,12 +75,17 @@
 		callerProxy *faultproxy.Proxy
 		storeProxy  *faultproxy.Proxy
 
-		mu          sync.Mutex
-		revision    int
-		stopStarted time.Time
+		grace time.Duration
+
+		mu       sync.Mutex
+		revision int
+		// stops are the planned stops so far, the latest last.
+		stops []oracle.Stop
 		// newestServed is the newest configuration version that each incarnation was
 		// observed to serve.
 		newestServed map[int]int
+		// reserved routers are in a planned stop; no other planned stop picks them.
+		reserved bool
 	}
 
 	target struct {
@@ -89,13 +99,16 @@
 	}
 )
 
-// newTestbed starts the store, the targets and the routers; program is the path
-// of the router's binary. The returned function stops them.
-func newTestbed(program, dir string, seed uint64) (*testbed, func(), error) {
+// newTestbed starts the store, the targets and the routers. The returned function stops
+// them.
+func newTestbed(o Options) (*testbed, func(), error) {
 	tb := &testbed{
-		recorder: oracle.New(), rng: rand.New(rand.NewPCG(seed, 1)), dir: dir,
+		recorder: oracle.New(), rng: rand.New(rand.NewPCG(o.Seed, 1)), options: o, grace: stopGrace,
 		store: platformtest.NewStore(), targets: make(map[string]*target),
 	}
+	if o.RealCallers {
+		tb.grace = realStopGrace
+	}
 	server := httptest.NewServer(tb.store)
 	tb.storeAddress = strings.TrimPrefix(server.URL, "http://")
 	tb.cleanups = append(tb.cleanups, server.Close)
@@ -106,8 +119,8 @@
 			return nil, nil, err
 		}
 	}
-	for i := range routerCount {
-		if err := tb.addRouter(program, i, seed); err != nil {
+	for i := range o.Routers {
+		if err := tb.addRouter(i); err != nil {
 			tb.close()
 			return nil, nil, err
 		}
@@ -126,17 +139,20 @@
 	}
 }
 
-func (tb *testbed) addRouter(program string, i int, seed uint64) error {
+func (tb *testbed) addRouter(i int) error {
+	seed, dir := tb.options.Seed, tb.options.Dir
 	name := fmt.Sprintf("router-%d", i)
 	// Concurrent runs with different seeds use different addresses.
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+seed/250%250, 1+seed%250, i+1)
-	r := &router{name: name, ip: ip, settingsPath: filepath.Join(tb.dir, name+".json"), newestServed: make(map[int]int)}
+	r := &router{
+		name: name, ip: ip, settingsPath: filepath.Join(dir, name+".json"), grace: tb.grace, newestServed: make(map[int]int),
+	}
 	probe, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", r.address())
 	if err != nil {
 		return fmt.Errorf("address of %q, possibly still in use by an earlier run: %w", name, err)
 	}
 	_ = probe.Close()
-	r.Process = process.New(name, tb.dir, program, "edge", "-settings", r.settingsPath)
+	r.Process = process.New(name, dir, tb.options.Program, "edge", "-settings", r.settingsPath)
 	var stop func()
 	if r.callerProxy, stop, err = faultproxy.New(r.address()); err != nil {
 		return err
@@ -163,39 +179,37 @@
 	defer r.mu.Unlock()
 	r.revision++
 	domain := fmt.Sprintf("domain-%d", int(r.name[len(r.name)-1]-'0')%domainCount)
-	data := platformtest.FleetSettings(r.name, r.ip, domain, ports, r.storeProxy.Address(), r.revision)
+	data := platformtest.FleetSettingsWithGrace(r.name, r.ip, domain, ports, r.storeProxy.Address(), r.revision,
+		int(r.grace.Seconds()))
 	if err := os.WriteFile(r.settingsPath+".new", data, 0o600); err != nil {
 		return fmt.Errorf("settings of %q: %w", r.name, err)
 	}
 	return os.Rename(r.settingsPath+".new", r.settingsPath)
 }
 
-// restartGracefully stops the router with SIGTERM, as a planned stop, and starts
-// it again.
-func (r *router) restartGracefully() error {
-	r.mu.Lock()
-	r.stopStarted = time.Now()
-	r.mu.Unlock()
-	r.Stop(stopGrace)
-	return r.Start()
-}
-
 // writeConfiguration writes the next version of the configuration to the store.
 func (tb *testbed) writeConfiguration() {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	version := len(tb.versionTimes) + 1
-	tb.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.FleetConfiguration(version))
+	tb.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, tb.configuration(version))
 	tb.versionTimes = append(tb.versionTimes, time.Now())
 }
 
+func (tb *testbed) configuration(version int) string {
+	if tb.options.RealCallers {
+		return platformtest.LongConfiguration(version)
+	}
+	return platformtest.FleetConfiguration(version)
+}
+
 // rewriteStore writes the newest configuration and the state of all targets again, and
 // removes the entries of those that have ended.
 func (tb *testbed) rewriteStore() {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration,
-		platformtest.FleetConfiguration(len(tb.versionTimes)))
+		tb.configuration(len(tb.versionTimes)))
 	for id, t := range tb.targets {
 		tb.store.Set(platformtest.KindTargets, id, platformtest.Target(t.Proxy.Address(), t.state, t.incarnation))
 	}
@@ -275,17 +289,6 @@
 	return address
 }
 
-// Stopping implements traffic.Fleet.
-func (tb *testbed) Stopping(address string) bool {
-	r := tb.routerAt(address)
-	if r == nil {
-		return false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Since(r.stopStarted) < stopGrace+time.Second
-}
-
 func (tb *testbed) routerAt(address string) *router {
 	for _, r := range tb.routers {
 		if r.address() == address {
--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -3,19 +3,17 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"hickoryrock/internal/soak/oracle"
 	"hickoryrock/internal/wire/http1"
 	"hickoryrock/platform"
-	"hickoryrock/platform/platformtest"
 )
 
 const (
@@ -23,8 +21,11 @@
 	// in milliseconds, that callers send with a call.
 	connectTimeout = time.Second
 	deadlineMS     = 4000
-	// responseTimeout is how long a caller waits for the complete response to a call.
-	responseTimeout = 4500 * time.Millisecond
+	// responseMargin is how long after the deadline a caller waits for the complete response
+	// to a call.
+	responseMargin = 500 * time.Millisecond
+	// refusalTime is the time in which a stopping router should refuse a call.
+	refusalTime = 500 * time.Millisecond
 	// maxThinkTime is the longest pause of a caller between two calls.
 	maxThinkTime = 60 * time.Millisecond
 	// disconnectRate is the share of streams that callers abandon by disconnecting.
@@ -32,8 +33,15 @@
 	// connectionReuseRate is the share of calls that reuse an open connection.
 	connectionReuseRate = 0.8
 	maxHeaderBytes      = 64 << 10
+	// maxRetryWait bounds how long callers wait after a refusal.
+	maxRetryWait = time.Second
 )
 
+// IgnoredOutcome begins the outcomes of attempts that are not the outcomes of calls.
+const IgnoredOutcome = "attempt: "
+
+var errLeft = errors.New("the caller disconnected")
+
 type (
 	// Fleet gives callers access to the routers.
 	Fleet interface {
@@ -45,6 +53,9 @@
 		// Stopping reports whether a planned stop of the router at an address
 		// started so recently that calls sent before it may still be in flight.
 		Stopping(address string) bool
+		// PlannedStop returns the first planned stop of the router at an address whose process
+		// had not exited at a time; false if none has started.
+		PlannedStop(address string, at time.Time) (oracle.Stop, bool)
 	}
 
 	// Caller is a client that makes one call at a time.
@@ -52,6 +63,7 @@
 		name      string
 		fleet     Fleet
 		recorder  *oracle.Recorder
+		behavior  Behavior
 		callCount int
 
 		addresses       []string
@@ -63,189 +75,157 @@
 		net.Conn
 		reader  *bufio.Reader
 		address string
+		opened  time.Time
+	}
+
+	// attempt is one sending of a call.
+	attempt struct {
+		id, path string
+		plan     plan
+		// began and sent are when the first and the last byte of the call were sent.
+		began, sent time.Time
+		// repeatable is set when the caller may send the call again after this attempt.
+		repeatable bool
 	}
 )
 
 // NewCaller returns a caller. Its name must be unique, because call ids are
 // derived from it.
-func NewCaller(name string, fleet Fleet, recorder *oracle.Recorder) *Caller {
-	return &Caller{name: name, fleet: fleet, recorder: recorder}
+func NewCaller(name string, fleet Fleet, recorder *oracle.Recorder, behavior Behavior) *Caller {
+	return &Caller{name: name, fleet: fleet, recorder: recorder, behavior: behavior}
 }
 
 // Run makes calls until ctx is done.
 func (c *Caller) Run(ctx context.Context) {
 	defer c.closeConn()
 	for ctx.Err() == nil {
+		c.call()
+		c.behavior.pause(c.conn != nil)
+	}
+}
+
+// call makes a call; real callers send it again, with a new ID, while it is refused.
+func (c *Caller) call() {
+	path, retries := c.behavior.drawPath(), 0
+	if c.behavior.real {
+		retries = retryLimit
+	}
+	for n := range retries + 1 {
 		c.callCount++
-		c.call(fmt.Sprintf("%s-%d", c.name, c.callCount))
-		time.Sleep(rand.N(maxThinkTime))
+		a := &attempt{id: fmt.Sprintf("%s-%d", c.name, c.callCount), path: path, plan: planOf(path), repeatable: n < retries}
+		wait, again := c.try(a)
+		if !again || n == retries {
+			return
+		}
+		time.Sleep(wait)
 	}
 }
 
-func (c *Caller) call(id string) {
-	path := []string{
-		platformtest.PathOnce, platformtest.PathSafe, platformtest.PathStream, platformtest.PathResume,
-	}[rand.IntN(4)]
+// try sends a call once. It reports whether, and after which time, the call is sent again.
+func (c *Caller) try(a *attempt) (wait time.Duration, again bool) {
 	if !c.connect() {
-		c.recorder.RecordOutcome("no connection")
-		return
+		return rand.N(maxThinkTime), c.recordOutcome(a, "no connection")
 	}
 	c.recorder.RecordSent()
-	start := time.Now()
-	_ = c.conn.SetDeadline(start.Add(responseTimeout))
-	if _, err := io.WriteString(c.conn, platformtest.Call(id, http.MethodPost, path+"x", deadlineMS, "body")); err != nil {
+	a.began = time.Now()
+	_ = c.conn.SetDeadline(a.began.Add(a.plan.responseTimeout()))
+	err := c.send(a.id, a.path, a.plan.deadlineMS())
+	if err != nil && !errors.Is(err, errAnsweredEarly) {
 		c.closeConn()
-		c.recorder.RecordOutcome("not sent")
-		return
+		return 0, c.recordOutcome(a, "not sent")
 	}
-	head, err := http1.ReadResponse(c.conn.reader, maxHeaderBytes, http.MethodPost)
-	if err != nil {
-		c.recordInterrupted(id, path, start, err)
-		return
-	}
-	if isStream(path) && head.Status == http.StatusOK && rand.Float64() < disconnectRate {
-		c.recorder.RecordDisconnect(id)
+	a.sent = time.Now()
+	_ = c.conn.SetDeadline(a.sent.Add(a.plan.responseTimeout()))
+	head, body, readErr := c.readResponse(a.id, a.path)
+	if errors.Is(readErr, errLeft) {
 		c.closeConn()
 		c.recorder.RecordOutcome("left")
-		return
+		return 0, false
 	}
-	body, err := io.ReadAll(http1.Body(c.conn.reader, head.Length))
-	if err != nil {
-		c.recordInterrupted(id, path, start, err)
-		return
+	if readErr != nil {
+		return 0, c.recordInterrupted(a, readErr)
 	}
-	c.checkResponse(id, path, head, string(body))
-	if head.Close {
+	wait, again = c.checkResponse(a, head, body)
+	if head.Close || err != nil || again || c.behavior.body == extraLine {
 		c.closeConn()
 	}
+	return wait, again
 }
 
-// checkResponse checks the invariants of a complete response.
-func (c *Caller) checkResponse(id, path string, head *http1.Response, body string) {
+// checkResponse checks the invariants of a complete response. It reports whether, and after
+// which time, the call is sent again.
+func (c *Caller) checkResponse(a *attempt, head *http1.Response, body string) (wait time.Duration, again bool) {
 	verdict := platform.DecodeResponseHeaders(head.Status, head.Fields)
-	c.recorder.RecordOutcome(strconv.Itoa(head.Status))
-	if verdict.CallID != "" && verdict.CallID != id {
-		c.recorder.RecordViolation(oracle.WrongResponse, "call %s got the response to call %s", id, verdict.CallID)
+	if verdict.CallID != "" && verdict.CallID != a.id {
+		c.recorder.RecordViolation(oracle.WrongResponse, "call %s got the response to call %s", a.id, verdict.CallID)
 	}
 	switch head.Status {
 	case http.StatusOK:
-		want := WholeBody(id)
-		if isStream(path) {
-			want = ""
-			for n := 1; n <= eventsPerStream; n++ {
-				want += Event(id, n)
-			}
-		}
-		if !verdict.Sealed || body != want {
-			c.recorder.RecordViolation(oracle.WrongResponse, "call %s on %s got %q", id, path, body)
+		if !verdict.Sealed || body != a.plan.body(a.id, a.path) {
+			c.recorder.RecordViolation(oracle.WrongResponse, "call %s on %s got %q", a.id, a.path, body)
 		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if !verdict.Sealed && isAtMostOnce(path) {
-			c.recorder.RecordRefusal(id, strconv.Itoa(head.Status))
+		if verdict.Sealed {
+			break
+		}
+		if isAtMostOnce(a.path) {
+			c.recorder.RecordRefusal(a.id, strconv.Itoa(head.Status))
+		}
+		if taken := time.Since(a.sent); c.behavior.real && taken > refusalTime && c.stopping() {
+			c.recorder.RecordOutcome(IgnoredOutcome + "slow refusal by a stopping router")
 		}
+		return retryAfter(head), c.recordOutcome(a, strconv.Itoa(head.Status))
 	case http.StatusNotFound, http.StatusUnauthorized, http.StatusForbidden:
-		c.recorder.RecordViolation(oracle.ConfigurationReverted, "call %s on %s got %d", id, path, head.Status)
-	}
-}
-
-// recordInterrupted records a call without a complete response. It is a violation
-// when the call has run and was interrupted by a planned stop of the router.
-func (c *Caller) recordInterrupted(id, path string, start time.Time, err error) {
-	address := c.conn.address
-	c.closeConn()
-	c.recorder.RecordOutcome("cut")
-	if c.fleet.Stopping(address) && c.recorder.SettledFor(time.Since(start)) && c.recorder.RunCount(id) > 0 {
-		c.recorder.RecordViolation(oracle.InterruptedByStop, "call %s on %s at %s, %v after it was sent: %v", id, path, address, time.Since(start), err)
+		c.recorder.RecordViolation(oracle.ConfigurationReverted, "call %s on %s got %d", a.id, a.path, head.Status)
 	}
+	c.recorder.RecordOutcome(strconv.Itoa(head.Status))
+	return 0, false
 }
 
-func (c *Caller) closeConn() {
-	if c.conn != nil {
-		_ = c.conn.Close()
-		c.conn = nil
+// recordOutcome records how an attempt ended and reports whether the call is sent again, in
+// which case the outcome does not count as the call's.
+func (c *Caller) recordOutcome(a *attempt, outcome string) bool {
+	if a.repeatable {
+		outcome = IgnoredOutcome + outcome
 	}
+	c.recorder.RecordOutcome(outcome)
+	return a.repeatable
 }
 
-// connect reuses the open connection or opens a new one to a random router. It
-// reports whether there is a connection.
-func (c *Caller) connect() bool {
-	if c.conn != nil && rand.Float64() < connectionReuseRate {
-		return true
-	}
+// recordInterrupted records a call without a complete response. It is a violation when the
+// call has run and was interrupted by a planned stop of the router; a long call may be, for
+// the reasons of oracle.Excuse. It reports whether the call is sent again.
+func (c *Caller) recordInterrupted(a *attempt, err error) bool {
+	now, conn := time.Now(), c.conn
 	c.closeConn()
-	c.refreshAddresses()
-	if len(c.addresses) == 0 {
-		return false
-	}
-	address := c.addresses[rand.IntN(len(c.addresses))]
-	conn, err := dial(c.fleet.ProxyAddress(address))
-	if err != nil {
-		return false
-	}
-	c.conn = &callerConn{Conn: conn, reader: bufio.NewReader(conn), address: address}
-	return true
-}
-
-// refreshAddresses looks up addresses when the TTL of the last lookup has expired.
-func (c *Caller) refreshAddresses() {
-	if time.Now().Before(c.addressesExpire) {
-		return
-	}
-	for _, url := range c.fleet.LookupURLs() {
-		status, body := Get(url)
-		if status != http.StatusOK {
-			continue
-		}
-		addresses, ttl, err := platformtest.Lookup(body)
-		if err == nil && len(addresses) > 0 {
-			c.addresses, c.addressesExpire = addresses, time.Now().Add(time.Duration(ttl*float64(time.Second)))
-			return
+	ran, settled := c.recorder.RunCount(a.id) > 0, c.recorder.SettledFor(now.Sub(a.began))
+	detail := fmt.Sprintf("call %s on %s at %s, %v after it was sent", a.id, a.path, conn.address, now.Sub(a.sent))
+	if a.plan.long {
+		stop, ok := c.fleet.PlannedStop(conn.address, conn.opened)
+		cut := oracle.Cut{Call: a.id, Sent: a.sent, At: now, Limit: a.plan.limit(), Stop: stop}
+		if excuse := c.recorder.Excuse(cut); ok && settled && excuse == oracle.Unexcused {
+			c.recorder.RecordViolation(oracle.InterruptedByStop, "%s, which was %v after SIGTERM: %v", detail, a.sent.Sub(stop.Start), err)
+		} else if ok && settled {
+			c.recorder.RecordOutcome(fmt.Sprintf("%scut by a stop, excused: %s", IgnoredOutcome, excuse))
 		}
+	} else if c.fleet.Stopping(conn.address) && settled && ran {
+		c.recorder.RecordViolation(oracle.InterruptedByStop, "%s: %v", detail, err)
 	}
+	if ran && isAtMostOnce(a.path) {
+		a.repeatable = false
+	}
+	c.recordFailure(conn.address)
+	return c.recordOutcome(a, "cut")
 }
 
-// Get requests a URL on a new connection. It returns status 0 when there is no
-// complete response.
-func Get(url string) (status int, body []byte) {
-	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0, nil
-	}
-	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if body, err = io.ReadAll(resp.Body); err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, body
-}
-
-func dial(address string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: connectTimeout}).DialContext(context.Background(), "tcp4", address)
+// stopping reports whether the caller's router is in a planned stop without other faults.
+func (c *Caller) stopping() bool {
+	return c.fleet.Stopping(c.conn.address) && c.recorder.SettledFor(refusalTime)
 }
 
-// Probe calls, through the router at an address, a path that exists from a
-// configuration version on. It returns the status, or 0 without a response.
-func Probe(fleet Fleet, address string, version int) int {
-	conn, err := dial(fleet.ProxyAddress(address))
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(connectTimeout))
-	id := fmt.Sprintf("probe-%d-%d", version, time.Now().UnixNano())
-	raw := platformtest.Call(id, http.MethodGet, platformtest.VersionPath(version)+"x", deadlineMS, "")
-	if _, err := io.WriteString(conn, strings.Replace(raw, "Content-Length: 0\r\n", "", 1)); err != nil {
-		return 0
-	}
-	head, err := http1.ReadResponse(bufio.NewReader(conn), maxHeaderBytes, http.MethodGet)
-	if err != nil {
-		return 0
-	}
-	return head.Status
+func (c *Caller) closeConn() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
 }
--- a/internal/soak/traffic/target.go
+++ b/internal/soak/traffic/target.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -90,6 +89,7 @@
 	t.server, t.Proxy = server, p
 	t.stop = sync.OnceFunc(func() {
 		stopServer()
+		recorder.RecordBreakOff(id)
 		stopProxy()
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -140,6 +140,7 @@
 		return t.write(c, platformtest.NotExecuted(r))
 	}
 	t.recorder.RecordRun(forwarded.Call, maxTargets(r.Target), t.ID)
+	defer t.recorder.RecordRunEnd(forwarded.Call, t.ID)
 	time.Sleep(rand.N(maxWorkTime))
 	switch fault {
 	case ResetAfterRun:
@@ -154,6 +155,9 @@
 	if isStream(r.Target) {
 		return t.stream(c, r, forwarded)
 	}
+	if p := planOf(r.Target); p.long {
+		time.Sleep(p.gap)
+	}
 	extra := ""
 	if fault == ExtraResponse {
 		extra = platformtest.ResponseToOtherCall()
@@ -178,20 +182,20 @@
 	if !t.write(c, platformtest.StreamHead(r)) {
 		return false
 	}
-	gap := eventGap
-	if rand.IntN(slowStreamOdds) == 0 {
-		gap = slowEventGap
+	p := planOf(r.Target)
+	if !p.long && rand.IntN(slowStreamOdds) == 0 {
+		p.gap = slowEventGap
 	}
 	last, _ := strconv.Atoi(forwarded.LastEventID) // Empty for a new stream, which starts at the first event.
-	for n := last + 1; n <= eventsPerStream; n++ {
-		event := Event(forwarded.Call, n)
+	for n := last + 1; n <= p.events; n++ {
+		event := p.event(forwarded.Call, n)
 		if !t.write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event)) {
 			return false
 		}
 		if elapsed, ok := t.recorder.DisconnectedFor(forwarded.Call); ok && elapsed > disconnectDeadline && t.recorder.SettledFor(elapsed) {
 			t.recorder.RecordViolation(oracle.WorkAfterDisconnect, "%s still writes the response to call %s %v after its caller disconnected", t.ID, forwarded.Call, elapsed)
 		}
-		time.Sleep(gap)
+		time.Sleep(p.gap)
 	}
 	return t.write(c, "0\r\n\r\n")
 }
@@ -200,32 +204,3 @@
 	_, err := io.WriteString(c, data)
 	return err == nil
 }
-
-// WholeBody returns the complete body of the response to a call.
-func WholeBody(call string) string { return "whole answer to " + call }
-
-// Event returns event n, from 1, of a call's stream.
-func Event(call string, n int) string {
-	end := ""
-	if n == eventsPerStream {
-		end = " end"
-	}
-	return fmt.Sprintf("id: %d\ndata: %s %d%s\n\n", n, call, n, end)
-}
-
-func isStream(path string) bool {
-	return strings.HasPrefix(path, platformtest.PathStream) || strings.HasPrefix(path, platformtest.PathResume)
-}
-
-// maxTargets returns the number of targets on which the configuration allows a
-// call to run.
-func maxTargets(path string) int {
-	if strings.HasPrefix(path, platformtest.PathSafe) || strings.HasPrefix(path, platformtest.PathResume) {
-		return 2
-	}
-	return 1
-}
-
-func isAtMostOnce(path string) bool {
-	return strings.HasPrefix(path, platformtest.PathStream) || strings.HasPrefix(path, platformtest.PathOnce)
-}
