Play real callers in the short runs, and log each SIGTERM and exit

The output tells when each router got SIGTERM and when it exited. Programs with the race detector exit at once: by default they stay for a second in which they still serve open connections, so that most stops ended with SIGKILL. Cuts without a fault or a stop, and why others were excused, are counted.

--- a/internal/soak/process/process.go
+++ b/internal/soak/process/process.go
@@ -14,8 +14,13 @@
 	"time"
 )
 
-// pauseTimeout bounds the time until all threads have stopped after SIGSTOP.
-const pauseTimeout = 5 * time.Second
+const (
+	// pauseTimeout bounds the time until all threads have stopped after SIGSTOP.
+	pauseTimeout = 5 * time.Second
+	// raceOptions lets programs with the race detector exit at once. By default it keeps them
+	// for a second, in which they still serve open connections.
+	raceOptions = "GORACE=atexit_sleep_ms=0"
+)
 
 type (
 	// Process is one program with its arguments, of which at most one instance runs.
@@ -58,6 +63,7 @@
 	}
 	// The command comes from the soak test itself. Stop ends the process.
 	cmd := exec.CommandContext(context.Background(), p.command[0], p.command[1:]...) //nolint:gosec
+	cmd.Env = append(os.Environ(), raceOptions)
 	r := &execution{cmd: cmd, exited: make(chan struct{})}
 	r.cmd.Stdout, r.cmd.Stderr = out, out
 	if err := r.cmd.Start(); err != nil {
--- a/internal/soak/scenario/faults.go
+++ b/internal/soak/scenario/faults.go
@@ -277,8 +277,8 @@
 }
 
 // startStep starts a step in the background; wg is done when it has ended.
-func (tb *testbed) startStep(s step, wg *sync.WaitGroup, logLine func(string)) {
-	logLine(fmt.Sprintf("%s, %v", s.event.name, s.duration))
+func (tb *testbed) startStep(s step, wg *sync.WaitGroup) {
+	tb.logLine(fmt.Sprintf("%s, %v", s.event.name, s.duration))
 	endFault := func() {}
 	if !s.event.planned {
 		endFault = tb.recorder.BeginFault()
--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -90,7 +90,14 @@
 		o.Callers = cmp.Or(o.Callers, defaultRealCallers)
 	}
 	o.Callers = cmp.Or(o.Callers, defaultCallers)
-	tb, stop, err := newTestbed(o)
+	start := time.Now()
+	var mu sync.Mutex
+	logLine := func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		_, _ = fmt.Fprintf(o.Out, "%7.3f %s\n", time.Since(start).Seconds(), line)
+	}
+	tb, stop, err := newTestbed(o, logLine)
 	if err != nil {
 		return Report{}, err
 	}
@@ -102,8 +109,6 @@
 	if o.RealCallers {
 		tb.events = append(slices.Clone(tb.events), pauseDraining, pauseDraining)
 	}
-	start := time.Now()
-	logLine := func(line string) { _, _ = fmt.Fprintf(o.Out, "%7.3f %s\n", time.Since(start).Seconds(), line) }
 	for _, r := range tb.routers {
 		tb.waitReady(r)
 	}
@@ -119,17 +124,17 @@
 	wg.Go(func() { tb.probeVersions(ctx) })
 	time.Sleep(startupTime)
 	for end := time.Now().Add(o.Duration); time.Now().Before(end); {
-		tb.runFaultPhase(logLine)
+		tb.runFaultPhase()
 		time.Sleep(oracle.SettleTime)
 		for range rounds {
-			tb.runPlannedPhase(logLine)
+			tb.runPlannedPhase()
 		}
 	}
 	for _, r := range tb.routers {
 		tb.attempt(r.Start)
 	}
 	time.Sleep(recoveryTime - oracle.SettleTime)
-	tb.measureServed(oracle.TooFewServed, minServedAfterRecovery, logLine)
+	tb.measureServed(oracle.TooFewServed, minServedAfterRecovery)
 	cancel()
 	wg.Wait()
 	for _, r := range tb.routers {
@@ -143,38 +148,38 @@
 }
 
 // runFaultPhase starts overlapping events and returns when all have ended.
-func (tb *testbed) runFaultPhase(logLine func(string)) {
+func (tb *testbed) runFaultPhase() {
 	duration := minFaultPhase + time.Duration(tb.rng.Int64N(int64(maxFaultPhase-minFaultPhase)))
 	var running sync.WaitGroup
 	for elapsed := time.Duration(0); elapsed < duration; {
 		s := tb.drawStep(tb.events)
 		time.Sleep(s.pause)
-		tb.startStep(s, &running, logLine)
+		tb.startStep(s, &running)
 		elapsed += s.pause
 	}
 	running.Wait()
-	logLine("no active faults")
+	tb.logLine("no active faults")
 }
 
 // runPlannedPhase starts planned events while there are no faults, so that all
 // timing invariants apply, and measures the share of served calls during and
 // after them.
-func (tb *testbed) runPlannedPhase(logLine func(string)) {
+func (tb *testbed) runPlannedPhase() {
 	var running sync.WaitGroup
 	if tb.options.RealCallers {
-		tb.startStep(tb.drawStep(stopEvents[:1]), &running, logLine)
+		tb.startStep(tb.drawStep(stopEvents[:1]), &running)
 	}
 	for range plannedEventCount {
-		tb.startStep(tb.drawStep(tb.plannedEvents()), &running, logLine)
+		tb.startStep(tb.drawStep(tb.plannedEvents()), &running)
 	}
-	tb.measureServed(oracle.TooFewServed, minServedWithoutFaults, logLine)
+	tb.measureServed(oracle.TooFewServed, minServedWithoutFaults)
 	running.Wait()
-	tb.measureServed(oracle.TooFewServed, minServedWithoutFaults, logLine)
+	tb.measureServed(oracle.TooFewServed, minServedWithoutFaults)
 }
 
 // measureServed measures the share of served calls for measureWindow and records
 // a violation of the invariant when it is below minShare.
-func (tb *testbed) measureServed(invariant oracle.Invariant, minShare float64, logLine func(string)) {
+func (tb *testbed) measureServed(invariant oracle.Invariant, minShare float64) {
 	before := tb.recorder.Outcomes()
 	time.Sleep(measureWindow)
 	after := tb.recorder.Outcomes()
@@ -189,7 +194,7 @@
 			served += n
 		}
 	}
-	logLine(fmt.Sprintf("%d of %d calls served", served, all))
+	tb.logLine(fmt.Sprintf("%d of %d calls served", served, all))
 	if float64(served) < minShare*float64(all) || all == 0 {
 		tb.recorder.RecordViolation(invariant, "%d of %d calls in %v", served, all, measureWindow)
 	}
--- a/internal/soak/scenario/run_test.go
+++ b/internal/soak/scenario/run_test.go
@@ -15,6 +15,15 @@
 // shortRun is long enough for one fault phase and the planned phase after it.
 const shortRun = 8 * time.Second
 
+// TestMain also lets the test binary be the program that keeps a processor busy.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 3 && os.Args[1] == scenario.BusyCommand {
+		scenario.Busy(os.Args[2])
+		return
+	}
+	os.Exit(m.Run())
+}
+
 // TestShortRuns runs short soak tests with fixed seeds: the seed of CI and every seed
 // that has failed, with its cause. `make soak` does longer runs.
 func TestShortRuns(t *testing.T) {
@@ -26,23 +35,30 @@
 	out, err := build.CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	// The runs are concurrent and their addresses follow from the seeds, which must differ.
+	self, err := os.Executable()
+	qt.Assert(t, err, qt.IsNil)
 	runs := []struct {
 		name         string
 		seed         uint64
 		storeReturns bool
+		realCallers  bool
 	}{
-		{"the seed of CI", 1, false},
-		{"a store that comes back from earlier states", 2, true},
+		{"the seed of CI", 1, false, false},
+		{"a store that comes back from earlier states", 2, true, false},
+		{"callers and stops as on the users' platform", 3, true, true},
 		// A resumable stream was abandoned when its target paused, although the retry
 		// budget was exhausted: forward.TestSilentTargetIsAbandonedOnlyForAnother.
-		{"a silent target without budget", 206, false},
+		{"a silent target without budget", 206, false, false},
 	}
 	for _, run := range runs {
 		t.Run(run.name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
 			dir := t.TempDir()
-			report, err := scenario.Run(scenario.Options{Program: program, Dir: dir, Seed: run.seed, StoreReturns: run.storeReturns, Duration: shortRun, Out: t.Output()})
+			report, err := scenario.Run(scenario.Options{
+				Program: program, Dir: dir, Seed: run.seed, StoreReturns: run.storeReturns, RealCallers: run.realCallers, Self: self,
+				Duration: shortRun, Out: t.Output(),
+			})
 			c.Assert(err, qt.IsNil)
 			t.Log(report.Outcomes)
 			if len(report.Violations) > 0 {
--- a/internal/soak/scenario/stops.go
+++ b/internal/soak/scenario/stops.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -169,14 +170,16 @@
 
 // stopPlanned stops the router with SIGTERM and, after its grace period, SIGKILL.
 func (r *router) stopPlanned() {
+	r.logLine("SIGTERM to " + r.name)
 	r.mu.Lock()
 	i := len(r.stops)
 	r.stops = append(r.stops, oracle.Stop{Start: time.Now(), Grace: r.grace})
 	r.mu.Unlock()
 	r.Stop(r.grace)
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.stops[i].Exited = time.Now()
-	r.mu.Unlock()
+	r.logLine(fmt.Sprintf("%s exited %.3f s after SIGTERM", r.name, time.Since(r.stops[i].Start).Seconds()))
 }
 
 // restartGracefully stops the router as a planned stop and starts it again.
--- a/internal/soak/scenario/testbed.go
+++ b/internal/soak/scenario/testbed.go
@@ -45,6 +45,7 @@
 		recorder *oracle.Recorder
 		rng      *rand.Rand
 		options  Options
+		logLine  func(string)
 		grace    time.Duration
 		// events are those of fault phases.
 		events []event
@@ -75,7 +76,8 @@
 		callerProxy *faultproxy.Proxy
 		storeProxy  *faultproxy.Proxy
 
-		grace time.Duration
+		grace   time.Duration
+		logLine func(string)
 
 		mu       sync.Mutex
 		revision int
@@ -101,9 +103,9 @@
 
 // newTestbed starts the store, the targets and the routers. The returned function stops
 // them.
-func newTestbed(o Options) (*testbed, func(), error) {
+func newTestbed(o Options, logLine func(string)) (*testbed, func(), error) {
 	tb := &testbed{
-		recorder: oracle.New(), rng: rand.New(rand.NewPCG(o.Seed, 1)), options: o, grace: stopGrace,
+		recorder: oracle.New(), rng: rand.New(rand.NewPCG(o.Seed, 1)), options: o, logLine: logLine, grace: stopGrace,
 		store: platformtest.NewStore(), targets: make(map[string]*target),
 	}
 	if o.RealCallers {
@@ -145,7 +147,8 @@
 	// Concurrent runs with different seeds use different addresses.
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+seed/250%250, 1+seed%250, i+1)
 	r := &router{
-		name: name, ip: ip, settingsPath: filepath.Join(dir, name+".json"), grace: tb.grace, newestServed: make(map[int]int),
+		name: name, ip: ip, settingsPath: filepath.Join(dir, name+".json"), grace: tb.grace, logLine: tb.logLine,
+		newestServed: make(map[int]int),
 	}
 	probe, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", r.address())
 	if err != nil {
--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -200,16 +200,18 @@
 	c.closeConn()
 	ran, settled := c.recorder.RunCount(a.id) > 0, c.recorder.SettledFor(now.Sub(a.began))
 	detail := fmt.Sprintf("call %s on %s at %s, %v after it was sent", a.id, a.path, conn.address, now.Sub(a.sent))
-	if a.plan.long {
-		stop, ok := c.fleet.PlannedStop(conn.address, conn.opened)
-		cut := oracle.Cut{Call: a.id, Sent: a.sent, At: now, Limit: a.plan.limit(), Stop: stop}
-		if excuse := c.recorder.Excuse(cut); ok && settled && excuse == oracle.Unexcused {
-			c.recorder.RecordViolation(oracle.InterruptedByStop, "%s, which was %v after SIGTERM: %v", detail, a.sent.Sub(stop.Start), err)
-		} else if ok && settled {
-			c.recorder.RecordOutcome(fmt.Sprintf("%scut by a stop, excused: %s", IgnoredOutcome, excuse))
-		}
-	} else if c.fleet.Stopping(conn.address) && settled && ran {
+	stop, stopped := c.fleet.PlannedStop(conn.address, conn.opened)
+	excuse := c.recorder.Excuse(oracle.Cut{Call: a.id, Sent: a.sent, At: now, Limit: a.plan.limit(), Stop: stop})
+	switch {
+	case !settled:
+	case a.plan.long && stopped && excuse == oracle.Unexcused:
+		c.recorder.RecordViolation(oracle.InterruptedByStop, "%s, which was %v after SIGTERM: %v", detail, a.sent.Sub(stop.Start), err)
+	case !a.plan.long && ran && c.fleet.Stopping(conn.address):
 		c.recorder.RecordViolation(oracle.InterruptedByStop, "%s: %v", detail, err)
+	case stopped:
+		c.recorder.RecordOutcome(fmt.Sprintf("%scut by a stop, excused: %s", IgnoredOutcome, excuse))
+	case ran && excuse != oracle.TargetBrokeOff:
+		c.recorder.RecordOutcome(IgnoredOutcome + "cut without a fault or a stop")
 	}
 	if ran && isAtMostOnce(a.path) {
 		a.repeatable = false
