--- a/internal/soak/scenario/starve.go
+++ b/internal/soak/scenario/starve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os/exec"
+	"runtime"
 	"strconv"
 	"time"
 
@@ -45,10 +46,8 @@
 // Busy keeps one processor busy for a number of milliseconds.
 func Busy(milliseconds string) {
 	n, _ := strconv.Atoi(milliseconds) // Anything else ends at once.
-	for end := time.Now().Add(min(time.Duration(n)*time.Millisecond, maxBusyTime)); time.Now().Before(end); {
-		busyWork++
+	end := time.Now().Add(min(time.Duration(n)*time.Millisecond, maxBusyTime))
+	for i := 0; time.Now().Before(end); i++ {
+		runtime.KeepAlive(i)
 	}
 }
-
-// busyWork is written so that the loop of Busy is kept.
-var busyWork uint64
--- a/internal/soak/traffic/send.go
+++ b/internal/soak/traffic/send.go
@@ -40,9 +40,9 @@
 		return c.sendExpecting(platformtest.CallHead(id, path, deadlineMS, length+"Expect: 100-continue\r\n"))
 	case extraLine:
 		return c.write(platformtest.Call(id, http.MethodPost, path, deadlineMS, callBody) + "\r\n")
-	default:
-		return c.write(platformtest.Call(id, http.MethodPost, path, deadlineMS, callBody))
+	case wholeBody:
 	}
+	return c.write(platformtest.Call(id, http.MethodPost, path, deadlineMS, callBody))
 }
 
 func (c *Caller) write(data string) error {
