--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -28,13 +28,15 @@
 	// readBufferBytes is large enough for the request head of an ordinary call.
 	readBufferBytes = 4 << 10
 	// lingerTimeout and lingerBytes bound how long and how much is read from a
-	// rejected caller before its connection is closed. Closing with unread bytes
-	// would reset the connection before the caller has read the response.
+	// caller after its last response before its connection is closed. Closing with unread
+	// bytes would reset the connection before the caller has read the response.
 	lingerTimeout = 300 * time.Millisecond
 	lingerBytes   = 256 << 10
 	// defaultCloseDelay is the default time in which a request that is under way to an
 	// idle connection is still read before the connection is closed.
 	defaultCloseDelay = 50 * time.Millisecond
+	// firstCallDelay is that time on a connection that has carried no call yet.
+	firstCallDelay = 500 * time.Millisecond
 	// defaultBodyMemory is the default limit of the memory of all request bodies
 	// together, in bytes.
 	defaultBodyMemory = 64 << 20
@@ -67,6 +69,8 @@
 		closeDelay time.Duration
 
 		draining atomic.Bool
+		// closing is set when idle connections are closed.
+		closing atomic.Bool
 		// stopped is cancelled, with ErrStopped, when calls in progress must end.
 		stopped context.Context //nolint:containedctx // Ends the calls of the whole server.
 		stop    context.CancelCauseFunc
@@ -82,10 +86,15 @@
 		net.Conn
 		server *Server
 		reader *bufio.Reader
+
+		// mu guards idle and calls, and the read deadline while idle is true.
+		mu sync.Mutex
 		// idle is true while no call is being read or served.
-		idle atomic.Bool
+		idle bool
 		// calls is the number of calls so far.
 		calls int
+		// lingers is set when the caller may still have to receive the end of a response.
+		lingers bool
 	}
 )
 
@@ -102,23 +111,6 @@
 	return s
 }
 
-// Serve accepts connections until the listener is closed.
-func (s *Server) Serve(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			metrics.GetOrCreateCounter(`hickoryrock_accept_errors_total`).Inc()
-			time.Sleep(5 * time.Millisecond) // Probably out of file descriptors: wait for calls to end.
-			continue
-		}
-		s.lastAccept.Store(time.Now().UnixNano())
-		go s.serveConn(&conn{Conn: c, server: s, reader: bufio.NewReaderSize(c, readBufferBytes)})
-	}
-}
-
 // Drain disables keep-alive: each connection is closed after its next response.
 func (s *Server) Drain() { s.draining.Store(true) }
 
@@ -140,23 +132,56 @@
 	return time.Since(time.Unix(0, s.lastAccept.Load()))
 }
 
-// CloseIdle closes the connections on which no request arrives within a short time,
-// which it returns. A request that has arrived already is still served.
-func (s *Server) CloseIdle() time.Duration {
+// CloseIdle closes each connection, now and when its call ends, on which no request arrives
+// within a short time. A request that has arrived already is still served.
+func (s *Server) CloseIdle() {
+	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idle.Load() {
-			_ = c.SetReadDeadline(time.Now().Add(s.closeDelay))
-		}
+		c.closeIfIdle()
 	}
-	return 2 * s.closeDelay
+}
+
+// closeIfIdle lets an idle connection be closed unless a request arrives soon.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		_ = c.SetReadDeadline(time.Now().Add(c.closeDelay()))
+	}
+}
+
+// closeDelay returns the time in which a request that is under way to the idle connection is
+// still read before it is closed.
+func (c *conn) closeDelay() time.Duration {
+	if c.calls == 0 {
+		return max(firstCallDelay, c.server.closeDelay)
+	}
+	return c.server.closeDelay
+}
+
+// setIdle marks the connection as idle until a call begins, or for timeout at most.
+func (c *conn) setIdle(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = true
+	if c.server.closing.Load() {
+		timeout = min(timeout, c.closeDelay())
+	}
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
+}
+
+// beginCall marks the connection as busy with a call whose head must arrive within timeout.
+func (c *conn) beginCall(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+	c.calls++
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
 }
 
 func (s *Server) serveConn(c *conn) {
-	s.mu.Lock()
-	s.conns[c] = struct{}{}
-	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
 		delete(s.conns, c)
@@ -165,28 +190,28 @@
 	}()
 	for s.serveRequest(c) {
 	}
+	if c.lingers {
+		c.linger()
+	}
 }
 
 // serveRequest serves one call and reports whether the connection may be kept
 // open for another.
 func (s *Server) serveRequest(c *conn) bool {
-	limits := s.limits()
-	c.idle.Store(true)
-	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	if _, err := c.reader.Peek(1); err != nil {
+	c.lingers = false // A request that crosses the close of an idle connection stays unread.
+	c.setIdle(s.limits().IdleTimeout)
+	if c.awaitRequest() != nil {
 		return false
 	}
-	c.idle.Store(false)
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	limits = s.limits()
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	limits := s.limits()
+	c.beginCall(limits.HeaderTimeout)
 	req, err := http1.ReadRequest(c.reader, limits.HeaderBytes)
 	if err != nil {
 		s.reject(c, err)
 		return false
 	}
-	c.calls++
 	response := &ResponseWriter{
 		conn: c.Conn, closeAfter: req.Close || s.draining.Load(), method: req.Method, draining: &s.draining, sequence: c.calls,
 	}
@@ -200,6 +225,7 @@
 	ctx, stop := s.watchDisconnect(c)
 	s.handler.ServeCall(ctx, response, req, body)
 	stop()
+	c.lingers = response.complete && !response.writeFailed
 	return response.reusable() && ctx.Err() == nil
 }
 
@@ -212,7 +238,7 @@
 	_ = c.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
-		if _, err := c.reader.Peek(1); err != nil && !stopping.Load() {
+		if err := c.awaitEnd(); err != nil && !stopping.Load() {
 			cancel(ErrCallerClosed)
 		}
 	}()
@@ -223,6 +249,37 @@
 	}
 }
 
+// awaitRequest waits for the first byte of a request. It skips empty lines before it, which
+// some callers send after a body (RFC 9112, section 2.2).
+func (c *conn) awaitRequest() error {
+	const emptyLine = "\r\n"
+	for {
+		first, err := c.reader.Peek(1)
+		if err != nil || first[0] != emptyLine[0] {
+			return err
+		}
+		both, err := c.reader.Peek(len(emptyLine))
+		if err != nil || string(both) != emptyLine {
+			return err
+		}
+		_, _ = c.reader.Discard(len(emptyLine)) // It is buffered.
+	}
+}
+
+// awaitEnd returns the error with which reading from the caller ends. What the caller sends
+// until then stays in the buffer; it returns nil if that is full.
+func (c *conn) awaitEnd() error {
+	for {
+		_, err := c.reader.Peek(c.reader.Buffered() + 1)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // readBody reads the complete body, since a call may have to be retried. It also
 // returns the reserved bytes of bodyMemory, which the caller must release.
 func (s *Server) readBody(c *conn, req *http1.Request, limit int64) (body []byte, reserved int64, err error) {
@@ -321,6 +378,12 @@
 	}
 	response := &ResponseWriter{conn: c.Conn, closeAfter: true}
 	response.Respond(status, http.StatusText(status), fields, nil)
+	c.lingers = true
+}
+
+// linger ends the connection on this side and discards what the caller still sends, until it
+// ends the connection as well.
+func (c *conn) linger() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -72,6 +72,7 @@
 	})
 	response, failure := c.h.Pool.Do(attemptCtx, endpoint(target), http1client.Call{
 		Method: c.request.Method, Target: c.request.Target, Fields: fields, Body: c.body, Match: c.matchResponse,
+		NewConnection: c.headers.ID == "",
 	})
 	if failure != nil {
 		c.recordFailure(attemptCtx, target, failure.Status == http1client.NotSent, failure.Reason)
@@ -90,10 +91,13 @@
 
 // matchResponse reports whether a response belongs to this call, by its call ID.
 func (c *call) matchResponse(fields []http1.Field) http1client.ResponseMatch {
-	switch platform.DecodeResponseHeaders(0, fields).CallID {
-	case c.headers.ID:
+	headers := platform.DecodeResponseHeaders(0, fields)
+	switch {
+	case headers.HasSeveralIDs:
+		return http1client.MatchOtherCall
+	case headers.CallID == c.headers.ID:
 		return http1client.MatchThisCall
-	case "":
+	case headers.CallID == "":
 		return http1client.MatchUnknown
 	}
 	return http1client.MatchOtherCall
@@ -198,18 +202,18 @@
 	c.recordProgress(tracked, time.Now())
 	c.framing = framingName(response.Head)
 	c.headAt = time.Since(c.attemptStart)
+	if reason := c.doubt(response.Head.Status, headers); reason != "" {
+		c.h.Pool.Discard(response)
+		c.progress.PossibleExecutions++
+		c.recordUnusable(target, reason)
+		return
+	}
 	if headers.NotExecuted {
 		// The head is the proof: its body may be slow and must not delay a retry.
 		c.h.Pool.Drain(response)
 		c.recordNotExecuted(target, response.Head.Status)
 		return
 	}
-	if response.Head.Status/100 == 2 && !headers.Sealed {
-		c.h.Pool.Discard(response)
-		c.progress.PossibleExecutions++
-		c.recordUnusable(target, "unsealed-answer")
-		return
-	}
 	if c.route.Streaming && response.Head.Status == http.StatusOK && c.request.Method != http.MethodHead {
 		c.relayStream(ctx, target, tracked, response)
 		return
