--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -146,7 +146,7 @@
 		return 0, c.recordInterrupted(a, readErr)
 	}
 	wait, again = c.checkResponse(a, head, body)
-	if head.Close || err != nil || again || c.behavior.body == extraLine {
+	if head.Close || err != nil || again {
 		c.closeConn()
 	}
 	return wait, again
