--- a/Makefile
+++ b/Makefile
@@ -35,13 +35,14 @@
 fuzz:
 	./scripts/fuzz.sh 600
 
-# Injects random faults into real router processes: make soak SEED=7 DAYS=4 MINUTES=1.
+# Injects random faults into real router processes: make soak SEED=7 DAYS=4 MINUTES=1
+# SOAK_ARGS="-routers 12 -callers 200".
 SEED ?= $(shell date +%s)
 DAYS ?= 1
 MINUTES ?= 1
 soak:
 	go build -race -o bin/hickoryrock-race ./cmd/hickoryrock
-	go run ./cmd/soak -program bin/hickoryrock-race -seed $(SEED) -days $(DAYS) -minutes $(MINUTES)
+	go run ./cmd/soak -program bin/hickoryrock-race -seed $(SEED) -days $(DAYS) -minutes $(MINUTES) $(SOAK_ARGS)
 
 # Scores the deployments of the regression runs with the users' bench: make regress
 # BENCH=PATH SITES="SITE-FILE ..." WHY="...". Commit the entries in journal/. A deployment
