--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -68,6 +68,8 @@
 
 		addresses       []string
 		addressesExpire time.Time
+		// failed are the addresses that have failed the current call.
+		failed []string
 		conn            *callerConn
 	}
 
@@ -107,6 +109,7 @@
 // call makes a call; real callers send it again, with a new ID, while it is refused.
 func (c *Caller) call() {
 	path, retries := c.behavior.drawPath(), 0
+	c.failed = nil
 	if c.behavior.real {
 		retries = retryLimit
 	}
--- a/internal/soak/traffic/connect.go
+++ b/internal/soak/traffic/connect.go
@@ -25,10 +25,12 @@
 	}
 	c.closeConn()
 	c.refreshAddresses()
-	if len(c.addresses) == 0 {
+	addresses := slices.DeleteFunc(slices.Clone(c.addresses), func(a string) bool { return slices.Contains(c.failed, a) })
+	if len(addresses) == 0 {
+		c.addressesExpire, c.failed = time.Time{}, nil
 		return false
 	}
-	address := c.addresses[rand.IntN(len(c.addresses))]
+	address := addresses[rand.IntN(len(addresses))]
 	conn, err := dial(c.fleet.ProxyAddress(address))
 	if err != nil {
 		c.recordFailure(address)
@@ -49,14 +51,10 @@
 	return c.behavior.keepsConnection || rand.Float64() < connectionReuseRate
 }
 
-// recordFailure lets a real caller avoid an address until the next lookup response.
+// recordFailure lets a real caller avoid an address until its next call.
 func (c *Caller) recordFailure(address string) {
-	if !c.behavior.real {
-		return
-	}
-	c.addresses = slices.DeleteFunc(slices.Clone(c.addresses), func(a string) bool { return a == address })
-	if len(c.addresses) == 0 {
-		c.addressesExpire = time.Time{}
+	if c.behavior.real {
+		c.failed = append(c.failed, address)
 	}
 }
 
