--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -22,11 +22,6 @@
 	reasonNoTarget = "no-target"
 	reasonSilent   = "target-silent"
 	reasonTimeout  = "timeout"
-	reasonLimits   = "target-limits"
-
-	// otherRouterDelay is the time after which a caller should try another router if this
-	// one may not send to any target that has named a limit.
-	otherRouterDelay = 100 * time.Millisecond
 
 	// minOverdue is the shortest time after which a call without any response bytes
 	// counts as a failure of its target.
@@ -44,10 +39,8 @@
 	target := c.choose()
 	if target == nil {
 		c.progress.Outcome = NotExecuted
-		c.reason, c.retryAfter = reasonNoTarget, 0
-		if wait, limited := c.untilLimitAllows(time.Now()); limited {
-			c.reason, c.retryAfter = reasonLimits, wait
-		}
+		obstacle := c.untilAccepted(time.Now())
+		c.reason, c.retryAfter = obstacle.reason, obstacle.wait
 		return
 	}
 	c.tried[target.Hash] = true
@@ -120,7 +113,7 @@
 		candidates[i] = affinity.Candidate{
 			Target: t.Hash, Calls: summaries[i].Calls, PendingTokens: summaries[i].PendingTokens, Slowness: summaries[i].Slowness,
 			Ejected: summaries[i].Ejected || c.h.TargetHealth.SilentFor(t.Hash, now) > limit,
-			Tried:   c.tried[t.Hash], Draining: t.Draining, Exhausted: !c.h.Limits.Allows(t.Hash, now),
+			Tried:   c.tried[t.Hash], Draining: t.Draining, Exhausted: t.Leaving || !c.h.accepts(t, now),
 			FailureDomain: t.FailureDomain, SameDomain: t.FailureDomain == c.h.FailureDomain,
 		}
 	}
@@ -141,22 +134,6 @@
 	return targets[choice.Index]
 }
 
-// untilLimitAllows reports whether the call cannot be sent because of the limits that
-// targets name, and the time until one of them allows it.
-func (c *call) untilLimitAllows(now time.Time) (time.Duration, bool) {
-	var limited []uint64
-	for _, t := range c.targets.ByService[c.service] {
-		if !t.Draining && !c.tried[t.Hash] && !c.h.Limits.Allows(t.Hash, now) {
-			limited = append(limited, t.Hash)
-		}
-	}
-	wait, ok := c.h.Limits.Wait(limited, now)
-	if !ok {
-		wait = otherRouterDelay
-	}
-	return wait, len(limited) > 0
-}
-
 // recordFailure records an attempt without a complete response.
 func (c *call) recordFailure(ctx context.Context, target *state.Target, notExecuted bool, reason string) {
 	c.reason = reason
@@ -196,9 +173,7 @@
 	if headers.HasLoad {
 		c.load, c.hasLoad = headers.Load, true
 	}
-	if response.Head.Status != http.StatusMisdirectedRequest && !headers.HasInvalidLimit {
-		c.h.Limits.Observe(target.Hash, headers.Limit, time.Now())
-	}
+	c.observeTarget(target, response.Head.Status, headers)
 	c.recordProgress(tracked, time.Now())
 	c.framing = framingName(response.Head)
 	c.headAt = time.Since(c.attemptStart)
@@ -214,7 +189,13 @@
 		c.recordNotExecuted(target, response.Head.Status)
 		return
 	}
-	if c.route.Streaming && response.Head.Status == http.StatusOK && c.request.Method != http.MethodHead {
+	if c.writer.Started() && !c.continuesStream(response.Head) {
+		c.h.Pool.Drain(response)
+		c.progress.PossibleExecutions++
+		c.recordUnusable(target, "no-stream")
+		return
+	}
+	if c.isStream(response.Head) {
 		c.relayStream(ctx, target, tracked, response)
 		return
 	}
@@ -227,11 +208,6 @@
 	c.h.Pool.Release(response)
 	c.progress.PossibleExecutions++
 	c.buffered = &bufferedResponse{head: response.Head, body: body}
-	if c.writer.Started() {
-		// A stream has begun, so only the rest of a stream can follow.
-		c.recordUnusable(target, "no-stream")
-		return
-	}
 	if response.Head.Status >= 500 {
 		c.progress.Outcome = FailedAtTarget
 		c.reason = "target-failed"
@@ -293,18 +269,11 @@
 func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) {
 	buffer := make([]byte, streamReadBytes)
 	prefilled := false
-	c.stream.beginAttempt()
+	c.stream.beginAttempt(c.writer.Started())
 	var pace streamPace
 	for {
 		n, err := response.Body.Read(buffer)
 		events, invalid := c.stream.add(buffer[:n])
-		if invalid != nil {
-			c.logIncomplete(target, invalid)
-			c.stream.reset()
-			c.h.Pool.Discard(response)
-			c.recordFailure(ctx, target, false, invalidReason(invalid))
-			return
-		}
 		if len(events) > 0 {
 			now := time.Now()
 			c.unresumable.Store(c.stream.unnumbered)
@@ -325,10 +294,17 @@
 			c.progress.Outcome = Responded
 			return
 		}
+		if invalid != nil {
+			c.logIncomplete(target, invalid)
+			c.stream.reset()
+			c.h.Pool.Discard(response)
+			c.recordFailure(ctx, target, false, invalidReason(invalid))
+			return
+		}
 		if err == nil {
 			continue
 		}
-		if err = checkWhole(response.Head, err, true, prefilled, c.stream.pending); err != nil {
+		if err = checkWhole(response.Head, err, c.stream.end()); err != nil {
 			c.logIncomplete(target, err)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
@@ -345,8 +321,15 @@
 
 // invalidReason returns the reason of a call whose stream holds invalid events.
 func invalidReason(err error) string {
-	if errors.Is(err, errEventsRepeated) {
+	switch {
+	case errors.Is(err, errEventsRepeated):
 		return "stream-repeats"
+	case errors.Is(err, errEventsMissing):
+		return "stream-skips"
+	case errors.Is(err, errForeignEvent):
+		return "foreign-event"
+	case errors.Is(err, errNotAnEvent):
+		return "not-an-event"
 	}
 	return "event-too-large"
 }
@@ -365,7 +348,7 @@
 func (c *call) writeHead(head *http1.Response) {
 	if !c.writer.Started() {
 		c.begun.Store(true)
-		c.status, c.firstEvent = head.Status, time.Now()
+		c.status, c.streamType, c.firstEvent = head.Status, mediaType(head), time.Now()
 		c.writer.StartChunked(head.Status, head.Reason, endToEndFields(head))
 	}
 }
