Let real callers of the soak look up addresses again after a call that failed

Clients keep a response beyond its time only if they cannot obtain a new one. Bound and window stay as they were.

--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -106,7 +106,8 @@
 	}
 }
 
-// call makes a call; real callers send it again, with a new ID, while it is refused.
+// call makes a call; real callers send it again, with a new ID, while it is refused, and look
+// up addresses again when it is refused in the end.
 func (c *Caller) call() {
 	path, retries := c.behavior.drawPath(), 0
 	c.failed = nil
@@ -117,7 +118,7 @@
 		c.callCount++
 		a := &attempt{id: fmt.Sprintf("%s-%d", c.name, c.callCount), path: path, plan: planOf(path), repeatable: n < retries}
 		wait, again := c.try(a)
-		if !again || n == retries {
+		if !again {
 			return
 		}
 		time.Sleep(wait)
@@ -190,6 +191,8 @@
 func (c *Caller) recordOutcome(a *attempt, outcome string) bool {
 	if a.repeatable {
 		outcome = IgnoredOutcome + outcome
+	} else if c.behavior.real {
+		c.addressesExpire = time.Time{}
 	}
 	c.recorder.RecordOutcome(outcome)
 	return a.repeatable
