--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -249,23 +249,6 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request. It skips empty lines before it, which
-// some callers send after a body (RFC 9112, section 2.2).
-func (c *conn) awaitRequest() error {
-	const emptyLine = "\r\n"
-	for {
-		first, err := c.reader.Peek(1)
-		if err != nil || first[0] != emptyLine[0] {
-			return err
-		}
-		both, err := c.reader.Peek(len(emptyLine))
-		if err != nil || string(both) != emptyLine {
-			return err
-		}
-		_, _ = c.reader.Discard(len(emptyLine)) // It is buffered.
-	}
-}
-
 // awaitEnd returns the error with which reading from the caller ends. What the caller sends
 // until then stays in the buffer; it returns nil if that is full.
 func (c *conn) awaitEnd() error {
@@ -291,12 +274,13 @@
 	}
 	initial := max(req.Length, 0)
 	if req.Length < 0 {
-		initial = min(bodyChunkBytes, limit+1)
+		initial = min(bodyChunkBytes-1, limit) + 1 // The limit may be the largest integer.
 	}
 	if !s.bodyMemory.TryAcquire(initial) {
 		return nil, 0, errBodyMemory
 	}
 	if req.ExpectContinue {
+		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // That of an earlier response may have passed.
 		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, initial, eris.Wrap(err, "send 100 Continue")
 		}
@@ -333,7 +317,7 @@
 		}
 		// Double the buffer, so that large bodies are copied rarely, up to one byte over the limit,
 		// which shows that the body exceeds it.
-		more := min(reserved, limit+1-reserved)
+		more := min(reserved-1, limit-reserved) + 1
 		if !s.bodyMemory.TryAcquire(more) {
 			return nil, reserved, errBodyMemory
 		}
--- a/internal/caller/ingress/ingress_test.go
+++ b/internal/caller/ingress/ingress_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -45,21 +46,29 @@
 	blockingHandler
 	server  *ingress.Server
 	address string
+	// bodyBytes is the limit of a request's body.
+	bodyBytes int64
 }
 
-func testLimits() state.Limits {
-	return state.Limits{HeaderBytes: 1 << 10, BodyBytes: bodyLimit, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+func (f *fixture) limits() state.Limits {
+	return state.Limits{HeaderBytes: 1 << 10, BodyBytes: f.bodyBytes, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 }
 
 func newFixture(t *testing.T, opts ...ingress.Option) *fixture {
-	f := &fixture{C: qt.New(t), blockingHandler: blockingHandler{make(chan int, 10), make(chan struct{}, 10)}}
+	return newFixtureWithLimit(t, bodyLimit, opts...)
+}
+
+func newFixtureWithLimit(t *testing.T, bodyBytes int64, opts ...ingress.Option) *fixture {
+	f := &fixture{
+		C: qt.New(t), blockingHandler: blockingHandler{make(chan int, 10), make(chan struct{}, 10)}, bodyBytes: bodyBytes,
+	}
 	f.serveWith(f.blockingHandler, opts...)
 	return f
 }
 
 // serveWith starts a server whose calls a handler serves.
 func (f *fixture) serveWith(handler ingress.Handler, opts ...ingress.Option) {
-	f.server = ingress.New(handler, testLimits, zerolog.Nop(), append(opts, ingress.WithBodyMemory(bodyMemory))...)
+	f.server = ingress.New(handler, f.limits, zerolog.Nop(), append(opts, ingress.WithBodyMemory(bodyMemory))...)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	f.Assert(err, qt.IsNil)
 	f.Cleanup(func() { _ = l.Close() })
@@ -265,3 +274,12 @@
 	_, err = net.Dial("tcp4", f.address)
 	f.Assert(err, qt.ErrorMatches, ".*connection refused")
 }
+
+// Guards against a configuration whose limit for bodies ends the process at the first chunked
+// request.
+func TestLargestBodyLimit(t *testing.T) {
+	f := newFixtureWithLimit(t, math.MaxInt64)
+	f.proceed <- struct{}{}
+	f.assertStatus(f.send(chunkedRequest(100<<10)), 200)
+	f.Assert(<-f.received, qt.Equals, 100<<10)
+}
