--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -70,7 +70,7 @@
 		addressesExpire time.Time
 		// failed are the addresses that have failed the current call.
 		failed []string
-		conn            *callerConn
+		conn   *callerConn
 	}
 
 	callerConn struct {
