--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -214,6 +214,8 @@
 		c.recorder.RecordViolation(oracle.InterruptedByStop, "%s, which was %v after SIGTERM: %v", detail, a.sent.Sub(stop.Start), err)
 	case !a.plan.long && ran && c.fleet.Stopping(conn.address):
 		c.recorder.RecordViolation(oracle.InterruptedByStop, "%s: %v", detail, err)
+	case stopped && excuse == oracle.NotRun && now.Sub(a.sent) > refusalTime:
+		c.recorder.RecordOutcome(IgnoredOutcome + "cut by a stop, not run, but not at once")
 	case stopped:
 		c.recorder.RecordOutcome(fmt.Sprintf("%scut by a stop, excused: %s", IgnoredOutcome, excuse))
 	case ran && excuse != oracle.TargetBrokeOff:
