--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
@@ -82,6 +81,8 @@
 		// Shutdown returns the router's planned stop, or nil before it is told to stop. A nil
 		// function means that it never is.
 		Shutdown func() *Shutdown
+		// OthersServe reports whether other routers serve callers. Nil means that they do.
+		OthersServe func() bool
 		// FailureDomain is the router's failure domain.
 		FailureDomain string
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
@@ -192,6 +193,9 @@
 	if config.OnLeaving == nil {
 		config.OnLeaving = func(uint64) {}
 	}
+	if config.OthersServe == nil {
+		config.OthersServe = func() bool { return true }
+	}
 	return &Handler{Config: config, responseMemory: semaphore.NewWeighted(config.ResponseMemory)}
 }
 
@@ -262,80 +266,11 @@
 	if !errors.Is(context.Cause(ctx), ingress.ErrCallerClosed) {
 		return false
 	}
-	c.reason = "caller-gone"
+	c.reason = reasonCallerGone
 	c.writer.Abort()
 	return true
 }
 
-// awaitCacheIndex delays a call with a prompt while the router is still loading
-// which targets have which prompt parts cached.
-func (c *call) awaitCacheIndex(ctx context.Context) {
-	if len(c.parts) == 0 {
-		return
-	}
-	select {
-	case <-c.h.CacheIndex.Restored():
-		return
-	default:
-	}
-	metrics.GetOrCreateCounter(`hickoryrock_calls_held_total{reason="caches-not-recalled"}`).Inc()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(cacheIndexWaitFraction*float64(c.route.LatencyObjective)))
-	defer cancel()
-	select {
-	case <-c.h.CacheIndex.Restored():
-	case <-ctx.Done():
-	}
-}
-
-// admit finds the call's route, workspace and service. If it returns false, an
-// error response has been sent.
-func (c *call) admit() bool {
-	configuration := c.view.Configuration
-	if configuration == nil {
-		c.reject("no-configuration")
-		return false
-	}
-	c.route = configuration.Route(hostName(c.request.Host), c.request.Path())
-	if c.route == nil {
-		c.respond(http.StatusNotFound, "no-route")
-		return false
-	}
-	if configuration.Workspaces != nil && !c.route.Public {
-		w, ok := configuration.Workspaces[c.headers.Key]
-		if !ok {
-			c.respond(http.StatusUnauthorized, "unknown-key")
-			return false
-		}
-		c.workspace = w
-	}
-	c.parts = promptParts(c.route, c.headers)
-	c.sharedParts = sharedHashes(c.parts)
-	c.service = c.route.PickService(c.splitKey())
-	return true
-}
-
-// splitKey returns the key that selects one of several services of a route. Calls
-// with the same shared prompt have the same key.
-func (c *call) splitKey() uint64 {
-	if len(c.parts) > 1 {
-		return c.parts[len(c.parts)-2].Hash
-	}
-	return xxhash.Sum64String(c.headers.ID)
-}
-
-// promptParts returns the parts of a call's prompt, or nil on routes without
-// cache affinity.
-func promptParts(route *state.Route, headers platform.CallHeaders) []affinity.Part {
-	if !route.Sticky {
-		return nil
-	}
-	parts := make([]affinity.Part, len(headers.Parts))
-	for i, p := range headers.Parts {
-		parts[i] = affinity.Part(p)
-	}
-	return parts
-}
-
 // takeRetry reports whether the call may be retried. It takes the retry from the
 // budget unless one is reserved or the attempt did not reach a target.
 func (c *call) takeRetry() bool {
@@ -418,13 +353,3 @@
 	}
 	return out
 }
-
-// hostName returns a Host header's value without the port.
-func hostName(host string) string {
-	for i := len(host) - 1; i >= 0; i-- {
-		if host[i] == ':' {
-			return host[:i]
-		}
-	}
-	return host
-}
--- a/internal/fleet/forward/shutdown.go
+++ b/internal/fleet/forward/shutdown.go
@@ -67,17 +67,16 @@
 	r.count++
 }
 
-// expected returns the time in which nearly all calls of a route end, and false until it is
-// known.
-func (t *callTimes) expected(route string) (time.Duration, bool) {
+// expected returns the time in which nearly all calls of a route end, or zero until it is known.
+func (t *callTimes) expected(route string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.routes[route]
 	if r == nil || r.count < minRecentCalls {
-		return 0, false
+		return 0
 	}
 	sorted := slices.Sorted(slices.Values(r.times[:min(r.count, recentCalls)]))
-	return sorted[int(math.Ceil(expectedQuantile*float64(len(sorted))))-1], true
+	return sorted[int(math.Ceil(expectedQuantile*float64(len(sorted))))-1]
 }
 
 // Admits reports whether a stopping router should take a call at a time: one that surely ends
@@ -106,17 +105,17 @@
 }
 
 // refuseIfStopping refuses a call that may last longer than the router, and reports whether it
-// did. The caller is asked to return at once, since other routers serve.
+// did.
 func (c *call) refuseIfStopping(timeout time.Duration) bool {
 	s := c.shutdown()
 	if s == nil {
 		return false
 	}
-	c.expected, _ = c.h.callTimes.expected(c.route.Name)
+	c.expected = c.h.callTimes.expected(c.route.Name)
 	if s.Admits(c.start, timeout, c.expected) {
 		return false
 	}
-	c.rejectWith(reasonStopping, ingress.RetryNowField())
+	c.rejectStopping()
 	return true
 }
 
@@ -127,14 +126,24 @@
 	if s == nil || c.progress.PossibleExecutions > 0 {
 		return false
 	}
-	c.expected, _ = c.h.callTimes.expected(c.route.Name)
+	c.expected = c.h.callTimes.expected(c.route.Name)
 	if now := time.Now(); s.endsInTime(now, c.deadline.Sub(now), c.expected) {
 		return false
 	}
-	c.rejectWith(reasonStopping, ingress.RetryNowField())
+	c.rejectStopping()
 	return true
 }
 
+// rejectStopping responds to a call that a stopping router refuses. The caller is asked to return
+// at once if other routers serve, and otherwise after a pause.
+func (c *call) rejectStopping() {
+	if c.h.OthersServe() {
+		c.rejectWith(reasonStopping, ingress.RetryNowField())
+		return
+	}
+	c.reject(reasonStopping)
+}
+
 // logShutdown adds to a call's log line when it arrived and ended in a planned stop.
 func (c *call) logShutdown(line *zerolog.Event, now time.Time) *zerolog.Event {
 	s := c.shutdown()
@@ -147,8 +156,7 @@
 
 // recordTime records how long a call took that got a response or reached its deadline.
 func (c *call) recordTime(took time.Duration) {
-	isComplete := c.progress.Outcome == Responded && c.status/100 == 2
-	if c.route != nil && c.progress.PossibleExecutions > 0 && (isComplete || c.reason == reasonTimeout) {
+	if c.route != nil && c.progress.PossibleExecutions > 0 && (c.isDone() || c.reason == reasonTimeout) {
 		c.h.callTimes.add(c.route.Name, took)
 	}
 }
