Run the short run with real callers by itself

Its four busy processes starved the recorded runs beside it: in one of two plays of all soak tests, seed 2 (whose short calls have no excuse) reported two streams of PathStream as cut by a stop. Their router was stalled for 1.24 s while the busy processes ran (17.4 to 20.7 s; the cuts at 20.2 and 20.3 s), both streams had used up the timeout of 3 s, with the reason timeout in the log. The check is as it was.

--- a/internal/soak/scenario/run_test.go
+++ b/internal/soak/scenario/run_test.go
@@ -28,13 +28,13 @@
 // that has failed, with its cause. `make soak` does longer runs.
 func TestShortRuns(t *testing.T) {
 	if testing.Short() {
-		t.Skip("takes a minute")
+		t.Skip("takes two minutes")
 	}
 	program := filepath.Join(t.TempDir(), "hickoryrock")
 	build := exec.Command("go", "build", "-race", "-o", program, "hickoryrock/cmd/hickoryrock")
 	out, err := build.CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	// The runs are concurrent and their addresses follow from the seeds, which must differ.
+	// Most runs are concurrent, and their addresses follow from the seeds, which must differ.
 	self, err := os.Executable()
 	qt.Assert(t, err, qt.IsNil)
 	runs := []struct {
@@ -52,7 +52,9 @@
 	}
 	for _, run := range runs {
 		t.Run(run.name, func(t *testing.T) {
-			t.Parallel()
+			if !run.realCallers { // Its busy processes would starve the routers of other runs.
+				t.Parallel()
+			}
 			c := qt.New(t)
 			dir := t.TempDir()
 			report, err := scenario.Run(scenario.Options{
