--- a/internal/fleet/storewatch/entries_test.go
+++ b/internal/fleet/storewatch/entries_test.go
@@ -59,14 +59,16 @@
 // Guards against a configuration that cannot be read and takes the last one out of force, or
 // hides the next.
 func TestOddConfigurationKeepsTheLast(t *testing.T) {
-	routes := `"routes":[{"name":"r","host":"h","path_prefix":"/","service":"s","timeout_ms":`
+	withTimeout := func(timeout string) string {
+		return strings.Replace(platformtest.Configuration(2), "2000", timeout, 1)
+	}
 	for name, spec := range map[string]string{
 		"nested":     `{"version":2,"routes":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
-		"extra":      `{"version":2,"x":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `,` + routes + `1}]}`,
-		"number":     `{"version":2,` + routes + `1e999}]}`,
-		"not JSON":   `{"version":2,` + routes + `NaN}]}`,
-		"text":       `{"version":2,` + routes + `"NaN"}]}`,
-		"version":    `{"version":1e30,` + routes + `1}]}`,
+		"extra":      strings.Replace(withTimeout("1"), "{", `{"x":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)+`,`, 1),
+		"number":     withTimeout("1e999"),
+		"not JSON":   withTimeout("NaN"),
+		"text":       withTimeout(`"NaN"`),
+		"version":    strings.Replace(withTimeout("1"), `"version":2`, `"version":1e30`, 1),
 		"no routes":  `{"version":2,"routes":[]}`,
 		"null":       `null`,
 		"not a spec": `"text"`,
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -67,9 +67,6 @@
 )
 
 type (
-	// Option configures a Watcher.
-	Option func(*Watcher)
-
 	// Watcher lists and watches the store and publishes the latest view. Its
 	// methods are safe for concurrent use.
 	Watcher struct {
@@ -200,32 +197,6 @@
 	return w
 }
 
-// WithBounds sets the times within which a change must be in force and a
-// draining target must get no more calls; zero keeps the default.
-func WithBounds(apply, drain time.Duration) Option {
-	return func(w *Watcher) {
-		if apply > 0 {
-			w.watchWait = scale(watchWaitFraction, apply)
-		}
-		if drain > 0 {
-			w.maxRetention = scale(retentionFraction, drain)
-		}
-	}
-}
-
-// WithHeartbeat sets how often targets renew their entries; zero keeps the default.
-func WithHeartbeat(interval time.Duration) Option {
-	return func(w *Watcher) {
-		if interval > 0 {
-			w.lapseTime = recoveryGrace + heartbeatsToLapse*interval
-		}
-	}
-}
-
-func scale(fraction float64, d time.Duration) time.Duration {
-	return time.Duration(fraction * float64(d))
-}
-
 // WatchWait returns the wait of this router's watch calls.
 func (w *Watcher) WatchWait() time.Duration { return w.watchWait }
 
