--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -199,8 +199,8 @@
 }
 
 // recordInterrupted records a call without a complete response. It is a violation when the
-// call has run and was interrupted by a planned stop of the router; a long call may be, for
-// the reasons of oracle.Excuse. It reports whether the call is sent again.
+// call has run and was interrupted by a planned stop of the router, unless its time limit was
+// reached; a long call may be, for the reasons of oracle.Excuse. It reports whether the call is sent again.
 func (c *Caller) recordInterrupted(a *attempt, err error) bool {
 	now, conn := time.Now(), c.conn
 	c.closeConn()
@@ -212,7 +212,7 @@
 	case !settled:
 	case a.plan.long && stopped && excuse == oracle.Unexcused:
 		c.recorder.RecordViolation(oracle.InterruptedByStop, "%s, which was %v after SIGTERM: %v", detail, a.sent.Sub(stop.Start), err)
-	case !a.plan.long && ran && c.fleet.Stopping(conn.address):
+	case !a.plan.long && ran && c.fleet.Stopping(conn.address) && excuse != oracle.AfterTimeLimit:
 		c.recorder.RecordViolation(oracle.InterruptedByStop, "%s: %v", detail, err)
 	case stopped && excuse == oracle.NotRun && now.Sub(a.sent) > refusalTime:
 		c.recorder.RecordOutcome(IgnoredOutcome + "cut by a stop, not run, but not at once")
