Build and await the router of the soak's process tests in one place

The test of a stop that is learned of late repeated both from the one of a paused router. Their assertions are the same as before; both pass.

--- a/internal/soak/scenario/late_stop_test.go
+++ b/internal/soak/scenario/late_stop_test.go
@@ -4,8 +4,6 @@
 	"io"
 	"net"
 	"net/http/httptest"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -26,9 +24,7 @@
 	const grace = 6 * time.Second // As in platformtest.FleetSettings.
 	c := qt.New(t)
 	dir := t.TempDir()
-	program := filepath.Join(dir, "hickoryrock")
-	out, err := exec.Command("go", "build", "-o", program, "hickoryrock/cmd/hickoryrock").CombinedOutput()
-	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	program := buildRouter(c, dir)
 	store := platformtest.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
@@ -55,9 +51,7 @@
 	store.Set(platformtest.KindTargets, "i-1", platformtest.Target(target.Address(), "ready", 1))
 	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, strings.ReplaceAll(platformtest.FleetConfiguration(1), `"timeout_ms":3000`, `"timeout_ms":15000`))
 	router := startRouter(c, program, dir, strings.TrimPrefix(server.URL, "http://"))
-	for end := time.Now().Add(10 * time.Second); sendCall(c, "key") != 200; time.Sleep(20 * time.Millisecond) {
-		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the router serves no call"))
-	}
+	awaitServing(c)
 	conn, err := net.Dial("tcp4", net.JoinHostPort(pauseIP, "18327"))
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
--- a/internal/soak/scenario/pause_test.go
+++ b/internal/soak/scenario/pause_test.go
@@ -35,9 +35,7 @@
 	}
 	c := qt.New(t)
 	dir := t.TempDir()
-	program := filepath.Join(dir, "hickoryrock")
-	out, err := exec.Command("go", "build", "-o", program, "hickoryrock/cmd/hickoryrock").CombinedOutput()
-	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	program := buildRouter(c, dir)
 	store := platformtest.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
@@ -45,9 +43,7 @@
 	store.Set(platformtest.KindTargets, "old", platformtest.Target(old.Address(), "ready", 1))
 	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.KeyConfiguration(1, "key"))
 	router := startRouter(c, program, dir, strings.TrimPrefix(server.URL, "http://"))
-	for end := time.Now().Add(10 * time.Second); sendCall(c, "key") != 200; time.Sleep(20 * time.Millisecond) {
-		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the router serves no call"))
-	}
+	awaitServing(c)
 	served := len(old.Requests())
 
 	c.Assert(router.Pause(), qt.IsNil)
@@ -65,6 +61,23 @@
 	c.Assert(len(current.Requests()), qt.Equals, 1)
 }
 
+// buildRouter builds the program in dir and returns its path.
+func buildRouter(c *qt.C, dir string) string {
+	c.Helper()
+	program := filepath.Join(dir, "hickoryrock")
+	out, err := exec.Command("go", "build", "-o", program, "hickoryrock/cmd/hickoryrock").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
+
+// awaitServing waits until the router of startRouter serves calls.
+func awaitServing(c *qt.C) {
+	c.Helper()
+	for end := time.Now().Add(10 * time.Second); sendCall(c, "key") != 200; time.Sleep(20 * time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the router serves no call"))
+	}
+}
+
 func startTarget(c *qt.C) *rawserver.Server {
 	target, stop, err := rawserver.New(func(conn net.Conn, r rawserver.Request) bool {
 		_, err := io.WriteString(conn, platformtest.Response(r, "200 OK", "", "x"))
