--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -72,7 +72,7 @@
 		// closing is set when idle connections are closed.
 		closing atomic.Bool
 		// stopped is cancelled, with ErrStopped, when calls in progress must end.
-		stopped context.Context //nolint:containedctx // Ends the calls of the whole server.
+		stopped context.Context
 		stop    context.CancelCauseFunc
 		// lastAccept is the time of the last accepted connection, or of the server's creation.
 		lastAccept atomic.Pointer[time.Time]
