--- /dev/null
+++ b/review/bed/target.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/internal/wire/http1"
+	"hickoryrock/platform/platformtest"
+)
+
+// maxHeadBytes bounds the head of a request.
+const maxHeadBytes = 64 << 10
+
+type (
+	// target is a server that keeps its address and its ID when it starts again.
+	target struct {
+		bed           *bed
+		id, service   string
+		zone, address string
+		handler       func(t *target, c net.Conn, r rawserver.Request) bool
+
+		// active is the number of requests that are running.
+		active atomic.Int64
+
+		mu       sync.Mutex
+		listener net.Listener
+		conns    map[net.Conn]bool
+	}
+)
+
+// addTarget starts a target and registers it in the store.
+func (b *bed) addTarget(n int, service string, handler func(t *target, c net.Conn, r rawserver.Request) bool) (*target, error) {
+	t := &target{
+		bed: b, id: fmt.Sprintf("i-%s-%d", service, n), service: service, zone: zones[n%len(zones)],
+		address: fmt.Sprintf("%s:8080", b.ip(100+n)), handler: handler,
+	}
+	if err := t.listen(); err != nil {
+		return nil, err
+	}
+	b.cleanups = append(b.cleanups, t.crash)
+	return t, nil
+}
+
+// listen starts an incarnation of the target.
+func (t *target) listen() error {
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", t.address)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.listener, t.conns = l, make(map[net.Conn]bool)
+	t.mu.Unlock()
+	t.register("ready")
+	go t.accept(l)
+	return nil
+}
+
+// register writes the target's entry.
+func (t *target) register(state string) {
+	t.bed.store.Set(platformtest.KindTargets, t.id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":%q,"cold_left_ms":0,"sequence":0,"born":%d}`,
+		t.service, t.address, t.zone, state, time.Now().UnixMilli()))
+}
+
+func (t *target) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		isLive := t.listener == l
+		if isLive {
+			t.conns[c] = true
+		}
+		t.mu.Unlock()
+		if !isLive {
+			_ = c.Close()
+			return
+		}
+		go t.serve(c)
+	}
+}
+
+func (t *target) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		head, err := http1.ReadRequest(reader, maxHeadBytes)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(http1.Body(reader, head.Length))
+		if err != nil {
+			return
+		}
+		r := rawserver.Request{Request: head, Body: body}
+		if expected := r.HeaderField("x-hickoryrock-expect-instance"); expected != "" && expected != t.id {
+			if _, err := io.WriteString(c, platformtest.Misdirected(r)); err != nil {
+				return
+			}
+			continue
+		}
+		t.active.Add(1)
+		isOpen := t.handler(t, c, r)
+		t.active.Add(-1)
+		if !isOpen {
+			return
+		}
+	}
+}
+
+// crash ends the target's process: it refuses connections, and the open ones are closed.
+func (t *target) crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.listener == nil {
+		return
+	}
+	_ = t.listener.Close()
+	t.listener = nil
+	for c := range t.conns {
+		_ = c.Close()
+	}
+}
+
+// running returns the number of requests that run, or zero if the target is down.
+func (t *target) running() int {
+	if !t.isUp() {
+		return 0
+	}
+	return int(t.active.Load())
+}
+
+// isUp reports whether the target accepts connections.
+func (t *target) isUp() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listener != nil
+}
+
+// streamEvents answers with a stream of events, one each gap, and reports whether it was
+// written to the end.
+func streamEvents(c net.Conn, r rawserver.Request, events int, gap time.Duration) bool {
+	if _, err := io.WriteString(c, platformtest.StreamHead(r)); err != nil {
+		return false
+	}
+	for n := 1; n <= events; n++ {
+		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, r.HeaderField("x-hickoryrock-attempt-id"))
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+		time.Sleep(gap)
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+// hasPart reports whether a part stands in the prompt of a request.
+func hasPart(r rawserver.Request, part string) bool {
+	return strings.Contains(r.HeaderField("x-hickoryrock-prefix-hash"), part+":")
+}
