--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -19,11 +19,10 @@
 // cases maps the name of each case to the function that runs it and reports whether the rule
 // was broken.
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){
-	"cascade":    runCascade,
-	"poison":     runPoison,
-	"entries":    runEntries,
-	"store-move": runStoreMove,
-	"lapse":      runLapse,
+	"cascade":  runCascade,
+	"poison":   runPoison,
+	"entries":  runEntries,
+	"lapse":    runLapse,
 }
 
 func main() {
