--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -22,6 +22,7 @@
 	"cascade":  runCascade,
 	"poison":   runPoison,
 	"entries":  runEntries,
+	"releases": runReleases,
 	"lapse":    runLapse,
 }
 
--- a/review/bed/target.go
+++ b/review/bed/target.go
@@ -40,7 +40,7 @@
 func (b *bed) addTarget(n int, service string, handler func(t *target, c net.Conn, r rawserver.Request) bool) (*target, error) {
 	t := &target{
 		bed: b, id: fmt.Sprintf("i-%s-%d", service, n), service: service, zone: zones[n%len(zones)],
-		address: fmt.Sprintf("%s:8080", b.ip(100+n)), handler: handler,
+		address: fmt.Sprintf("%s:%d", b.ip(100+n%100), 8080+n/100), handler: handler,
 	}
 	if err := t.listen(); err != nil {
 		return nil, err
