--- a/review/bed/releases.go
+++ b/review/bed/releases.go
@@ -53,7 +53,7 @@
 		statuses map[int]int
 		// ready counts the probes that each router answered with 200, unready the others.
 		ready, unready map[string]int
-		tries []result
+		tries          []result
 	}
 )
 
