--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -176,7 +176,7 @@
 
 // writeSettings writes the settings file as the platform does.
 func (r *router) writeSettings(store string, bootstrap bool) {
-	address := func(port int) string { return fmt.Sprintf("%s:%d", r.ip, port) }
+	address := r.address
 	zoneMap := make(map[string]string)
 	for _, z := range zones {
 		zoneMap[z] = "jylland"
@@ -204,6 +204,8 @@
 	_ = os.Rename(r.path+".new", r.path)
 }
 
+func (r *router) address(port int) string { return fmt.Sprintf("%s:%d", r.ip, port) }
+
 // run starts the process with the command of the deploy file.
 func (r *router) run() error {
 	out, err := os.OpenFile(filepath.Join(r.bed.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/review/bed/cascade.go
+++ b/review/bed/cascade.go
@@ -49,8 +49,8 @@
 	b.configure(1, []string{key}, []map[string]any{engines("walk")}, chatRoute("walkthrough", cascadePath, "walk", 15*time.Second))
 	var targets []*target
 	for i := range cascadeTargets {
-		t, err := b.addTarget(i, "walk", func(_ *target, c net.Conn, r rawserver.Request) bool {
-			return streamEvents(c, r, cascadeEvents, cascadeGap)
+		t, err := b.addTarget(i, "walk", func(t *target, c net.Conn, r rawserver.Request) bool {
+			return t.streamEvents(c, r, cascadeEvents, cascadeGap)
 		})
 		if err != nil {
 			return false, err
--- a/review/bed/poison.go
+++ b/review/bed/poison.go
@@ -17,7 +17,7 @@
 const (
 	poisonTargets = 6
 	poisonPart    = "0badf00d"
-	poisonPath    = "/lohu930/"
+	poisonPath    = "/cuti104/"
 	poisonLength  = 45 * time.Second
 	// soundArrival and poisonArrival are the times between two requests.
 	soundArrival  = 100 * time.Millisecond
@@ -47,7 +47,7 @@
 				seen.crash(t, c, r)
 				return false
 			}
-			return streamEvents(c, r, 10, 50*time.Millisecond)
+			return t.streamEvents(c, r, 10, 50*time.Millisecond)
 		})
 		if err != nil {
 			return false, err
--- a/review/bed/releases.go
+++ b/review/bed/releases.go
@@ -18,21 +18,24 @@
 	releaseService = "model-servers"
 	releasePath    = "/lohu930/"
 	releaseRouters = 2
-	// releaseTargets is the number of servers in use, of which each release replaces half.
-	releaseTargets = 16
-	releaseSteps   = 34
-	releaseStep    = 1600 * time.Millisecond
+	// releaseTargets is the number of servers in use. In each step a quarter more are added, over
+	// releaseGap, and a quarter leaves.
+	releaseTargets = 32
+	releaseQuarter = releaseTargets / 4
+	releaseGap     = 2 * time.Second
+	releaseSteps   = 29
+	releaseStep    = 2500 * time.Millisecond
 	// spreadTime is the time until all routers know of new servers.
-	spreadTime = 200 * time.Millisecond
+	spreadTime = 150 * time.Millisecond
 	// keptCallers is the number of callers at each router, which keep their connections.
-	keptCallers = 260
+	keptCallers = 560
 	// newCallers is the number of callers that try a new connection at the end, each second.
-	newCallers = 10
+	newCallers = 20
 	// minTries is the number of callers that must try a new connection.
 	minTries = 7
-	// releaseCalm is the time after the last release, in which nothing changes.
+	// releaseCalm is the time after the last step, in which nothing changes.
 	releaseCalm = contactTime + 2*time.Second
-	probeTime   = 8 * time.Second
+	probeTime   = 10 * time.Second
 	// releaseTimeout is the route's timeout; callers wait longer.
 	releaseTimeout  = 1500 * time.Millisecond
 	releaseDeadline = 3 * time.Second
@@ -57,14 +60,14 @@
 	}
 )
 
-// runReleases replaces servers, as releases do, while callers use their connections, and looks
+// runReleases adds servers and lets others leave while callers use their connections, and looks
 // at the end whether the routers take new connections.
 func runReleases(b *bed, trouble bool) (bool, error) {
 	b.configure(1, []string{key}, []map[string]any{engines(releaseService)}, chatRoute("answer", releasePath, releaseService, releaseTimeout))
 	var targets []*target
 	add := func() error {
-		t, err := b.addTarget(len(targets), releaseService, func(_ *target, c net.Conn, r rawserver.Request) bool {
-			return streamEvents(c, r, 4, 60*time.Millisecond)
+		t, err := b.addTarget(len(targets), releaseService, func(t *target, c net.Conn, r rawserver.Request) bool {
+			return t.streamEvents(c, r, 4, 60*time.Millisecond)
 		})
 		targets = append(targets, t)
 		return err
@@ -83,12 +86,14 @@
 	for step := range releaseSteps {
 		begun := time.Now()
 		if trouble {
-			for range releaseTargets / 2 {
+			for range releaseQuarter {
 				if err := add(); err != nil {
 					return false, err
 				}
+				time.Sleep(releaseGap / releaseQuarter)
 			}
-			for _, t := range targets[len(targets)-3*releaseTargets/2 : len(targets)-releaseTargets] {
+			last := len(targets) - releaseTargets
+			for _, t := range targets[last-releaseQuarter : last] {
 				t.leave()
 			}
 			time.Sleep(spreadTime)
@@ -97,7 +102,7 @@
 		b.logf("step %d: %d servers were started so far; answers in this step: %s", step, len(targets), seen.take())
 		time.Sleep(releaseStep - time.Since(begun))
 	}
-	b.logf("no more releases")
+	b.logf("no more servers come or leave")
 	time.Sleep(releaseCalm)
 	b.probe(seen, callers)
 	b.grepLog("too many open files")
@@ -106,6 +111,7 @@
 
 // leave drains the target, which ends a little later than drain_ms.
 func (t *target) leave() {
+	t.leaving.Store(true)
 	t.register("draining")
 	time.AfterFunc(drainTime+spreadTime, func() {
 		t.bed.store.Remove("servers", t.id)
@@ -117,7 +123,7 @@
 	var callers []*keptCaller
 	for _, r := range b.routers {
 		for range keptCallers {
-			callers = append(callers, &keptCaller{bed: b, address: fmt.Sprintf("%s:%d", r.ip, portCallers)})
+			callers = append(callers, &keptCaller{bed: b, address: r.address(portCallers)})
 		}
 	}
 	return callers
@@ -215,12 +221,13 @@
 }
 
 func (b *bed) try(seen *releaseLog, r *router) {
-	result := b.callAt(fmt.Sprintf("%s:%d", r.ip, portCallers), releaseRequest())
-	b.logf("request %s on a new connection to %s: sent at %.3f, status %d after %v", result.id, r.name,
-		result.sent.Sub(b.start).Seconds(), result.status, result.took.Round(time.Millisecond))
+	caller := &keptCaller{bed: b, address: r.address(portCallers)}
+	result := result{router: r.name, sent: time.Now()}
+	result.status = caller.call()
+	b.logf("request on a new connection to %s: sent at %.3f, status %d after %v", r.name, result.sent.Sub(b.start).Seconds(),
+		result.status, time.Since(result.sent).Round(time.Millisecond))
 	seen.mu.Lock()
 	defer seen.mu.Unlock()
-	result.router = r.name
 	seen.tries = append(seen.tries, result)
 }
 
--- a/review/bed/target.go
+++ b/review/bed/target.go
@@ -29,6 +29,8 @@
 
 		// active is the number of requests that are running.
 		active atomic.Int64
+		// leaving is set when the target leaves, which it says in all its answers.
+		leaving atomic.Bool
 
 		mu       sync.Mutex
 		listener net.Listener
@@ -147,10 +149,14 @@
 	return t.listener != nil
 }
 
-// streamEvents answers with a stream of events, one each gap, and reports whether it was
-// written to the end.
-func streamEvents(c net.Conn, r rawserver.Request, events int, gap time.Duration) bool {
-	if _, err := io.WriteString(c, platformtest.StreamHead(r)); err != nil {
+// streamEvents answers with a stream of events, one each gap, and reports whether the
+// connection stays open.
+func (t *target) streamEvents(c net.Conn, r rawserver.Request, events int, gap time.Duration) bool {
+	head, isLeaving := platformtest.StreamHead(r), t.leaving.Load()
+	if isLeaving {
+		head = platformtest.StreamHeadWith(r, platformtest.LeavingLine+"Connection: close\r\n")
+	}
+	if _, err := io.WriteString(c, head); err != nil {
 		return false
 	}
 	for n := 1; n <= events; n++ {
@@ -161,7 +167,7 @@
 		time.Sleep(gap)
 	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
-	return err == nil
+	return err == nil && !isLeaving
 }
 
 // hasPart reports whether a part stands in the prompt of a request.
