Log how far a router's configuration is behind and who watches the store

The line of a call names a newer version that the router knew of. The metric hickoryrock_configuration_behind_seconds shows the same. No change of behaviour.

--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -83,6 +83,9 @@
 		Shutdown func() *Shutdown
 		// OthersServe reports whether other routers serve callers. Nil means that they do.
 		OthersServe func() bool
+		// NewestConfiguration returns the newest version that another router has and this one
+		// lacks, and for how long it has been known. Nil means that there is none.
+		NewestConfiguration func() (version int64, behind time.Duration)
 		// FailureDomain is the router's failure domain.
 		FailureDomain string
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
@@ -193,6 +196,9 @@
 	if config.OnLeaving == nil {
 		config.OnLeaving = func(uint64) {}
 	}
+	if config.NewestConfiguration == nil {
+		config.NewestConfiguration = func() (int64, time.Duration) { return 0, 0 }
+	}
 	if config.OthersServe == nil {
 		config.OthersServe = func() bool { return true }
 	}
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -50,6 +50,9 @@
 		line = line.Str("quarantined", quarantine.PartName(c.quarantined.Part)).Int("crashes", c.quarantined.Crashes).
 			Dur("last-crash-ago-ms", time.Since(c.quarantined.LastCrash))
 	}
+	if newest, behind := c.h.NewestConfiguration(); newest > configuration {
+		line = line.Int64("newer-configuration", newest).Dur("behind-ms", behind)
+	}
 	c.logShutdown(line, time.Now()).Str("call", c.headers.ID).Int("connection-call", c.writer.Sequence()).Str("route", route).Str("service", c.service).
 		Str("workspace", c.workspace.Name).Int64("configuration", configuration).
 		Uint64("store-era", c.targets.Revision.Era).Uint64("targets-revision", c.targets.Revision.Number).Strs("targets", c.sentTo).
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -69,6 +69,8 @@
 		tracker      *targetstats.Tracker
 		cacheIndex   *affinity.CacheIndex
 		retryBudgets *retries.Budgets
+		// retryBurst is the last burst of retryBudgets.
+		retryBurst   float64
 		quarantine   *quarantine.Tracker
 		targetLimits *targetlimits.Tracker
 		// targetBackoff knows the targets that want no requests from this router for a time.
@@ -106,6 +108,7 @@
 		func() bool { return r.fleet.StoreServesPeers() },
 		storewatch.WithBounds(s.Bounds.ConfigurationApply, s.Bounds.Drain), storewatch.WithHeartbeat(s.Heartbeat))
 	metrics.GetOrCreateGauge(`hickoryrock_store_era`, func() float64 { return float64(r.watcher.View().Targets.Revision.Era) })
+	metrics.GetOrCreateGauge(`hickoryrock_configuration_behind_seconds`, func() float64 { return r.fleet.ConfigurationLag().Behind.Seconds() })
 	metrics.GetOrCreateGauge(`hickoryrock_store_age_seconds`, func() float64 { return r.watcher.StoreAge().Seconds() })
 	pool, closePool := http1client.New()
 	r.cleanups = append(r.cleanups, closePool)
@@ -123,7 +126,8 @@
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
 		Quarantine: r.quarantine, Limits: r.targetLimits, Backoff: r.targetBackoff, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load, OthersServe: r.othersServe,
-		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
+		NewestConfiguration: r.newestConfiguration,
+		ResponseMemory:      int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	r.server = ingress.New(handler, r.limits, log,
 		ingress.WithBodyMemory(int64(bodyMemoryFraction*float64(s.MemoryBytes))))
@@ -144,7 +148,20 @@
 // updateRetryBurst sets this router's burst of retries to an equal share of the fleet's
 // retry slack.
 func (r *Router) updateRetryBurst() {
-	r.retryBudgets.SetBurst(max(retryBudgetFraction*r.bounds.Load().RetrySlack/float64(r.fleet.LiveCount()), 1))
+	live := r.fleet.LiveCount()
+	burst := max(retryBudgetFraction*r.bounds.Load().RetrySlack/float64(live), 1)
+	if burst != r.retryBurst {
+		r.log.Info().Float64("burst", burst).Float64("before", r.retryBurst).Int("live", live).Msg("burst of retries changed")
+	}
+	r.retryBurst = burst
+	r.retryBudgets.SetBurst(burst)
+}
+
+// newestConfiguration returns the newest version that another router has and this one lacks,
+// or zero, and for how long it has been known.
+func (r *Router) newestConfiguration() (version int64, behind time.Duration) {
+	lag := r.fleet.ConfigurationLag()
+	return lag.Newest, lag.Behind
 }
 
 func (r *Router) close() {
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -255,7 +255,9 @@
 		f.watcher.ApplyTargets(decodeChange(b.GetChange()), false, b.GetRouter())
 	}
 	f.watcher.AdvanceRevision(targetsRevision(b), b.GetTargetsDigest())
-	if f.isAhead(b, f.localState()) {
+	local := f.localState()
+	f.noteConfiguration(b, local, now)
+	if f.isAhead(b, local) {
 		select {
 		case f.fetchRequests <- struct{}{}:
 		default:
--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -238,6 +238,7 @@
 ) (*peerv1.Snapshot, bool) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	started := time.Now()
 	client := peerv1connect.NewFleetServiceClient(f.client, "http://"+address, connect.WithReadMaxBytes(maxSnapshotBytes))
 	resp, err := client.GetSnapshot(ctx, connect.NewRequest(request))
 	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
@@ -246,9 +247,13 @@
 	}
 	if err != nil {
 		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="failed"}`).Inc()
-		f.log.Warn().Err(err).Str("peer", router).Msg("failed to fetch snapshot")
+		f.log.Warn().Err(err).Str("peer", router).Dur("took-ms", time.Since(started)).
+			Dur("behind-ms", f.ConfigurationLag().Behind).Msg("failed to fetch snapshot")
 		return nil, false
 	}
 	metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="taken"}`).Inc()
+	f.log.Info().Str("peer", router).Dur("took-ms", time.Since(started)).Dur("behind-ms", f.ConfigurationLag().Behind).
+		Int("configuration-bytes", len(resp.Msg.GetConfiguration())).Int("targets", len(resp.Msg.GetTargets().GetItems())).
+		Msg("snapshot fetched")
 	return resp.Msg, true
 }
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -172,6 +172,9 @@
 		sequence uint32
 		round    uint64
 		leaving  bool
+		newer    newerVersions
+		// watches is set while this router watches the store.
+		watches bool
 		// batch holds the beacons that this router relays next, as a datagram.
 		batch          []byte
 		flushScheduled bool
--- a/internal/peer/gossip/watcher.go
+++ b/internal/peer/gossip/watcher.go
@@ -53,7 +53,16 @@
 // maxUnservedWatchers keep calling it, and the others probe it by turns.
 func (f *Fleet) WatchesStore() bool {
 	s := f.storeWatch()
-	return s.servedBefore < maxServedWatchers && (s.selfServed || s.unservedBefore < maxUnservedWatchers)
+	watches := s.servedBefore < maxServedWatchers && (s.selfServed || s.unservedBefore < maxUnservedWatchers)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if watches != f.watches {
+		f.watches = watches
+		f.log.Info().Bool("watches", watches).Bool("served", s.selfServed).Int("served-before", s.servedBefore).
+			Int("unserved-before", s.unservedBefore).Int("live", s.live).Dur("unserved-ms", max(s.unservedFor, 0)).
+			Msg("role in watching the store changed")
+	}
+	return watches
 }
 
 // isProbeTurn reports whether it is this router's turn to find out whether the store
