--- a/internal/peer/gossip/fixture_test.go
+++ b/internal/peer/gossip/fixture_test.go
@@ -39,6 +39,8 @@
 	confirmed atomic.Bool
 	// snapshots counts the snapshots that this router's peers have requested from it.
 	snapshots atomic.Int64
+	// hangs is set if this router does not answer its peers' calls, although its beacons go on.
+	hangs atomic.Bool
 	// cacheSends counts the cache contents that it has sent.
 	cacheSends atomic.Int64
 	stop       func()
@@ -93,6 +95,10 @@
 	handler := fleet.Handler()
 	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.snapshots.Add(1)
+		if r.hangs.Load() {
+			<-req.Context().Done()
+			return
+		}
 		handler.ServeHTTP(&slowWriter{ResponseWriter: w, router: r, delay: f.slowCaches, slow: strings.HasSuffix(req.URL.Path, "GetCaches")}, req)
 	})}
 	go func() { _ = server.Serve(l) }()
