--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -213,10 +213,13 @@
 	group.Wait()
 }
 
-// Refresh requests an immediate poll of the store, for changes that another router
-// has seen but could not send. It does not block.
-func (w *Watcher) Refresh() {
-	for _, s := range []*watchState{&w.configurationWatch, &w.targetWatch} {
+// Refresh requests an immediate poll of the store, for changes that another router has seen
+// but could not send. It does not block.
+func (w *Watcher) Refresh(configurations, targets bool) {
+	for s, isBehind := range map[*watchState]bool{&w.configurationWatch: configurations, &w.targetWatch: targets} {
+		if !isBehind {
+			continue
+		}
 		select {
 		case s.refresh <- struct{}{}:
 		default:
--- a/internal/fleet/storewatch/watcher_test.go
+++ b/internal/fleet/storewatch/watcher_test.go
@@ -214,7 +214,7 @@
 	time.Sleep(300 * time.Millisecond)
 	f.Assert(f.store.Calls(), qt.Equals, 2)
 	f.Assert(f.ready(), qt.Equals, 0)
-	f.Refresh()
+	f.Refresh(true, true)
 	f.eventually("the target is known after the requested poll", func() bool { return f.ready() == 1 })
 }
 
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -256,7 +256,7 @@
 	}
 	f.watcher.AdvanceRevision(targetsRevision(b), b.GetTargetsDigest())
 	local := f.localState()
-	f.noteConfiguration(b, local, now)
+	f.noteVersions(b, local, now)
 	if f.isAhead(b, local) {
 		select {
 		case f.fetchRequests <- struct{}{}:
--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -24,8 +24,7 @@
 	// nearSourceTimeout is how long the others wait for a router of their failure
 	// domain to have the change.
 	nearSourceTimeout = 300 * time.Millisecond
-	// maxFetchSources is the number of peers that are asked for a change before the
-	// store is.
+	// maxFetchSources is the number of peers that are asked for a change at a time.
 	maxFetchSources = 3
 	// remoteConfirmRatio: one in remoteConfirmRatio confirmations asks a peer of another
 	// failure domain.
@@ -93,7 +92,7 @@
 		return err
 	}
 	for end := time.Now().Add(nearSourceTimeout); time.Now().Before(end); {
-		if _, _, near := f.pickSource(f.localState()); near {
+		if s, ok := f.pickSource(f.localState(), nil); ok && s.near {
 			return nil
 		}
 		if err := objects.Sleep(ctx, fetchJitter/2); err != nil {
@@ -103,29 +102,62 @@
 	return nil
 }
 
-// fetchFromPeers fetches from up to maxFetchSources peers that are ahead, and asks for
-// a poll of the store if all of them fail. The first to have a new configuration in its
-// failure domain announces it there.
+// fetchFromPeers fetches from a peer that is ahead. One that does not answer soon must not hold
+// up the others: after hedgeDelay, or when another peer is ahead, the next one is asked as well,
+// up to maxFetchSources. The first to have a new configuration in its failure domain announces
+// it there.
 func (f *Fleet) fetchFromPeers(ctx context.Context) {
-	for range maxFetchSources {
-		before := f.localState()
-		router, address, near := f.pickSource(before)
-		if address == "" {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	before := f.localState()
+	asked := make(map[string]bool)
+	results := make(chan fetchResult, maxFetchSources)
+	running := 0
+	ask := func() {
+		s, ok := f.pickSource(f.localState(), asked)
+		if !ok || len(asked) == maxFetchSources {
 			return
 		}
-		if f.FetchSnapshot(ctx, router, address) {
-			if !near && f.localState().ConfigurationVersion > before.ConfigurationVersion {
-				f.announceNear()
+		asked[s.address] = true
+		running++
+		go func() { results <- fetchResult{s, f.FetchSnapshot(ctx, s.router, s.address)} }()
+	}
+	ask()
+	hedge := time.NewTicker(hedgeDelay)
+	defer hedge.Stop()
+	for running > 0 {
+		select {
+		case r := <-results:
+			running--
+			if r.applied {
+				if !r.near && f.localState().ConfigurationVersion > before.ConfigurationVersion {
+					f.announceNear()
+				}
+				return
 			}
-			return
+			ask()
+		case <-hedge.C:
+			if !f.isBehind() {
+				return // The store or a beacon has brought what was missing.
+			}
+			ask()
 		}
 	}
-	f.watcher.Refresh()
+}
+
+// isBehind reports whether a live peer is ahead of this router.
+func (f *Fleet) isBehind() bool {
+	_, ok := f.pickSource(f.localState(), nil)
+	return ok
 }
 
 // fetchesFirst reports whether this router is one of the firstFetchers of its failure
 // domain, by a hash that all routers compute alike.
-func (f *Fleet) fetchesFirst() bool {
+func (f *Fleet) fetchesFirst() bool { return f.routersBefore() < firstFetchers }
+
+// routersBefore returns the number of live routers of this router's failure domain that come
+// before it in an order that all routers compute alike.
+func (f *Fleet) routersBefore() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	self, before := watcherRank(f.self.Router), 0
@@ -134,38 +166,59 @@
 			before++
 		}
 	}
-	return before < firstFetchers
+	return before
 }
 
-// pickSource returns a random peer that is ahead of this router, preferring its
-// own failure domain, and whether it is in that domain. A router that lacks departures
-// takes the oldest process. Both strings are empty when there is none.
-func (f *Fleet) pickSource(local State) (router, address string, inDomain bool) {
+type (
+	// source is a peer that is ahead of this router; near is set if it is in the same failure
+	// domain.
+	source struct {
+		router, address string
+		near            bool
+	}
+
+	// fetchResult says whether the state of a source was applied.
+	fetchResult struct {
+		source
+		applied bool
+	}
+)
+
+// pickSource returns a random peer that is ahead of this router and not in asked. It prefers
+// those that have not lately failed to send a snapshot, and then its own failure domain. A
+// router that lacks departures takes the oldest process.
+func (f *Fleet) pickSource(local State, asked map[string]bool) (source, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var near, remote []*peer
-	for _, p := range f.peers {
-		if !p.live || !f.isAhead(p.beacon, local) {
+	now := time.Now()
+	var best []*peer
+	bestRank := 0
+	for address, p := range f.peers {
+		if !p.live || asked[address] || !f.isAhead(p.beacon, local) {
 			continue
 		}
+		rank := 1
 		if p.beacon.GetFailureDomain() == f.self.FailureDomain {
-			near = append(near, p)
-		} else {
-			remote = append(remote, p)
+			rank = 2
+		}
+		if now.Sub(p.failedAt) > failedSourceTime {
+			rank += 2
+		}
+		if rank > bestRank {
+			best, bestRank = best[:0], rank
+		}
+		if rank == bestRank {
+			best = append(best, p)
 		}
 	}
-	inDomain = len(near) > 0
-	if !inDomain {
-		near = remote
-	}
-	if len(near) == 0 {
-		return "", "", false
+	if len(best) == 0 {
+		return source{}, false
 	}
-	source := near[rand.IntN(len(near))]
+	p := best[rand.IntN(len(best))]
 	if local.LacksDepartures {
-		source = slices.MinFunc(near, func(a, b *peer) int { return cmp.Compare(a.beacon.GetIncarnation(), b.beacon.GetIncarnation()) })
+		p = slices.MinFunc(best, func(a, b *peer) int { return cmp.Compare(a.beacon.GetIncarnation(), b.beacon.GetIncarnation()) })
 	}
-	return source.beacon.GetRouter(), source.beacon.GetPeerAddress(), inDomain
+	return source{p.beacon.GetRouter(), p.beacon.GetPeerAddress(), p.beacon.GetFailureDomain() == f.self.FailureDomain}, true
 }
 
 // FetchSnapshot fetches the configuration and targets from a peer and applies
@@ -245,6 +298,14 @@
 		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="not-yet"}`).Inc()
 		return nil, false
 	}
+	isNeeded := !errors.Is(context.Cause(ctx), context.Canceled)
+	if err != nil && (isNeeded || time.Since(started) > hedgeDelay) {
+		f.recordFailedSource(address)
+	}
+	if err != nil && !isNeeded {
+		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="not-needed"}`).Inc()
+		return nil, false
+	}
 	if err != nil {
 		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="failed"}`).Inc()
 		f.log.Warn().Err(err).Str("peer", router).Dur("took-ms", time.Since(started)).
@@ -257,3 +318,12 @@
 		Msg("snapshot fetched")
 	return resp.Msg, true
 }
+
+// recordFailedSource records that a peer has not sent a snapshot in time.
+func (f *Fleet) recordFailedSource(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[address]; p != nil {
+		p.failedAt = time.Now()
+	}
+}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -99,6 +99,10 @@
 	confirmTimeout = 150 * time.Millisecond
 	// fetchTimeout bounds one snapshot request.
 	fetchTimeout = 800 * time.Millisecond
+	// hedgeDelay is how long a router waits for one peer before it also asks another.
+	hedgeDelay = 150 * time.Millisecond
+	// failedSourceTime is how long a peer that has not sent a snapshot is asked after others.
+	failedSourceTime = 2 * time.Second
 	// maxDatagramBytes is the size of the receive buffer.
 	maxDatagramBytes = 8 << 10
 	// countScale is the factor by which decayed counts are multiplied on the wire.
@@ -172,7 +176,7 @@
 		sequence uint32
 		round    uint64
 		leaving  bool
-		newer    newerVersions
+		lags     lags
 		// watches is set while this router watches the store.
 		watches bool
 		// batch holds the beacons that this router relays next, as a datagram.
@@ -197,7 +201,7 @@
 	}
 	f := &Fleet{
 		self: self, localState: localState, tracker: tracker, cacheIndex: cacheIndex, watcher: watcher, log: log, conn: conn,
-		opts:   newOptions(opts),
+		opts: newOptions(opts), lags: newLags(),
 		client: &http.Client{Timeout: fetchTimeout}, peers: make(map[string]*peer), peersBySender: make(map[uint32]*peer),
 		beaconRequests: make(chan *storewatch.Delta, maxQueuedBeacons), fetchRequests: make(chan struct{}, 1),
 		greetings: make(chan netip.AddrPort, maxQueuedGreetings), cacheSends: make(chan struct{}, maxCacheSends),
@@ -250,6 +254,7 @@
 func (f *Fleet) Run(ctx context.Context) {
 	go f.receive()
 	go f.catchUp(ctx)
+	go f.askStoreWhenBehind(ctx)
 	go f.probeStore(ctx)
 	regular := time.NewTimer(0)
 	defer regular.Stop()
--- a/internal/peer/gossip/peers.go
+++ b/internal/peer/gossip/peers.go
@@ -17,6 +17,8 @@
 	beacon        *peerv1.Beacon
 	live          bool
 	backoffRounds int
+	// failedAt is when the peer last did not send a snapshot in time.
+	failedAt time.Time
 }
 
 // AddPeer adds a peer, which may or may not be running, and introduces this router to
