--- /dev/null
+++ b/internal/fleet/storewatch/resume_test.go
@@ -0,0 +1,99 @@
+package storewatch_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"hickoryrock/internal/fleet/storewatch"
+	"hickoryrock/platform"
+	"hickoryrock/platform/platformtest"
+)
+
+// countingWriter counts the bytes of a response.
+type countingWriter struct {
+	http.ResponseWriter
+	bytes int
+}
+
+func (w *countingWriter) Write(data []byte) (int, error) {
+	w.bytes += len(data)
+	return w.ResponseWriter.Write(data)
+}
+
+// Guards against a change that is in force too late (CONFIG, issue 36): a router that takes over
+// the store's watch, or asks for a change that its peers have not sent, must not get all
+// configurations of the store's history.
+func TestRouterThatHasNotWatchedReadsOnlyTheNewestConfiguration(t *testing.T) {
+	const versions = 100
+	for name, takesOver := range map[string]bool{"takes over the watch": true, "asks for a change": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			store := platformtest.NewStore()
+			write := func(version int) string {
+				spec := platformtest.FleetConfiguration(version)
+				store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, spec)
+				return spec
+			}
+			write(1)
+			var largest atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				counting := &countingWriter{ResponseWriter: w}
+				store.ServeHTTP(counting, r)
+				if size := int64(counting.bytes); size > largest.Load() {
+					largest.Store(size)
+				}
+			}))
+			client, stop := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+			w := storewatch.New(client, zerolog.Nop(), func(*storewatch.Delta) {}, func() bool { return false })
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			var shouldWatch atomic.Bool
+			go func() {
+				defer close(done)
+				w.Run(ctx, shouldWatch.Load)
+			}()
+			c.Cleanup(func() {
+				cancel()
+				<-done
+				stop()
+				server.Close()
+			})
+			f := &fixture{C: c, store: store, Watcher: w}
+			f.eventually("the first configuration", func() bool { return f.version() == 1 })
+			size := 0
+			for version := 2; version <= versions; version++ {
+				size = len(write(version))
+			}
+			if takesOver {
+				shouldWatch.Store(true)
+			} else {
+				w.Refresh(true, false)
+			}
+			f.eventually("the newest configuration", func() bool { return f.version() == versions })
+			c.Assert(largest.Load() < int64(2*size), qt.IsTrue, qt.Commentf("%d bytes, the configuration has %d", largest.Load(), size))
+		})
+	}
+}
+
+// Guards against calls of all routers to a store that is in trouble: one that has asked for a
+// change once must not repeat that for as long as the store fails.
+func TestRouterThatDoesNotWatchDoesNotRepeatAFailedPoll(t *testing.T) {
+	f := newFixture(t, false)
+	f.eventually("the first lists", func() bool { return f.store.Calls() >= 2 })
+	f.store.Fail(http.StatusServiceUnavailable)
+	f.Refresh(true, true)
+	time.Sleep(3 * time.Second)
+	f.Assert(f.store.Calls() <= 2+2, qt.IsTrue, qt.Commentf("%d calls", f.store.Calls()))
+	f.store.Fail(0)
+	f.store.Set(platformtest.KindTargets, "i-1", target("ready"))
+	f.Refresh(true, true)
+	f.eventually("the target is known after the next poll", func() bool { return f.ready() == 1 })
+}
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -66,6 +66,20 @@
 	sweepInterval = 200 * time.Millisecond
 )
 
+const (
+	// listCached returns a list that may be seconds old. It is sufficient at the start: later
+	// changes arrive with the first watch, or from routers that have them.
+	listCached call = iota
+	list
+	// watch waits for the first change after a revision, poll does not wait.
+	watch
+	poll
+	// resume brings a router up to date that has not watched until now. It does not ask for all
+	// configurations since its last call: in a series of changes they may be too large to send
+	// in time.
+	resume
+)
+
 type (
 	// Watcher lists and watches the store and publishes the latest view. Its
 	// methods are safe for concurrent use.
@@ -135,8 +149,14 @@
 		// without one was logged.
 		era       uint64
 		eraLogged bool
+		// isWatching is set while the last call has brought this router up to date and it still
+		// has to watch.
+		isWatching bool
 	}
 
+	// call is how a kind is read from the store.
+	call uint8
+
 	entry struct {
 		raw    []byte
 		target *state.Target
@@ -227,47 +247,62 @@
 	}
 }
 
-// awaitNextCall waits until the next watch call to the store is due and returns its
-// wait: zero for a poll by a router that does not watch, or that has just begun to: the
-// others learn from its answer that the store serves it.
-func (w *Watcher) awaitNextCall(ctx context.Context, s *watchState, shouldWatch func() bool) time.Duration {
+// awaitNextCall waits until the next call to the store is due and returns it.
+func (w *Watcher) awaitNextCall(ctx context.Context, s *watchState, repeats bool, shouldWatch func() bool) call {
 	if shouldWatch() {
-		return w.watchWait
+		switch {
+		case !s.isWatching:
+			return resume
+		case repeats:
+			return poll
+		}
+		return watch
 	}
+	s.isWatching = false
 	ticker := time.NewTicker(roleCheckInterval)
 	defer ticker.Stop()
 	pollAt := time.Now().Add(idlePollInterval)
 	for !shouldWatch() {
 		select {
 		case <-ctx.Done():
-			return 0
+			return resume
 		case <-s.refresh:
-			return 0
+			return resume
 		case now := <-ticker.C:
 			if now.After(pollAt) {
-				return 0
+				return resume
 			}
 		}
 	}
-	return 0
+	return resume
 }
 
-// read lists a kind, or watches it after a revision; the first list is a cached one. A watch
-// that repeats a failed call does not wait.
-func (w *Watcher) read(
-	ctx context.Context, s *watchState, revision state.Revision, full, cached, repeats bool, shouldWatch func() bool,
-) (platform.Page, error) {
+// read makes a call for a kind. It reports whether the page is a list.
+func (w *Watcher) read(ctx context.Context, s *watchState, after state.Revision, c call) (page platform.Page, isList bool, err error) {
 	switch {
-	case cached:
-		// A cached list is sufficient at the start: later changes arrive with
-		// the first watch, or from routers that have them.
-		return w.store.ListCached(ctx, s.kind)
-	case full:
-		return w.store.List(ctx, s.kind)
-	case repeats:
-		return w.store.Watch(ctx, s.kind, revision.Number, 0)
+	case c == listCached:
+		page, err = w.store.ListCached(ctx, s.kind)
+		return page, true, err
+	case c == list, c == resume && s == &w.configurationWatch:
+		page, err = w.store.List(ctx, s.kind)
+		return page, true, err
+	case c == watch:
+		page, err = w.store.Watch(ctx, s.kind, after.Number, w.watchWait)
+	default:
+		page, err = w.store.Watch(ctx, s.kind, after.Number, 0)
+	}
+	return page, false, err
+}
+
+// resumeAfter returns the revision after which a router that has not watched a kind lacks its
+// changes: others may have sent it later ones than it has read.
+func (w *Watcher) resumeAfter(s *watchState, read state.Revision) state.Revision {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s == &w.targetWatch && w.revision.Era == read.Era && read.Before(w.revision) {
+		return w.revision
 	}
-	return w.store.Watch(ctx, s.kind, revision.Number, w.awaitNextCall(ctx, s, shouldWatch))
+	return read
 }
 
 // listAndWatch lists a kind and then watches it until ctx is done. It passes each
@@ -277,21 +312,31 @@
 ) {
 	var revision state.Revision
 	backoff := objects.Backoff{Base: retryBaseDelay, Max: retryMaxDelay}
-	failures, staleAnswers, started, full := 0, 0, false, true
+	failures, staleAnswers := 0, 0
+	// Lists are repeated until they succeed; before any other call, the router waits until it
+	// is due.
+	next, isListDue := listCached, true
 	for ctx.Err() == nil {
-		cached := full && !started
-		page, err := w.read(ctx, s, revision, full, cached, failures > 0, shouldWatch)
+		if !isListDue {
+			if next = w.awaitNextCall(ctx, s, failures > 0, shouldWatch); next == resume {
+				revision = w.resumeAfter(s, revision)
+			}
+		}
+		page, isList, err := w.read(ctx, s, revision, next)
+		cached := next == listCached
 		if errors.Is(err, objects.ErrTooOld) {
 			w.log.Info().Str("kind", s.kind).Stringer("revision", revision).
 				Msg("watch revision not in the store's history, listing again")
-			full = true
+			next, isListDue = list, true
 			continue
 		}
 		if err != nil {
 			failures++
-			// The same watch would return the same again; a list need not hold the objects that
-			// cannot be read.
-			full = full || errors.Is(err, platform.ErrUnreadable)
+			if errors.Is(err, platform.ErrUnreadable) && !isListDue {
+				// The same watch would return the same again; a list need not hold the objects that
+				// cannot be read.
+				next, isListDue = list, true
+			}
 			w.recordFailure(s, err)
 			_ = objects.Sleep(ctx, backoff.Delay(failures))
 			continue
@@ -301,31 +346,33 @@
 		if cached && page.Revision.Era > state.FirstEra {
 			page.Revision.Era = 0 // The list may be older than the era that it states.
 		}
-		failures, started = 0, true
+		failures = 0
 		switch {
-		case !full && page.Revision.Era < revision.Era:
+		case !isList && page.Revision.Era < revision.Era:
 			// An answer from before the store came back, which arrives late.
 			staleAnswers++
 			_ = objects.Sleep(ctx, backoff.Delay(staleAnswers))
-		case !full && page.Revision.Era > revision.Era:
+		case !isList && page.Revision.Era > revision.Era:
 			// The revision that was watched from is not one of this era.
-			full = true
-		case !apply(page, full) && !cached:
+			next, isListDue = list, true
+		case !apply(page, isList) && !cached:
+			next, isListDue = list, true
 			staleAnswers++
 			metrics.GetOrCreateCounter(`hickoryrock_stale_lists_total`).Inc()
 			_ = objects.Sleep(ctx, backoff.Delay(staleAnswers))
-		case !full && len(page.Objects) == 0 && revision.Before(page.Revision):
+		case !isList && len(page.Objects) == 0 && revision.Before(page.Revision):
 			// The revision has advanced without events: either another kind has
 			// changed or the watch has lost events. Only a list can tell.
-			full = true
+			next, isListDue = list, true
 		default:
-			if full || revision.Before(page.Revision) {
+			if isList || revision.Before(page.Revision) {
 				revision = page.Revision
 			}
-			if !full && len(page.Objects) > 0 {
+			if !isList && len(page.Objects) > 0 {
 				_ = objects.Sleep(ctx, changePause)
 			}
-			full, staleAnswers = false, 0
+			isListDue, staleAnswers = false, 0
+			s.isWatching = shouldWatch()
 		}
 	}
 }
