--- a/internal/peer/gossip/batch.go
+++ b/internal/peer/gossip/batch.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// directFleetSize is the number of peers up to which a router sends its beacons
+	// directFleetSize is the number of live peers up to which a router sends its beacons
 	// itself to its whole failure domain, and relays send each beacon on at once. Above
 	// it, the number of datagrams costs more than the delay of batches, in which routers
 	// send prompts to targets that others have just chosen.
@@ -27,7 +27,7 @@
 func (f *Fleet) relay(data []byte, b *peerv1.Beacon) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.addToBatch(data, b.GetChange() != nil || len(f.peers) <= directFleetSize)
+	f.addToBatch(data, b.GetChange() != nil || f.livePeers <= directFleetSize)
 }
 
 // addToBatch adds an encoded beacon to the batch for this router's failure domain and
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -49,6 +49,15 @@
 	f.broadcast(b)
 }
 
+// sendWatch tells all live peers that this router watches the store.
+func (f *Fleet) sendWatch() {
+	b := f.newBeacon()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.sendKnown(newRoute(f.peers, f.livePeers, f.address, f.self.FailureDomain, f.relaySeed(now), now), b)
+}
+
 // sendHoldings sends all peers holdings that they do not know.
 func (f *Fleet) sendHoldings(holdings []affinity.Holding) {
 	b := f.newBeacon()
@@ -284,6 +293,7 @@
 		return false, false
 	}
 	if !p.live {
+		f.livePeers++
 		f.log.Info().Str("peer", b.GetRouter()).Uint64("incarnation", b.GetIncarnation()).Msg("router is live")
 	}
 	isNewProcess = p.beacon.GetIncarnation() != b.GetIncarnation()
--- a/internal/peer/gossip/broadcast.go
+++ b/internal/peer/gossip/broadcast.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -39,24 +40,23 @@
 	relaySelf bool
 }
 
-// newRoute returns the datagrams that deliver a beacon to all peers. Up to
-// directFleetSize peers, each peer in this router's failure domain gets one, and so
+// newRoute returns the datagrams that deliver a beacon to all live peers, and to some of the
+// others. Up to directFleetSize live peers, each peer in this router's failure domain gets one, and so
 // does a relay in each other domain; in a larger fleet also the own domain has a relay,
 // so that a router sends one datagram for each domain. The relay follows from seed,
 // which changes often, so that the loss of a router costs few beacons.
-func newRoute(peers map[string]*peer, self netip.AddrPort, failureDomain string, seed uint64, now time.Time) route {
+func newRoute(peers map[string]*peer, live int, self netip.AddrPort, failureDomain string, seed uint64, now time.Time) route {
 	var r route
 	domains := make(map[string][]netip.AddrPort)
-	direct := len(peers) <= directFleetSize
+	direct := live <= directFleetSize
 	for _, p := range peers {
-		if now.Sub(p.lastContact) > backoffAfter {
-			if p.backoffRounds++; p.backoffRounds%backoffRatio != 0 {
-				continue
+		if !p.live {
+			if p.isDue(now) {
+				r.unknown = append(r.unknown, destination{p.address, kindDirect})
 			}
+			continue
 		}
 		switch domain := p.beacon.GetFailureDomain(); {
-		case !p.live:
-			r.unknown = append(r.unknown, destination{p.address, kindDirect})
 		case direct && domain == failureDomain:
 			r.known = append(r.known, destination{p.address, kindDirect})
 		default:
@@ -77,14 +77,27 @@
 			r.known = append(r.known, destination{relay, kindRelay})
 		}
 	}
+	if len(r.unknown) > maxSilentDestinations {
+		rand.Shuffle(len(r.unknown), func(i, j int) { r.unknown[i], r.unknown[j] = r.unknown[j], r.unknown[i] })
+		r.unknown = r.unknown[:maxSilentDestinations]
+	}
 	return r
 }
 
+// isDue reports whether a peer that is not live gets the next beacon.
+func (p *peer) isDue(now time.Time) bool {
+	if now.Sub(p.lastContact) <= backoffAfter {
+		return true
+	}
+	p.backoffRounds++
+	return p.backoffRounds%backoffRatio == 0
+}
+
 // relaySeed returns the seed for the choice of relays. In a large fleet all routers of a
 // failure domain choose the same relays for relayPeriod, so that these receive many
 // beacons to send on together; in a small one each beacon takes another.
 func (f *Fleet) relaySeed(now time.Time) uint64 {
-	if len(f.peers) <= directFleetSize {
+	if f.livePeers <= directFleetSize {
 		f.round++
 		return f.round
 	}
@@ -112,19 +125,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	r := newRoute(f.peers, f.address, f.self.FailureDomain, f.relaySeed(now), now)
-	f.writeAll(r.known, b)
-	if r.relaySelf {
-		if data := f.encode(b); data != nil {
-			f.addToBatch(data[1:], b.GetChange() != nil)
-		}
-	}
+	r := newRoute(f.peers, f.livePeers, f.address, f.self.FailureDomain, f.relaySeed(now), now)
+	f.sendKnown(r, b)
 	if len(r.unknown) > 0 {
 		f.setIdentity(b)
 		f.writeAll(r.unknown, b)
 	}
 }
 
+// sendKnown sends a beacon to the live peers of a route. The caller must hold f.mu.
+func (f *Fleet) sendKnown(r route, b *peerv1.Beacon) {
+	f.writeAll(r.known, b)
+	if !r.relaySelf {
+		return
+	}
+	if data := f.encode(b); data != nil {
+		f.addToBatch(data[1:], b.GetChange() != nil)
+	}
+}
+
 // announceNear sends this router's revisions to the live peers of its failure domain.
 func (f *Fleet) announceNear() {
 	b := f.newBeacon()
--- a/internal/peer/gossip/broadcast_test.go
+++ b/internal/peer/gossip/broadcast_test.go
@@ -87,7 +87,7 @@
 			c := qt.New(t)
 			peers := newPeers(test.sizes)
 			for seed := range uint64(50) {
-				r := newRoute(peers, self, "a", seed, start)
+				r := newRoute(peers, len(peers), self, "a", seed, start)
 				c.Assert(len(r.unknown), qt.Equals, 0)
 				c.Assert(len(r.known) <= test.most, qt.IsTrue, qt.Commentf("%d datagrams", len(r.known)))
 				c.Assert(countRemote(peers, r.known, "a"), qt.Equals, len(test.sizes)-1)
@@ -106,7 +106,7 @@
 	peers := newPeers(map[string]int{"a": 1, "b": 3})
 	relays := make(map[netip.AddrPort]int)
 	for seed := range uint64(300) {
-		for _, d := range newRoute(peers, self, "a", seed, start).known {
+		for _, d := range newRoute(peers, len(peers), self, "a", seed, start).known {
 			if d.kind == kindRelay {
 				relays[d.address]++
 			}
@@ -121,7 +121,7 @@
 func TestDirectBeacons(t *testing.T) {
 	assertDirect := func(c *qt.C, peers map[string]*peer, wantKnown, wantUnknown int) {
 		c.Helper()
-		r := newRoute(peers, self, "a", 1, start)
+		r := newRoute(peers, len(peers), self, "a", 1, start)
 		c.Assert(len(r.known), qt.Equals, wantKnown)
 		c.Assert(len(r.unknown), qt.Equals, wantUnknown)
 		for _, d := range append(r.known, r.unknown...) {
@@ -145,7 +145,7 @@
 		}
 		n := 0
 		for seed := range uint64(100) {
-			n += len(newRoute(peers, self, "a", seed, start).unknown)
+			n += len(newRoute(peers, len(peers), self, "a", seed, start).unknown)
 		}
 		qt.Assert(t, n, qt.Equals, 2)
 	})
@@ -166,6 +166,7 @@
 	f.peers[address.String()] = &peer{
 		address: address, lastContact: time.Now(), live: true, beacon: &peerv1.Beacon{FailureDomain: "a"},
 	}
+	f.livePeers = len(f.peers)
 	return f, receiver
 }
 
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -27,8 +27,9 @@
 
 const (
 	// beaconInterval is the time between regular beacons. It is multiplied by
-	// 1 + peers/routersPerInterval, so that a router's traffic grows more slowly
-	// than the fleet.
+	// 1 + live peers/routersPerInterval, so that a router's traffic grows more slowly
+	// than the fleet. The router that watches the store sends at this interval in a fleet of
+	// any size, so that its loss is noticed as soon.
 	beaconInterval     = 100 * time.Millisecond
 	routersPerInterval = 60
 	// smallFleetSize is the number of peers up to which routers fetch from peers of any
@@ -56,6 +57,8 @@
 	// maxMissedBeacons is the number of consecutive beacons that may be missed
 	// before a router is considered lost and no longer returned to callers.
 	maxMissedBeacons = 5
+	// maxSilentDestinations bounds the peers that are not live to which one beacon is sent.
+	maxSilentDestinations = 32
 	// backoffAfter is the silence after which a peer is sent fewer beacons.
 	backoffAfter = 30 * time.Second
 	// backoffRatio: one in backoffRatio broadcasts is sent to such a peer.
@@ -170,6 +173,7 @@
 		// sender ID of beacons without an identity.
 		peers          map[string]*peer
 		peersBySender  map[uint32]*peer
+		livePeers      int
 		regularBeacons int
 		// sequence is the number of the last beacon; round counts the broadcasts of a
 		// small fleet.
@@ -258,6 +262,8 @@
 	go f.probeStore(ctx)
 	regular := time.NewTimer(0)
 	defer regular.Stop()
+	watch := time.NewTicker(beaconInterval)
+	defer watch.Stop()
 	// updates is set only between a new holding and the beacon that announces it.
 	var updates <-chan time.Time
 	lastUpdates := time.Time{}
@@ -280,6 +286,10 @@
 			}
 		case <-f.opts.Quarantine.Urgent():
 			f.sendQuarantine(false)
+		case <-watch.C:
+			if f.mustAnnounceWatch() {
+				f.sendWatch()
+			}
 		case now := <-regular.C:
 			regular.Reset(f.interval())
 			f.sendQuarantine(f.sendRegular())
@@ -306,9 +316,10 @@
 func (f *Fleet) interval() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.intervalFor(len(f.peers))
+	return f.intervalLocked()
 }
 
-func (f *Fleet) intervalFor(peers int) time.Duration {
-	return beaconInterval * time.Duration(1+peers/routersPerInterval)
+// intervalLocked is interval with f.mu held.
+func (f *Fleet) intervalLocked() time.Duration {
+	return beaconInterval * time.Duration(1+f.livePeers/routersPerInterval)
 }
--- a/internal/peer/gossip/newer_test.go
+++ b/internal/peer/gossip/newer_test.go
@@ -23,23 +23,38 @@
 		}
 		routers = append(routers, r)
 	}
-	first := -1
-	f.eventually("every router knows all others, and one watches the store", func() bool {
-		watching := 0
-		for i, r := range routers {
+	f.eventually("every router knows all others", func() bool {
+		for _, r := range routers {
 			if r.LiveCount() != count || r.watcher.View().Configuration == nil {
 				return false
 			}
+		}
+		return true
+	})
+	time.Sleep(applyTime) // The polls of all at the start are over.
+	f.awaitWatcher(routers)
+	return routers
+}
+
+// awaitWatcher waits until exactly one router has watched the store for a whole watch, and puts
+// it first.
+func (f *fixture) awaitWatcher(routers []*router) {
+	f.Helper()
+	since := time.Now()
+	f.eventually("one router watches the store", func() bool {
+		first, watching := 0, 0
+		for i, r := range routers {
 			if r.WatchesStore() {
 				first = i
 				watching++
 			}
 		}
-		return watching == 1
+		if watching != 1 {
+			since = time.Now()
+		}
+		routers[0], routers[first] = routers[first], routers[0]
+		return time.Since(since) > routers[0].watcher.WatchWait()
 	})
-	time.Sleep(applyTime) // The polls of all at the start are over.
-	routers[0], routers[first] = routers[first], routers[0]
-	return routers
 }
 
 // assertInForce fails if a router lacks a version of the configuration after applyTime.
@@ -81,3 +96,21 @@
 		f.assertInForce(routers[1:], 2, changed)
 	})
 }
+
+// Guards against calls refused as only an older version allows (CONFIG, issue 36, and case 5 of
+// the review of hickoryrock): the entries of VMs that were replaced slow down how soon another
+// router takes over the store's watch.
+func TestChangeIsInForceInTimeAfterManyVMsWereReplaced(t *testing.T) {
+	f := newFixture(t)
+	routers := f.startWatchedFleet(3, 3)
+	for _, r := range routers {
+		for i := range 1800 {
+			r.AddPeer(fmt.Sprintf("127.99.%d.%d:7340", i/250, 1+i%250))
+		}
+	}
+	time.Sleep(4 * time.Second) // Beacons come at the new intervals.
+	f.awaitWatcher(routers)
+	routers[0].stop()
+	f.configure(2)
+	f.assertInForce(routers[1:], 2, time.Now())
+}
--- a/internal/peer/gossip/peers.go
+++ b/internal/peer/gossip/peers.go
@@ -65,13 +65,7 @@
 func (f *Fleet) LiveCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 1
-	for _, p := range f.peers {
-		if p.live {
-			n++
-		}
-	}
-	return n
+	return 1 + f.livePeers
 }
 
 // LiveIdentities returns the identities of the live routers that are not leaving, this one
@@ -132,6 +126,7 @@
 	for _, p := range f.peers {
 		if p.live && now.Sub(p.lastContact) > limit {
 			p.live = false
+			f.livePeers--
 			f.log.Warn().Str("peer", p.beacon.GetRouter()).Dur("silence-ms", now.Sub(p.lastContact)).Msg("router lost")
 		}
 	}
--- a/internal/peer/gossip/watcher.go
+++ b/internal/peer/gossip/watcher.go
@@ -34,11 +34,12 @@
 			continue
 		}
 		s.live++
-		age := storeAge(p.beacon) + time.Since(p.lastContact)
+		silence := time.Since(p.lastContact)
+		age := storeAge(p.beacon) + silence
 		freshest = min(freshest, age)
 		switch {
 		case watcherRank(p.beacon.GetRouter()) > selfRank:
-		case age < limit:
+		case age < limit && silence < maxMissedBeacons*beaconInterval:
 			s.servedBefore++
 		default:
 			s.unservedBefore++
@@ -49,7 +50,7 @@
 }
 
 // WatchesStore reports whether this router watches the store on behalf of the fleet: the
-// first maxServedWatchers that the store serves do so. When it serves none, the first
+// first maxServedWatchers that the store serves and that have lately been heard do so. When it serves none, the first
 // maxUnservedWatchers keep calling it, and the others probe it by turns.
 func (f *Fleet) WatchesStore() bool {
 	s := f.storeWatch()
@@ -93,7 +94,15 @@
 // servedLimit returns the stated age of a router's last response from the store from which
 // the others take it for unserved. f.mu must be held.
 func (f *Fleet) servedLimit() time.Duration {
-	return f.maxStoreAge() + f.intervalFor(len(f.peers))
+	return f.maxStoreAge() + beaconInterval
+}
+
+// mustAnnounceWatch reports whether this router watches the store and its regular beacons are
+// too rare for the others to notice soon if it no longer does.
+func (f *Fleet) mustAnnounceWatch() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watches && !f.leaving && f.intervalLocked() > beaconInterval
 }
 
 // statedStoreAge returns the age of the last response from the store that this router states.
