--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -68,6 +68,10 @@
 		NewConnection: c.headers.ID == "",
 	})
 	if failure != nil {
+		if failure.HasBegun {
+			c.headAt = time.Since(c.attemptStart)
+			c.recordCut(attemptCtx, target)
+		}
 		c.recordFailure(attemptCtx, target, failure.Status == http1client.NotSent, failure.Reason)
 		return
 	}
--- a/internal/fleet/forward/quarantine_test.go
+++ b/internal/fleet/forward/quarantine_test.go
@@ -27,6 +27,11 @@
 // crashFixture is a fixture with three targets that end when they begin to answer a call with
 // guiltyPart; one that gets a call with rarePart ends once, as if for another reason.
 func crashFixture(t *testing.T) (*fixture, *quarantine.Tracker) {
+	return crashFixtureWith(t, func(r rawserver.Request) string { return platformtest.StreamHead(r) })
+}
+
+// crashFixtureWith is crashFixture with what a target sends of its answer before it ends.
+func crashFixtureWith(t *testing.T, begin func(r rawserver.Request) string) (*fixture, *quarantine.Tracker) {
 	var f *fixture
 	ended := make(chan struct{}, 1)
 	tracker := quarantine.NewTracker()
@@ -40,20 +45,37 @@
 			default:
 			}
 		}
-		_, _ = io.WriteString(c, platformtest.StreamHead(r))
 		if crash {
+			_, _ = io.WriteString(c, begin(r))
 			time.Sleep(10 * time.Millisecond)
 			f.stops[slices.IndexFunc(f.targets, func(s *rawserver.Server) bool { return s.Address() == c.LocalAddr().String() })]()
 			rawserver.Reset(c)
 			return false
 		}
-		_, err := io.WriteString(c, chunk("id: 1\ndata: x\n\n")+"0\r\n\r\n")
+		_, err := io.WriteString(c, platformtest.StreamHead(r)+chunk("id: 1\ndata: x\n\n")+"0\r\n\r\n")
 		return err == nil
 	}, func(c *forward.Config) { c.Quarantine = tracker })
 	f.cacheIndex.MarkRestored()
 	return f, tracker
 }
 
+// Guards against a prompt part that crashes targets and is never found (BUDGET, issue 36, and case
+// 4 of the review of hickoryrock): the target ends before the head of its answer is complete.
+func TestCrashWithinTheHeadIsEvidence(t *testing.T) {
+	for name, length := range map[string]int{"after one byte": 1, "within the fields": 60} {
+		t.Run(name, func(t *testing.T) {
+			f, tracker := crashFixtureWith(t, func(r rawserver.Request) string { return platformtest.StreamHead(r)[:length] })
+			_ = f.callWithParts("/talk/a", guiltyPart, "e1")
+			f.Assert(tracker.Standing([]uint64{partHash(guiltyPart)}, time.Now()) >= quarantine.Suspected, qt.IsTrue)
+		})
+	}
+	t.Run("but not one before it", func(t *testing.T) {
+		f, tracker := crashFixtureWith(t, func(rawserver.Request) string { return "" })
+		_ = f.callWithParts("/talk/a", guiltyPart, "e1")
+		f.Assert(tracker.Standing([]uint64{partHash(guiltyPart)}, time.Now()), qt.Equals, quarantine.Clear)
+	})
+}
+
 func (f *fixture) callWithParts(path string, parts ...string) response {
 	return f.send(platformtest.Request(path, platformtest.AuthorizationLine+platformtest.PartsLine(parts...), "hello"))
 }
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -59,7 +59,9 @@
 		Status CallStatus
 		// Reason is a stable error code in kebab case.
 		Reason string
-		Err    error
+		// HasBegun is set if the target had begun to answer when the connection failed.
+		HasBegun bool
+		Err      error
 	}
 
 	// Endpoint is one instance of a target.
@@ -149,10 +151,10 @@
 		cn.discard()
 		return nil, err
 	}
-	head, err := cn.readHead(c)
+	head, hasBegun, err := cn.readHead(c)
 	if err != nil {
 		cn.discard()
-		return nil, &Failure{Status: Unknown, Reason: failureReason(err), Err: err}
+		return nil, &Failure{Status: Unknown, Reason: failureReason(err), HasBegun: hasBegun, Err: err}
 	}
 	return &Response{Head: head, Body: http1.Body(cn.reader, head.Length), Reused: cn.reused, conn: cn}, nil
 }
@@ -325,16 +327,20 @@
 	return &Failure{Status: status, Reason: "send-failed", Err: err}
 }
 
-// readHead reads the head of the response to this call and skips responses to earlier calls.
-func (c *conn) readHead(call Call) (*http1.Response, error) {
+// readHead reads the head of the response to this call and skips responses to earlier calls. If
+// it fails, hasBegun reports whether the connection failed within a head.
+func (c *conn) readHead(call Call) (head *http1.Response, hasBegun bool, err error) {
 	for range maxStaleResponses + 1 {
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, false, err
+		}
 		head, err := http1.ReadResponse(c.reader, maxHeadBytes, call.Method)
 		if err != nil {
-			return nil, err
+			return nil, !errors.Is(err, http1.ErrMalformed) && !errors.Is(err, http1.ErrTooLarge), err
 		}
 		match := call.Match(head.Fields)
 		if match == MatchThisCall || (match == MatchUnknown && !c.reused) {
-			return head, nil
+			return head, true, nil
 		}
 		metrics.GetOrCreateCounter(`hickoryrock_stale_answers_total`).Inc()
 		if head.Length == http1.UntilClose {
@@ -345,7 +351,7 @@
 			break
 		}
 	}
-	return nil, errOtherCall
+	return nil, false, errOtherCall
 }
 
 var errOtherCall = errors.New("response belongs to another call")
