--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -69,6 +69,7 @@
 		tracker      *targetstats.Tracker
 		cacheIndex   *affinity.CacheIndex
 		retryBudgets *retries.Budgets
+		retryShare   retries.Share
 		// retryBurst is the last burst of retryBudgets.
 		retryBurst   float64
 		quarantine   *quarantine.Tracker
@@ -142,14 +143,13 @@
 // the fleet.
 func newRetryBudgets(b platform.Bounds) *retries.Budgets {
 	return retries.NewBudgets(retries.WithFraction(retryBudgetFraction*b.RetryRatio), retries.WithFloor(0),
-		retries.WithBurst(1))
+		retries.WithBurst(1), retries.WithEmptyStart())
 }
 
-// updateRetryBurst sets this router's burst of retries to an equal share of the fleet's
-// retry slack.
+// updateRetryBurst sets this router's burst of retries to its share of the fleet's retry slack.
 func (r *Router) updateRetryBurst() {
 	live := r.fleet.LiveCount()
-	burst := max(retryBudgetFraction*r.bounds.Load().RetrySlack/float64(live), 1)
+	burst := r.retryShare.Burst(retryBudgetFraction*r.bounds.Load().RetrySlack, live, time.Now())
 	if burst != r.retryBurst {
 		r.log.Info().Float64("burst", burst).Float64("before", r.retryBurst).Int("live", live).Msg("burst of retries changed")
 	}
--- a/internal/policy/retries/options.go
+++ b/internal/policy/retries/options.go
@@ -19,6 +19,9 @@
 		Floor float64
 		// Burst is the capacity of a budget in retries.
 		Burst float64
+		// EmptyStart is set if budgets start empty. Processes that start anew must not bring
+		// the retries again that their predecessors have made.
+		EmptyStart bool
 	}
 )
 
@@ -38,6 +41,11 @@
 	return func(o *Options) { o.Burst = n }
 }
 
+// WithEmptyStart makes budgets start empty instead of full.
+func WithEmptyStart() Option {
+	return func(o *Options) { o.EmptyStart = true }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{Fraction: defaultFraction, Floor: defaultFloor, Burst: defaultBurst}
 	for _, opt := range opts {
--- a/internal/policy/retries/retries.go
+++ b/internal/policy/retries/retries.go
@@ -52,7 +52,7 @@
 	}
 )
 
-// NewBudgets returns budgets that start full.
+// NewBudgets returns budgets that start full, unless WithEmptyStart is given.
 func NewBudgets(opts ...Option) *Budgets {
 	b := &Budgets{options: newOptions(opts)}
 	b.SetBurst(b.options.Burst)
@@ -125,7 +125,10 @@
 	defer s.mu.Unlock()
 	u, ok := s.budgets[name]
 	if !ok {
-		u = &budget{tokens: b.maxTokens(), fraction: b.options.Fraction, refilledAt: now}
+		u = &budget{fraction: b.options.Fraction, refilledAt: now}
+		if !b.options.EmptyStart {
+			u.tokens = b.maxTokens()
+		}
 		s.budgets[name] = u
 	}
 	if since := now.Sub(u.refilledAt); since > 0 {
