--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -270,6 +270,12 @@
 				changed = w.remove(name, time.Time{}) || changed
 			}
 		}
+		if changed {
+			// No change of the store tells the other routers of the removal: they have to take all
+			// targets anew.
+			w.dropDeltas(w.revision)
+			w.listRevision = w.revision
+		}
 		w.departures.prune(now, w.isListed)
 		if changed || (w.withheld && now.Sub(w.eraSince) > w.lapseTime) {
 			w.publishTargets()
