--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -68,6 +68,7 @@
 		fleet        *gossip.Fleet
 		tracker      *targetstats.Tracker
 		cacheIndex   *affinity.CacheIndex
+		pool         *http1client.Pool
 		retryBudgets *retries.Budgets
 		retryShare   retries.Share
 		// retryBurst is the last burst of retryBudgets.
@@ -112,6 +113,7 @@
 	metrics.GetOrCreateGauge(`hickoryrock_configuration_behind_seconds`, func() float64 { return r.fleet.ConfigurationLag().Behind.Seconds() })
 	metrics.GetOrCreateGauge(`hickoryrock_store_age_seconds`, func() float64 { return r.watcher.StoreAge().Seconds() })
 	pool, closePool := http1client.New()
+	r.pool = pool
 	r.cleanups = append(r.cleanups, closePool)
 	factor := s.Bounds.LoadFactor
 	if factor <= 0 {
@@ -309,8 +311,8 @@
 	_, _ = w.Write(platform.EncodeLookup(addresses, ttl)) //nolint:gosec // Contains no request data.
 }
 
-// cleanUp periodically removes state of targets that are no longer listed and adjusts the
-// retry burst to the number of live routers.
+// cleanUp periodically removes state of targets that are no longer listed, closes connections
+// that were idle for too long and adjusts the retry burst to the number of live routers.
 func (r *Router) cleanUp(ctx context.Context) {
 	for objects.Sleep(ctx, cleanupInterval) == nil {
 		listed := make(map[uint64]bool)
@@ -322,6 +324,7 @@
 		r.updateRetryBurst()
 		r.cacheIndex.Expire(listed, time.Now())
 		r.tracker.Prune(listed)
+		r.pool.CloseExpired(time.Now())
 	}
 }
 
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -159,6 +160,26 @@
 	return &Response{Head: head, Body: http1.Body(cn.reader, head.Length), Reused: cn.reused, conn: cn}, nil
 }
 
+// CloseExpired closes the connections that have been idle for too long. Those to a target that
+// has left are not used again, but occupy a descriptor.
+func (p *Pool) CloseExpired(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, list := range p.idle {
+		list = slices.DeleteFunc(list, func(c *conn) bool {
+			if now.Before(c.expires) {
+				return false
+			}
+			_ = c.Close() // Idle: no call is lost.
+			return true
+		})
+		p.idle[key] = list
+		if len(list) == 0 {
+			delete(p.idle, key)
+		}
+	}
+}
+
 // CloseIdle closes the idle connections to an endpoint.
 func (p *Pool) CloseIdle(e Endpoint) {
 	p.mu.Lock()
--- a/internal/target/http1client/http1client_test.go
+++ b/internal/target/http1client/http1client_test.go
@@ -251,3 +251,22 @@
 		f.Fatal("connection to the target still open 500 ms after cancellation")
 	}
 }
+
+// Guards against descriptors that are used up (RECOVER, case 2 of the review of hickoryrock): nothing
+// asks for a connection to a target that has left, so that its idle connections stay.
+func TestExpiredConnectionsAreClosed(t *testing.T) {
+	f := newFixture(t, func(conn net.Conn, r rawserver.Request) bool {
+		_, err := io.WriteString(conn, response(r.HeaderField("call"), "x"))
+		return err == nil
+	})
+	assertConnections := func(idleFor time.Duration, want int) {
+		f.Helper()
+		f.pool.CloseExpired(time.Now().Add(idleFor))
+		_, failure := f.do(context.Background(), newCall("1", "POST", nil))
+		f.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+		f.Assert(f.server.Connections(), qt.Equals, want)
+	}
+	assertConnections(0, 1)
+	assertConnections(2*time.Second, 1)
+	assertConnections(10*time.Second, 2)
+}
