--- a/internal/node/edge/engines_test.go
+++ b/internal/node/edge/engines_test.go
@@ -38,9 +38,12 @@
 	// begin an answer to a call with crashingPart, and start again under a new name.
 	engineFleet struct {
 		*qt.C
-		store   *platformtest.Store
-		routers []string
-		stops   []context.CancelFunc
+		store *platformtest.Store
+		// storeAddress is that of the store, routers are the callers' addresses of processes.
+		storeAddress string
+		routers      []string
+		processes    []*Router
+		stops        []context.CancelFunc
 
 		mu sync.Mutex
 		// crashes are the times at which engines ended; sends those at which calls with
@@ -75,12 +78,13 @@
 		defer f.mu.Unlock()
 		f.stopped = true
 	})
+	f.storeAddress = strings.TrimPrefix(storeServer.URL, "http://")
 	f.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.PromptConfiguration(1))
 	for i := range engines {
 		(&fleetEngine{fleet: f, number: i}).start()
 	}
 	for i := range routers {
-		f.startRouter(t, fmt.Sprint("edge-", i), fmt.Sprint("d-", i%2), strings.TrimPrefix(storeServer.URL, "http://"))
+		f.startRouter(t, fmt.Sprint("edge-", i), fmt.Sprint("d-", i%2), f.storeAddress)
 	}
 	return f
 }
@@ -99,7 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { router.Run(ctx) })
-	f.routers = append(f.routers, settings.CallerAddress)
+	f.routers, f.processes = append(f.routers, settings.CallerAddress), append(f.processes, router)
 	// Routers take their time to stop, so all are told before the first is awaited.
 	f.stops = append(f.stops, cancel)
 	t.Cleanup(func() {
--- a/internal/node/edge/register.go
+++ b/internal/node/edge/register.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/peer/gossip"
 	"hickoryrock/internal/platform/objects"
 	"hickoryrock/platform"
 )
@@ -24,6 +25,11 @@
 	firstListInterval = 500 * time.Millisecond
 	// maxFirstLists is the number of such reads.
 	maxFirstLists = 4
+	// registrationLapse is the silence after which the entry of another router is deleted: VMs
+	// that were replaced never delete theirs.
+	registrationLapse = 5 * time.Minute
+	// maxLapsedDeletes bounds the entries that are deleted at a time.
+	maxLapsedDeletes = 64
 	// registrationCheckInterval is how often the router that watches the store checks whether
 	// it has come back from an earlier state.
 	registrationCheckInterval = time.Second
@@ -72,11 +78,70 @@
 		// routers that watch the store also look for new ones, in case an announcement was
 		// missed.
 		if r.fleet.WatchesStore() {
-			_, _, _ = r.addListedPeers(ctx, self)
+			r.maintainRegistrations(ctx, self, registrationLapse)
 		}
 	}
 }
 
+// maintainRegistrations adds the listed routers as peers, deletes the entries of routers that
+// have been silent for lapse, and writes those of live routers that are missing: another router
+// may not have heard them for a time. A router that hears no other leaves the entries alone.
+func (r *Router) maintainRegistrations(ctx context.Context, self platform.Router, lapse time.Duration) {
+	listed, err := r.listRouters(ctx, r.store.ListCached)
+	if err != nil {
+		return // Logged; the next list follows.
+	}
+	isAlone := r.fleet.LiveCount() == 1
+	names, deleted := make(map[string]bool, len(listed)), 0
+	for _, other := range listed {
+		names[other.Name] = true
+		if other.Name == self.Name {
+			continue
+		}
+		r.fleet.AddPeer(other.PeerAddress)
+		silence, ok := r.fleet.Silence(other.PeerAddress)
+		if !ok || silence < lapse || isAlone || deleted == maxLapsedDeletes {
+			continue
+		}
+		deleted++
+		if err := r.store.DeleteRevision(ctx, platform.KindRouters, other.Name, other.revision); err != nil {
+			r.log.Warn().Err(err).Str("peer", other.Name).Msg("failed to delete the entry of a router that is gone")
+			return
+		}
+		r.log.Info().Str("peer", other.Name).Dur("silence-ms", silence).Msg("entry of a router that is gone deleted")
+	}
+	for _, identity := range r.fleet.LiveIdentities() {
+		if !names[identity.Router] && !r.writeRegistration(ctx, identity) {
+			return
+		}
+	}
+}
+
+// writeRegistration writes the entry of a live router again, and reports whether it succeeded.
+func (r *Router) writeRegistration(ctx context.Context, identity gossip.Identity) bool {
+	entry := registrationOf(identity)
+	if err := r.store.Put(ctx, platform.KindRouters, entry.Name, platform.EncodeRouter(entry)); err != nil {
+		r.log.Warn().Err(err).Str("peer", entry.Name).Msg("failed to write router entry to the store again")
+		return false
+	}
+	r.log.Info().Str("peer", entry.Name).Uint64("store-era", r.storeEra()).
+		Msg("router entry written again that the store lacked")
+	return true
+}
+
+func registrationOf(identity gossip.Identity) platform.Router {
+	return platform.Router{
+		Name: identity.Router, CallerAddress: identity.CallerAddress, PeerAddress: identity.PeerAddress,
+		FailureDomain: identity.FailureDomain,
+	}
+}
+
+// listedRouter is a router's entry in the store.
+type listedRouter struct {
+	platform.Router
+	revision uint64
+}
+
 // registration is what a router finds when it registers.
 type registration struct {
 	// others is the number of other routers in the list.
@@ -122,7 +187,7 @@
 	}
 	for _, other := range routers {
 		if other.Name == self.Name {
-			registered = other == self
+			registered = other.Router == self
 			continue
 		}
 		others++
@@ -134,20 +199,20 @@
 // listRouters returns the routers in the store's list. It logs errors.
 func (r *Router) listRouters(
 	ctx context.Context, list func(context.Context, string) (platform.Page, error),
-) ([]platform.Router, error) {
+) ([]listedRouter, error) {
 	page, err := list(ctx, platform.KindRouters)
 	if err != nil {
 		r.log.Warn().Err(err).Msg("failed to list routers")
 		return nil, err
 	}
-	routers := make([]platform.Router, 0, len(page.Objects))
+	routers := make([]listedRouter, 0, len(page.Objects))
 	for _, o := range page.Objects {
 		router, err := platform.DecodeRouter(o)
 		if err != nil {
 			r.log.Warn().Err(err).Msg("skipping invalid router entry")
 			continue
 		}
-		routers = append(routers, router)
+		routers = append(routers, listedRouter{router, o.Revision})
 	}
 	return routers, nil
 }
@@ -176,19 +241,10 @@
 		return false
 	}
 	for _, identity := range r.fleet.LiveIdentities() {
-		entry := platform.Router{
-			Name: identity.Router, CallerAddress: identity.CallerAddress, PeerAddress: identity.PeerAddress,
-			FailureDomain: identity.FailureDomain,
-		}
-		if slices.Contains(listed, entry) {
-			continue
-		}
-		if err := r.store.Put(ctx, platform.KindRouters, entry.Name, platform.EncodeRouter(entry)); err != nil {
-			r.log.Warn().Err(err).Str("peer", entry.Name).Msg("failed to write router entry to the store again")
+		isListed := slices.ContainsFunc(listed, func(l listedRouter) bool { return l.Router == registrationOf(identity) })
+		if !isListed && !r.writeRegistration(ctx, identity) {
 			return false
 		}
-		r.log.Info().Str("peer", entry.Name).Uint64("store-era", r.storeEra()).
-			Msg("router entry written again that the store had lost")
 	}
 	return true
 }
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -63,6 +63,9 @@
 	backoffAfter = 30 * time.Second
 	// backoffRatio: one in backoffRatio broadcasts is sent to such a peer.
 	backoffRatio = 50
+	// forgetAfter is the silence after which a peer is no longer known. It is added again when
+	// it is heard or listed.
+	forgetAfter = 10 * time.Minute
 	// maxQueuedBeacons is the capacity of the queue of immediate beacons. Receivers
 	// fetch the changes that are dropped.
 	maxQueuedBeacons = 64
--- a/internal/peer/gossip/peers.go
+++ b/internal/peer/gossip/peers.go
@@ -118,12 +118,30 @@
 	return p.live && p.beacon.GetServing() && !p.beacon.GetLeaving()
 }
 
-// markLost marks the peers that missed more than maxMissedBeacons as not live.
+// Silence returns how long a peer has not been heard, or since it was added, and false if it is
+// not known.
+func (f *Fleet) Silence(peerAddress string) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[peerAddress]
+	if p == nil {
+		return 0, false
+	}
+	return time.Since(p.lastContact), true
+}
+
+// markLost marks the peers that missed more than maxMissedBeacons as not live, and forgets those
+// that have been silent for forgetAfter.
 func (f *Fleet) markLost(now time.Time) {
 	limit := maxMissedBeacons * f.interval()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, p := range f.peers {
+	for address, p := range f.peers {
+		if now.Sub(p.lastContact) > forgetAfter && !p.live {
+			delete(f.peers, address)
+			delete(f.peersBySender, senderID(address))
+			continue
+		}
 		if p.live && now.Sub(p.lastContact) > limit {
 			p.live = false
 			f.livePeers--
