--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -310,73 +310,48 @@
 func (w *Watcher) listAndWatch(
 	ctx context.Context, s *watchState, shouldWatch func() bool, apply func(page platform.Page, full bool) bool,
 ) {
-	var revision state.Revision
-	backoff := objects.Backoff{Base: retryBaseDelay, Max: retryMaxDelay}
-	failures, staleAnswers := 0, 0
-	// Lists are repeated until they succeed; before any other call, the router waits until it
-	// is due.
-	next, isListDue := listCached, true
+	p := position{next: listCached, isListDue: true, backoff: objects.Backoff{Base: retryBaseDelay, Max: retryMaxDelay}}
 	for ctx.Err() == nil {
-		if !isListDue {
-			if next = w.awaitNextCall(ctx, s, failures > 0, shouldWatch); next == resume {
-				revision = w.resumeAfter(s, revision)
+		if !p.isListDue {
+			if p.next = w.awaitNextCall(ctx, s, p.failures > 0, shouldWatch); p.next == resume {
+				p.revision = w.resumeAfter(s, p.revision)
 			}
 		}
-		page, isList, err := w.read(ctx, s, revision, next)
-		cached := next == listCached
-		if errors.Is(err, objects.ErrTooOld) {
-			w.log.Info().Str("kind", s.kind).Stringer("revision", revision).
-				Msg("watch revision not in the store's history, listing again")
-			next, isListDue = list, true
-			continue
-		}
+		page, isList, err := w.read(ctx, s, p.revision, p.next)
 		if err != nil {
-			failures++
-			if errors.Is(err, platform.ErrUnreadable) && !isListDue {
-				// The same watch would return the same again; a list need not hold the objects that
-				// cannot be read.
-				next, isListDue = list, true
-			}
-			w.recordFailure(s, err)
-			_ = objects.Sleep(ctx, backoff.Delay(failures))
+			_ = objects.Sleep(ctx, w.handleFailure(s, &p, err))
 			continue
 		}
 		w.recordSuccess(s)
 		w.recordEra(s, &page)
-		if cached && page.Revision.Era > state.FirstEra {
+		if p.next == listCached && page.Revision.Era > state.FirstEra {
 			page.Revision.Era = 0 // The list may be older than the era that it states.
 		}
-		failures = 0
-		switch {
-		case !isList && page.Revision.Era < revision.Era:
-			// An answer from before the store came back, which arrives late.
-			staleAnswers++
-			_ = objects.Sleep(ctx, backoff.Delay(staleAnswers))
-		case !isList && page.Revision.Era > revision.Era:
-			// The revision that was watched from is not one of this era.
-			next, isListDue = list, true
-		case !apply(page, isList) && !cached:
-			next, isListDue = list, true
-			staleAnswers++
-			metrics.GetOrCreateCounter(`hickoryrock_stale_lists_total`).Inc()
-			_ = objects.Sleep(ctx, backoff.Delay(staleAnswers))
-		case !isList && len(page.Objects) == 0 && revision.Before(page.Revision):
-			// The revision has advanced without events: either another kind has
-			// changed or the watch has lost events. Only a list can tell.
-			next, isListDue = list, true
-		default:
-			if isList || revision.Before(page.Revision) {
-				revision = page.Revision
-			}
-			if !isList && len(page.Objects) > 0 {
-				_ = objects.Sleep(ctx, changePause)
-			}
-			isListDue, staleAnswers = false, 0
+		_ = objects.Sleep(ctx, p.handlePage(page, isList, apply))
+		if !p.isListDue {
 			s.isWatching = shouldWatch()
 		}
 	}
 }
 
+// handleFailure records a failed call and returns the pause before the next one.
+func (w *Watcher) handleFailure(s *watchState, p *position, err error) time.Duration {
+	if errors.Is(err, objects.ErrTooOld) {
+		w.log.Info().Str("kind", s.kind).Stringer("revision", p.revision).
+			Msg("watch revision not in the store's history, listing again")
+		p.next, p.isListDue = list, true
+		return 0
+	}
+	if errors.Is(err, platform.ErrUnreadable) && !p.isListDue {
+		// The same watch would return the same again; a list need not hold the objects that
+		// cannot be read.
+		p.next, p.isListDue = list, true
+	}
+	w.recordFailure(s, err)
+	p.failures++
+	return p.backoff.Delay(p.failures)
+}
+
 // Confirm brings the view up to date with one read of each kind from the store, for a
 // router that does not know whether it missed changes.
 func (w *Watcher) Confirm(ctx context.Context) error {
