--- a/internal/peer/gossip/broadcast.go
+++ b/internal/peer/gossip/broadcast.go
@@ -40,11 +40,11 @@
 	relaySelf bool
 }
 
-// newRoute returns the datagrams that deliver a beacon to all live peers, and to some of the
-// others. Up to directFleetSize live peers, each peer in this router's failure domain gets one, and so
-// does a relay in each other domain; in a larger fleet also the own domain has a relay,
-// so that a router sends one datagram for each domain. The relay follows from seed,
-// which changes often, so that the loss of a router costs few beacons.
+// newRoute returns the datagrams that deliver a beacon to all live peers, and to up to
+// maxSilentDestinations of the others. Up to directFleetSize live peers, each peer in this
+// router's failure domain gets one, and so does a relay in each other domain; in a larger fleet
+// also the own domain has a relay, so that a router sends one datagram for each domain. The
+// relay follows from seed, which changes often, so that the loss of a router costs few beacons.
 func newRoute(peers map[string]*peer, live int, self netip.AddrPort, failureDomain string, seed uint64, now time.Time) route {
 	var r route
 	domains := make(map[string][]netip.AddrPort)
--- a/internal/peer/gossip/watcher.go
+++ b/internal/peer/gossip/watcher.go
@@ -50,8 +50,8 @@
 }
 
 // WatchesStore reports whether this router watches the store on behalf of the fleet: the
-// first maxServedWatchers that the store serves and that have lately been heard do so. When it serves none, the first
-// maxUnservedWatchers keep calling it, and the others probe it by turns.
+// first maxServedWatchers that the store serves and that have lately been heard do so. When it
+// serves none, the first maxUnservedWatchers keep calling it, and the others probe it by turns.
 func (f *Fleet) WatchesStore() bool {
 	s := f.storeWatch()
 	watches := s.servedBefore < maxServedWatchers && (s.selfServed || s.unservedBefore < maxUnservedWatchers)
--- a/internal/soak/scenario/late_calls_test.go
+++ b/internal/soak/scenario/late_calls_test.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,7 +17,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"hickoryrock/internal/soak/process"
 	"hickoryrock/internal/standin/rawserver"
 	"hickoryrock/internal/wire/http1"
 	"hickoryrock/platform/platformtest"
@@ -27,6 +24,7 @@
 
 const (
 	lateCallers = 60
+	lateSubnet  = 9
 	// lateWork is the longest time that a target works on a call.
 	lateWork = 1500 * time.Millisecond
 )
@@ -68,14 +66,7 @@
 	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.FleetConfiguration(1))
 	var routers []*changeRouter
 	for i := range 3 {
-		name, ip := fmt.Sprint("router-", i), fmt.Sprintf("127.78.9.%d", i+1)
-		settings := filepath.Join(dir, name+".json")
-		data := platformtest.FleetSettings(name, ip, fmt.Sprint("domain-", i), changePorts, strings.TrimPrefix(server.URL, "http://"), 1)
-		c.Assert(os.WriteFile(settings, data, 0o600), qt.IsNil)
-		r := &changeRouter{Process: process.New(name, dir, program, "edge", "-settings", settings), ip: ip}
-		c.Assert(r.Start(), qt.IsNil)
-		t.Cleanup(func() { r.Stop(0) })
-		routers = append(routers, r)
+		routers = append(routers, startChangeRouter(c, program, dir, strings.TrimPrefix(server.URL, "http://"), lateSubnet, i))
 	}
 	for end := time.Now().Add(10 * time.Second); routers[0].call(platformtest.PathOnce) != http.StatusOK; time.Sleep(50 * time.Millisecond) {
 		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the router serves no call"))
