--- a/internal/fleet/storewatch/resume_test.go
+++ b/internal/fleet/storewatch/resume_test.go
@@ -97,3 +97,48 @@
 	f.Refresh(true, true)
 	f.eventually("the target is known after the next poll", func() bool { return f.ready() == 1 })
 }
+
+// Guards against a router that asks again and again for changes that do not arrive in time: each
+// call starts again from the first byte (found by TestUnreadableWatchIsFollowedByAList beside other
+// load, issue 36).
+func TestWatchThatDoesNotArriveInTimeIsFollowedByAList(t *testing.T) {
+	c := qt.New(t)
+	store := platformtest.NewStore()
+	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.Configuration(1))
+	var isSlow atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isSlow.Load() && r.URL.Query().Has("watch") {
+			w.WriteHeader(http.StatusOK)
+			_, _ = w.Write([]byte(`{"events":[`))
+			_ = http.NewResponseController(w).Flush() // The client reads on until it gives up.
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	client, stop := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	w := storewatch.New(client, zerolog.Nop(), func(*storewatch.Delta) {}, func() bool { return false })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx, func() bool { return true })
+	}()
+	c.Cleanup(func() {
+		cancel()
+		<-done
+		stop()
+		server.Close()
+	})
+	f := &fixture{C: c, store: store, Watcher: w}
+	f.eventually("the first configuration", func() bool { return f.version() == 1 })
+	isSlow.Store(true)
+	change := func(version int, state string) {
+		store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.Configuration(version))
+		store.Set(platformtest.KindTargets, "i-1", target(state))
+	}
+	change(2, "ready") // The watches that wait already return it.
+	f.eventually("the first change", func() bool { return f.version() == 2 && f.ready() == 1 })
+	change(3, "draining")
+	f.eventually("the second change", func() bool { return f.version() == 3 && f.ready() == 0 })
+}
