Announce the store's watch like any beacon, and look up the lag without the state

From reading the change again. The extra beacons of the router that watches the store went to live peers alone, but used up the turns in which peers that have been silent for long get a beacon. They are broadcast now, which needs no path of its own. Each call's line asked for the whole local state, with two locks of the view, only to name a newer configuration: the version in force is enough. Parts of the wait of a watch are divisions, without a second copy of scale. Test routers that know others are started in one place.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -110,7 +110,10 @@
 		func() bool { return r.fleet.StoreServesPeers() },
 		storewatch.WithBounds(s.Bounds.ConfigurationApply, s.Bounds.Drain), storewatch.WithHeartbeat(s.Heartbeat))
 	metrics.GetOrCreateGauge(`hickoryrock_store_era`, func() float64 { return float64(r.watcher.View().Targets.Revision.Era) })
-	metrics.GetOrCreateGauge(`hickoryrock_configuration_behind_seconds`, func() float64 { return r.fleet.ConfigurationLag().Behind.Seconds() })
+	metrics.GetOrCreateGauge(`hickoryrock_configuration_behind_seconds`, func() float64 {
+		_, behind := r.newestConfiguration()
+		return behind.Seconds()
+	})
 	metrics.GetOrCreateGauge(`hickoryrock_store_age_seconds`, func() float64 { return r.watcher.StoreAge().Seconds() })
 	pool, closePool := http1client.New()
 	r.pool = pool
@@ -162,7 +165,11 @@
 // newestConfiguration returns the newest version that another router has and this one lacks,
 // or zero, and for how long it has been known.
 func (r *Router) newestConfiguration() (version int64, behind time.Duration) {
-	lag := r.fleet.ConfigurationLag()
+	have := int64(0)
+	if c := r.watcher.View().Configuration; c != nil {
+		have = c.Version
+	}
+	lag := r.fleet.ConfigurationLag(have)
 	return lag.Newest, lag.Behind
 }
 
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -49,15 +49,6 @@
 	f.broadcast(b)
 }
 
-// sendWatch tells all live peers that this router watches the store.
-func (f *Fleet) sendWatch() {
-	b := f.newBeacon()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	f.sendKnown(newRoute(f.peers, f.livePeers, f.address, f.self.FailureDomain, f.relaySeed(now), now), b)
-}
-
 // sendHoldings sends all peers holdings that they do not know.
 func (f *Fleet) sendHoldings(holdings []affinity.Holding) {
 	b := f.newBeacon()
--- a/internal/peer/gossip/broadcast.go
+++ b/internal/peer/gossip/broadcast.go
@@ -126,24 +126,18 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	r := newRoute(f.peers, f.livePeers, f.address, f.self.FailureDomain, f.relaySeed(now), now)
-	f.sendKnown(r, b)
+	f.writeAll(r.known, b)
+	if r.relaySelf {
+		if data := f.encode(b); data != nil {
+			f.addToBatch(data[1:], b.GetChange() != nil)
+		}
+	}
 	if len(r.unknown) > 0 {
 		f.setIdentity(b)
 		f.writeAll(r.unknown, b)
 	}
 }
 
-// sendKnown sends a beacon to the live peers of a route. The caller must hold f.mu.
-func (f *Fleet) sendKnown(r route, b *peerv1.Beacon) {
-	f.writeAll(r.known, b)
-	if !r.relaySelf {
-		return
-	}
-	if data := f.encode(b); data != nil {
-		f.addToBatch(data[1:], b.GetChange() != nil)
-	}
-}
-
 // announceNear sends this router's revisions to the live peers of its failure domain.
 func (f *Fleet) announceNear() {
 	b := f.newBeacon()
--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -226,6 +226,7 @@
 		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="not-yet"}`).Inc()
 		return nil, false
 	}
+	behind := f.ConfigurationLag(f.localState().ConfigurationVersion).Behind
 	isNeeded := !errors.Is(context.Cause(ctx), context.Canceled)
 	if err != nil && (isNeeded || time.Since(started) > hedgeDelay) {
 		f.recordFailedSource(address)
@@ -237,11 +238,11 @@
 	if err != nil {
 		metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="failed"}`).Inc()
 		f.log.Warn().Err(err).Str("peer", router).Dur("took-ms", time.Since(started)).
-			Dur("behind-ms", f.ConfigurationLag().Behind).Msg("failed to fetch snapshot")
+			Dur("behind-ms", behind).Msg("failed to fetch snapshot")
 		return nil, false
 	}
 	metrics.GetOrCreateCounter(`hickoryrock_snapshots_total{result="taken"}`).Inc()
-	f.log.Info().Str("peer", router).Dur("took-ms", time.Since(started)).Dur("behind-ms", f.ConfigurationLag().Behind).
+	f.log.Info().Str("peer", router).Dur("took-ms", time.Since(started)).Dur("behind-ms", behind).
 		Int("configuration-bytes", len(resp.Msg.GetConfiguration())).Int("targets", len(resp.Msg.GetTargets().GetItems())).
 		Msg("snapshot fetched")
 	return resp.Msg, true
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -291,7 +291,7 @@
 			f.sendQuarantine(false)
 		case <-watch.C:
 			if f.mustAnnounceWatch() {
-				f.sendWatch()
+				f.broadcast(f.newBeacon())
 			}
 		case now := <-regular.C:
 			regular.Reset(f.interval())
--- a/internal/peer/gossip/leaving_test.go
+++ b/internal/peer/gossip/leaving_test.go
@@ -29,7 +29,12 @@
 }
 
 func (f *fixture) startPeer(name string, others []*router) *router {
-	r := f.start(name, f.storeAddress)
+	return f.startPeerIn("z-"+name, name, others)
+}
+
+// startPeerIn starts a router in a failure domain that knows the others.
+func (f *fixture) startPeerIn(failureDomain, name string, others []*router) *router {
+	r := f.startIn(failureDomain, name, f.storeAddress)
 	for _, other := range others {
 		r.AddPeer(other.address)
 	}
--- a/internal/peer/gossip/newer.go
+++ b/internal/peer/gossip/newer.go
@@ -16,15 +16,15 @@
 	maxNewer = 32
 	// lagCheckInterval is how often a router checks whether it lacks what its peers have.
 	lagCheckInterval = 50 * time.Millisecond
-	// firstAskFraction is when the first routers of a failure domain ask the store for what
-	// peers have and have not sent, and askFraction when the others do, as fractions of the
-	// wait of a watch. Both leave most of the time in which a change must be in force.
-	firstAskFraction = 0.25
-	askFraction      = 0.5
+	// firstAskPart is the part of the wait of a watch after which the first routers of a failure
+	// domain ask the store for what peers have and have not sent, 1/firstAskPart, and askPart the
+	// same for the others. Both leave most of the time in which a change must be in force.
+	firstAskPart = 4
+	askPart      = 2
 	// askSpacing is the delay from one router of a failure domain to the next, so that most get
-	// the change from one that has asked. maxAskDelayFraction bounds the sum.
-	askSpacing          = 10 * time.Millisecond
-	maxAskDelayFraction = 0.25
+	// the change from one that has asked. Its sum is 1/maxAskSpacingPart of that wait at most.
+	askSpacing        = 10 * time.Millisecond
+	maxAskSpacingPart = 4
 )
 
 type (
@@ -100,12 +100,12 @@
 	l.targets.drop(local.TargetsRevision)
 }
 
-// ConfigurationLag returns how far this router's configuration is behind that of its peers.
-func (f *Fleet) ConfigurationLag() ConfigurationLag {
-	local := f.localState()
+// ConfigurationLag returns how far a version of the configuration, which this router has, is
+// behind those of its peers.
+func (f *Fleet) ConfigurationLag(have int64) ConfigurationLag {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lags.drop(local)
+	f.lags.configuration.drop(have)
 	return ConfigurationLag{Newest: f.lags.configuration.newest(), Behind: f.lags.configuration.behind(time.Now())}
 }
 
@@ -136,7 +136,7 @@
 		newest := f.lags.configuration.newest()
 		f.mu.Unlock()
 		behind := max(configuration, targets)
-		if behind == 0 || behind < f.askDelay() || now.Sub(askedAt) < scale(askFraction, f.watcher.WatchWait()) {
+		if behind == 0 || behind < f.askDelay() || now.Sub(askedAt) < f.watcher.WatchWait()/askPart {
 			continue
 		}
 		askedAt = now
@@ -152,11 +152,7 @@
 	wait := f.watcher.WatchWait()
 	before := f.routersBefore()
 	if before < firstFetchers {
-		return scale(firstAskFraction, wait)
+		return wait / firstAskPart
 	}
-	return scale(askFraction, wait) + min(time.Duration(before)*askSpacing, scale(maxAskDelayFraction, wait))
-}
-
-func scale(fraction float64, d time.Duration) time.Duration {
-	return time.Duration(fraction * float64(d))
+	return wait/askPart + min(time.Duration(before)*askSpacing, wait/maxAskSpacingPart)
 }
--- a/internal/peer/gossip/newer_test.go
+++ b/internal/peer/gossip/newer_test.go
@@ -17,11 +17,7 @@
 	f.configure(1)
 	var routers []*router
 	for i := range count {
-		r := f.startIn(fmt.Sprint("z-", i%domains), fmt.Sprint("r-", i), f.storeAddress)
-		for _, other := range routers {
-			r.AddPeer(other.address)
-		}
-		routers = append(routers, r)
+		routers = append(routers, f.startPeerIn(fmt.Sprint("z-", i%domains), fmt.Sprint("r-", i), routers))
 	}
 	f.eventually("every router knows all others", func() bool {
 		for _, r := range routers {
