Put the loop that lists and watches a kind into a file of its own

The list that is due is one field instead of two, and whether a router has been watching belongs to its position rather than to the state of the calls. The tests that serve a store through a handler share the fixture. No change of behaviour.

--- a/internal/fleet/storewatch/resume_test.go
+++ b/internal/fleet/storewatch/resume_test.go
@@ -1,19 +1,13 @@
 package storewatch_test
 
 import (
-	"context"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/rs/zerolog"
 
-	"hickoryrock/internal/fleet/storewatch"
-	"hickoryrock/platform"
 	"hickoryrock/platform/platformtest"
 )
 
@@ -35,7 +29,6 @@
 	const versions = 100
 	for name, takesOver := range map[string]bool{"takes over the watch": true, "asks for a change": false} {
 		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
 			store := platformtest.NewStore()
 			write := func(version int) string {
 				spec := platformtest.FleetConfiguration(version)
@@ -44,29 +37,14 @@
 			}
 			write(1)
 			var largest atomic.Int64
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var shouldWatch atomic.Bool
+			f := newFixtureWithHandler(t, shouldWatch.Load, store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				counting := &countingWriter{ResponseWriter: w}
 				store.ServeHTTP(counting, r)
 				if size := int64(counting.bytes); size > largest.Load() {
 					largest.Store(size)
 				}
 			}))
-			client, stop := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
-			w := storewatch.New(client, zerolog.Nop(), func(*storewatch.Delta) {}, func() bool { return false })
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			var shouldWatch atomic.Bool
-			go func() {
-				defer close(done)
-				w.Run(ctx, shouldWatch.Load)
-			}()
-			c.Cleanup(func() {
-				cancel()
-				<-done
-				stop()
-				server.Close()
-			})
-			f := &fixture{C: c, store: store, Watcher: w}
 			f.eventually("the first configuration", func() bool { return f.version() == 1 })
 			size := 0
 			for version := 2; version <= versions; version++ {
@@ -75,10 +53,10 @@
 			if takesOver {
 				shouldWatch.Store(true)
 			} else {
-				w.Refresh(true, false)
+				f.Refresh(true, false)
 			}
 			f.eventually("the newest configuration", func() bool { return f.version() == versions })
-			c.Assert(largest.Load() < int64(2*size), qt.IsTrue, qt.Commentf("%d bytes, the configuration has %d", largest.Load(), size))
+			f.Assert(largest.Load() < int64(2*size), qt.IsTrue, qt.Commentf("%d bytes, the configuration has %d", largest.Load(), size))
 		})
 	}
 }
@@ -102,11 +80,10 @@
 // call starts again from the first byte (found by TestUnreadableWatchIsFollowedByAList beside other
 // load, issue 36).
 func TestWatchThatDoesNotArriveInTimeIsFollowedByAList(t *testing.T) {
-	c := qt.New(t)
 	store := platformtest.NewStore()
 	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.Configuration(1))
 	var isSlow atomic.Bool
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	f := newFixtureWithHandler(t, func() bool { return true }, store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if isSlow.Load() && r.URL.Query().Has("watch") {
 			w.WriteHeader(http.StatusOK)
 			_, _ = w.Write([]byte(`{"events":[`))
@@ -116,21 +93,6 @@
 		}
 		store.ServeHTTP(w, r)
 	}))
-	client, stop := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
-	w := storewatch.New(client, zerolog.Nop(), func(*storewatch.Delta) {}, func() bool { return false })
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		w.Run(ctx, func() bool { return true })
-	}()
-	c.Cleanup(func() {
-		cancel()
-		<-done
-		stop()
-		server.Close()
-	})
-	f := &fixture{C: c, store: store, Watcher: w}
 	f.eventually("the first configuration", func() bool { return f.version() == 1 })
 	isSlow.Store(true)
 	change := func(version int, state string) {
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"hickoryrock/internal/fleet/state"
-	"hickoryrock/internal/platform/objects"
 	"hickoryrock/platform"
 )
 
@@ -66,20 +64,6 @@
 	sweepInterval = 200 * time.Millisecond
 )
 
-const (
-	// listCached returns a list that may be seconds old. It is sufficient at the start: later
-	// changes arrive with the first watch, or from routers that have them.
-	listCached call = iota
-	list
-	// watch waits for the first change after a revision, poll does not wait.
-	watch
-	poll
-	// resume brings a router up to date that has not watched until now. It does not ask for all
-	// configurations since its last call: in a series of changes they may be too large to send
-	// in time.
-	resume
-)
-
 type (
 	// Watcher lists and watches the store and publishes the latest view. Its
 	// methods are safe for concurrent use.
@@ -149,14 +133,8 @@
 		// without one was logged.
 		era       uint64
 		eraLogged bool
-		// isWatching is set while the last call has brought this router up to date and it still
-		// has to watch.
-		isWatching bool
 	}
 
-	// call is how a kind is read from the store.
-	call uint8
-
 	entry struct {
 		raw    []byte
 		target *state.Target
@@ -247,111 +225,6 @@
 	}
 }
 
-// awaitNextCall waits until the next call to the store is due and returns it.
-func (w *Watcher) awaitNextCall(ctx context.Context, s *watchState, repeats bool, shouldWatch func() bool) call {
-	if shouldWatch() {
-		switch {
-		case !s.isWatching:
-			return resume
-		case repeats:
-			return poll
-		}
-		return watch
-	}
-	s.isWatching = false
-	ticker := time.NewTicker(roleCheckInterval)
-	defer ticker.Stop()
-	pollAt := time.Now().Add(idlePollInterval)
-	for !shouldWatch() {
-		select {
-		case <-ctx.Done():
-			return resume
-		case <-s.refresh:
-			return resume
-		case now := <-ticker.C:
-			if now.After(pollAt) {
-				return resume
-			}
-		}
-	}
-	return resume
-}
-
-// read makes a call for a kind. It reports whether the page is a list.
-func (w *Watcher) read(ctx context.Context, s *watchState, after state.Revision, c call) (page platform.Page, isList bool, err error) {
-	switch {
-	case c == listCached:
-		page, err = w.store.ListCached(ctx, s.kind)
-		return page, true, err
-	case c == list, c == resume && s == &w.configurationWatch:
-		page, err = w.store.List(ctx, s.kind)
-		return page, true, err
-	case c == watch:
-		page, err = w.store.Watch(ctx, s.kind, after.Number, w.watchWait)
-	default:
-		page, err = w.store.Watch(ctx, s.kind, after.Number, 0)
-	}
-	return page, false, err
-}
-
-// resumeAfter returns the revision after which a router that has not watched a kind lacks its
-// changes: others may have sent it later ones than it has read.
-func (w *Watcher) resumeAfter(s *watchState, read state.Revision) state.Revision {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if s == &w.targetWatch && w.revision.Era == read.Era && read.Before(w.revision) {
-		return w.revision
-	}
-	return read
-}
-
-// listAndWatch lists a kind and then watches it until ctx is done. It passes each
-// page to apply, with full set for a list; apply returns false for a stale list.
-func (w *Watcher) listAndWatch(
-	ctx context.Context, s *watchState, shouldWatch func() bool, apply func(page platform.Page, full bool) bool,
-) {
-	p := position{next: listCached, isListDue: true, backoff: objects.Backoff{Base: retryBaseDelay, Max: retryMaxDelay}}
-	for ctx.Err() == nil {
-		if !p.isListDue {
-			if p.next = w.awaitNextCall(ctx, s, p.failures > 0, shouldWatch); p.next == resume {
-				p.revision = w.resumeAfter(s, p.revision)
-			}
-		}
-		page, isList, err := w.read(ctx, s, p.revision, p.next)
-		if err != nil {
-			_ = objects.Sleep(ctx, w.handleFailure(s, &p, err))
-			continue
-		}
-		w.recordSuccess(s)
-		w.recordEra(s, &page)
-		if p.next == listCached && page.Revision.Era > state.FirstEra {
-			page.Revision.Era = 0 // The list may be older than the era that it states.
-		}
-		_ = objects.Sleep(ctx, p.handlePage(page, isList, apply))
-		if !p.isListDue {
-			s.isWatching = shouldWatch()
-		}
-	}
-}
-
-// handleFailure records a failed call and returns the pause before the next one.
-func (w *Watcher) handleFailure(s *watchState, p *position, err error) time.Duration {
-	if errors.Is(err, objects.ErrTooOld) {
-		w.log.Info().Str("kind", s.kind).Stringer("revision", p.revision).
-			Msg("watch revision not in the store's history, listing again")
-		p.next, p.isListDue = list, true
-		return 0
-	}
-	if errors.Is(err, platform.ErrUnreadable) && !p.isListDue {
-		// The same watch would return the same again; a list need not hold the objects that
-		// cannot be read.
-		p.next, p.isListDue = list, true
-	}
-	w.recordFailure(s, err)
-	p.failures++
-	return p.backoff.Delay(p.failures)
-}
-
 // Confirm brings the view up to date with one read of each kind from the store, for a
 // router that does not know whether it missed changes.
 func (w *Watcher) Confirm(ctx context.Context) error {
--- a/internal/fleet/storewatch/watcher_test.go
+++ b/internal/fleet/storewatch/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -35,8 +36,15 @@
 }
 
 func newFixtureWithStore(t *testing.T, shouldWatch bool, store *platformtest.Store, opts ...storewatch.Option) *fixture {
+	return newFixtureWithHandler(t, func() bool { return shouldWatch }, store, store, opts...)
+}
+
+// newFixtureWithHandler returns a fixture whose router calls a store through a handler.
+func newFixtureWithHandler(
+	t *testing.T, shouldWatch func() bool, store *platformtest.Store, handler http.Handler, opts ...storewatch.Option,
+) *fixture {
 	f := &fixture{C: qt.New(t), store: store, changes: make(chan storewatch.Delta, 100)}
-	server := httptest.NewServer(f.store)
+	server := httptest.NewServer(handler)
 	client, stop := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	f.Watcher = storewatch.New(client, zerolog.Nop(), func(c *storewatch.Delta) {
 		if c != nil {
@@ -47,7 +55,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		f.Watcher.Run(ctx, func() bool { return shouldWatch })
+		f.Watcher.Run(ctx, shouldWatch)
 	}()
 	t.Cleanup(func() {
 		cancel()
