Share what the change had written twice

The test of calls until the end of a stop uses the fleet of the test of changes, whose router that stops is now the one that watches the store, and reads the calls' IDs through platformtest instead of the wire's name. Its assertions are unchanged.

--- a/internal/node/edge/register.go
+++ b/internal/node/edge/register.go
@@ -35,6 +35,22 @@
 	registrationCheckInterval = time.Second
 )
 
+type (
+	// registration is what a router finds when it registers.
+	registration struct {
+		// others is the number of other routers in the list.
+		others int
+		// isNew is set when the router was not in the list.
+		isNew bool
+	}
+
+	// listedRouter is a router's entry in the store.
+	listedRouter struct {
+		platform.Router
+		revision uint64
+	}
+)
+
 // laterLists are the times after its registration at which a new router reads the entries
 // again, for routers that registered at the same time.
 var laterLists = []time.Duration{2 * time.Second, 5 * time.Second}
@@ -136,20 +152,6 @@
 	}
 }
 
-// listedRouter is a router's entry in the store.
-type listedRouter struct {
-	platform.Router
-	revision uint64
-}
-
-// registration is what a router finds when it registers.
-type registration struct {
-	// others is the number of other routers in the list.
-	others int
-	// isNew is set when the router was not in the list.
-	isNew bool
-}
-
 // watchesStore reports whether this router watches the store on behalf of the fleet. It is
 // false until the router knows which others could do so.
 func (r *Router) watchesStore() bool {
--- a/internal/soak/scenario/change_test.go
+++ b/internal/soak/scenario/change_test.go
@@ -85,7 +85,14 @@
 	f.change()
 	var processes []*process.Process
 	for i := range count {
-		r := startChangeRouter(f.C, program, dir, strings.TrimPrefix(server.URL, "http://"), subnet, i)
+		name, ip := fmt.Sprint("router-", i), fmt.Sprintf("127.78.%d.%d", subnet, i+1)
+		settings := filepath.Join(dir, name+".json")
+		data := platformtest.FleetSettings(name, ip, fmt.Sprint("domain-", i%changeDomains), changePorts,
+			strings.TrimPrefix(server.URL, "http://"), 1)
+		f.Assert(os.WriteFile(settings, data, 0o600), qt.IsNil)
+		r := &changeRouter{Process: process.New(name, dir, program, "edge", "-settings", settings), ip: ip}
+		f.Assert(r.Start(), qt.IsNil)
+		t.Cleanup(func() { r.Stop(0) })
 		f.routers = append(f.routers, r)
 		processes = append(processes, r.Process)
 	}
@@ -97,20 +104,6 @@
 	return f
 }
 
-// startChangeRouter starts the router with a number in a subnet, and stops it at the end of the
-// test.
-func startChangeRouter(c *qt.C, program, dir, store string, subnet, number int) *changeRouter {
-	c.Helper()
-	name, ip := fmt.Sprint("router-", number), fmt.Sprintf("127.78.%d.%d", subnet, number+1)
-	settings := filepath.Join(dir, name+".json")
-	data := platformtest.FleetSettings(name, ip, fmt.Sprint("domain-", number%changeDomains), changePorts, store, 1)
-	c.Assert(os.WriteFile(settings, data, 0o600), qt.IsNil)
-	r := &changeRouter{Process: process.New(name, dir, program, "edge", "-settings", settings), ip: ip}
-	c.Assert(r.Start(), qt.IsNil)
-	c.Cleanup(func() { r.Stop(0) })
-	return r
-}
-
 // run runs a subtest whose checks are those of f.
 func (f *changeFleet) run(name string, test func()) {
 	parent := f.C
--- a/internal/soak/scenario/late_calls_test.go
+++ b/internal/soak/scenario/late_calls_test.go
@@ -7,9 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -44,55 +42,46 @@
 	if testing.Short() {
 		t.Skip("builds and runs the program")
 	}
-	c := qt.New(t)
-	dir := t.TempDir()
-	program := buildRouter(c, dir)
-	store := platformtest.NewStore()
-	server := httptest.NewServer(store)
-	t.Cleanup(server.Close)
+	f := newChangeFleet(t, lateSubnet, 3)
 	var mu sync.Mutex
 	executed := make(map[string]bool)
 	target, stop, err := rawserver.New(func(conn net.Conn, r rawserver.Request) bool {
 		mu.Lock()
-		executed[r.HeaderField("x-hickoryrock-attempt-id")] = true
+		executed[platformtest.DecodeForwarded(r).Call] = true
 		mu.Unlock()
 		time.Sleep(time.Duration(rand.Int64N(int64(lateWork))))
 		_, err := io.WriteString(conn, platformtest.Response(r, "200 OK", "", "done"))
 		return err == nil
 	})
-	c.Assert(err, qt.IsNil)
+	f.Assert(err, qt.IsNil)
 	t.Cleanup(stop)
-	store.Set(platformtest.KindTargets, "i-1", platformtest.Target(target.Address(), "ready", 1))
-	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.FleetConfiguration(1))
-	var routers []*changeRouter
-	for i := range 3 {
-		routers = append(routers, startChangeRouter(c, program, dir, strings.TrimPrefix(server.URL, "http://"), lateSubnet, i))
-	}
-	for end := time.Now().Add(10 * time.Second); routers[0].call(platformtest.PathOnce) != http.StatusOK; time.Sleep(50 * time.Millisecond) {
-		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the router serves no call"))
+	f.store.Set(platformtest.KindTargets, "i-1", platformtest.Target(target.Address(), "ready", 1))
+	stopped := f.routers[0]
+	for end := time.Now().Add(10 * time.Second); stopped.call(platformtest.PathOnce) != http.StatusOK; time.Sleep(50 * time.Millisecond) {
+		f.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the router serves no call"))
 	}
 	var outcomes lateOutcomes
 	done := make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range lateCallers {
-		callers.Go(func() { outcomes.keepCalling(routers[0].ip, i, done) })
+		callers.Go(func() { outcomes.keepCalling(stopped.ip, i, done) })
 	}
 	time.Sleep(2 * time.Second)
 	stopping := time.Now()
-	routers[0].Signal(syscall.SIGTERM)
-	for routers[0].Incarnation() != 0 && time.Since(stopping) < 8*time.Second {
+	stopped.Signal(syscall.SIGTERM)
+	for stopped.Incarnation() != 0 && time.Since(stopping) < 8*time.Second {
 		time.Sleep(5 * time.Millisecond)
 	}
-	c.Assert(routers[0].Incarnation(), qt.Equals, 0, qt.Commentf("the router still runs"))
+	f.Assert(stopped.Incarnation(), qt.Equals, 0, qt.Commentf("the router still runs"))
 	close(done)
 	callers.Wait()
-	c.Logf("the stop took %v; %d calls answered, %d refused, %d not read", time.Since(stopping), outcomes.answered, outcomes.refused, outcomes.unread)
+	f.Logf("the stop took %v; %d calls answered, %d refused, %d not read", time.Since(stopping), outcomes.answered, outcomes.refused, outcomes.unread)
 	mu.Lock()
 	defer mu.Unlock()
 	for _, id := range outcomes.cut {
-		c.Check(executed[id], qt.IsFalse, qt.Commentf("call %s was executed and cut", id))
+		f.Check(executed[id], qt.IsFalse, qt.Commentf("call %s was executed and cut", id))
 	}
-	c.Assert(outcomes.answered > lateCallers, qt.IsTrue)
+	f.Assert(outcomes.answered > lateCallers, qt.IsTrue)
 }
 
 // keepCalling makes calls that may not be repeated until done is closed, some on kept connections.
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -8,11 +8,9 @@
 	"errors"
 	"io"
 	"net"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -160,37 +158,6 @@
 	return &Response{Head: head, Body: http1.Body(cn.reader, head.Length), Reused: cn.reused, conn: cn}, nil
 }
 
-// CloseExpired closes the connections that have been idle for too long. Those to a target that
-// has left are not used again, but occupy a descriptor.
-func (p *Pool) CloseExpired(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for key, list := range p.idle {
-		list = slices.DeleteFunc(list, func(c *conn) bool {
-			if now.Before(c.expires) {
-				return false
-			}
-			_ = c.Close() // Idle: no call is lost.
-			return true
-		})
-		p.idle[key] = list
-		if len(list) == 0 {
-			delete(p.idle, key)
-		}
-	}
-}
-
-// CloseIdle closes the idle connections to an endpoint.
-func (p *Pool) CloseIdle(e Endpoint) {
-	p.mu.Lock()
-	list := p.idle[e.Key]
-	delete(p.idle, e.Key)
-	p.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close() // Idle: no call is lost.
-	}
-}
-
 // Release returns the connection to the pool after the body was read completely.
 func (p *Pool) Release(resp *Response) {
 	c := resp.conn
@@ -255,17 +222,6 @@
 // Discard closes the connection of a response that was not read completely.
 func (p *Pool) Discard(resp *Response) { resp.conn.discard() }
 
-func (p *Pool) closeAllIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for key, list := range p.idle {
-		for _, c := range list {
-			_ = c.Close()
-		}
-		delete(p.idle, key)
-	}
-}
-
 // connection returns an idle connection that is open and has no unread data, or a new one if
 // there is none or onlyNew is set.
 func (p *Pool) connection(ctx context.Context, e Endpoint, onlyNew bool) (*conn, *Failure) {
@@ -290,40 +246,6 @@
 	}, nil
 }
 
-// popIdle returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle(key string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	p.idle[key] = list[:len(list)-1]
-	return c
-}
-
-// isIdle reports whether an idle connection is open and has no unread data:
-// unsolicited bytes belong to no call.
-func (c *conn) isIdle() bool {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && idle
-}
-
 // send writes the call; a large one is written in the background while the response is read.
 func (c *conn) send(call Call) *Failure {
 	b := http1.AppendRequest(make([]byte, 0, 1024+len(call.Body)), call.Method, call.Target, call.Fields,
