Record all ends of an attempt in one place, log cut ones and what became of their target

The logs could not tell why: a router said nothing of an attempt that was cut before its answer had begun, nor what it had seen of the target. Of the ends of an attempt, six were recorded in six places, and three of these told the quarantine.

recordEnd is now the only place. It logs each cut attempt with its stage (send, wait, head, body, events) and what the target looked like (refused, accepted, no-response, left); counters hold the same. Decisions are as before: only an end after the first byte is evidence. A stale answer that is cut counts as a lost connection, not as another call's answer.

Hypotheses that the lines tell apart: the first byte never reaches the router (stage wait, target refused); the probe is too late or too short (accepted, no-response); the entry is gone or renewed by then (left).

Tests of forward and http1client pass.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"hickoryrock/internal/caller/ingress"
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/targetstats"
@@ -68,14 +66,11 @@
 		NewConnection: c.headers.ID == "",
 	})
 	if failure != nil {
-		if failure.HasBegun {
-			c.headAt = time.Since(c.attemptStart)
-			c.recordCut(attemptCtx, target)
-		}
-		c.recordFailure(attemptCtx, target, failure.Status == http1client.NotSent, failure.Reason)
+		c.headAt = time.Since(c.attemptStart)
+		c.recordEnd(attemptCtx, target, failureEnd(failure))
 		return
 	}
-	c.relay(attemptCtx, target, tracked, response)
+	c.recordEnd(attemptCtx, target, c.relay(attemptCtx, target, tracked, response))
 }
 
 // overdueAfter returns the time after which a call without any response bytes
@@ -138,41 +133,9 @@
 	return targets[choice.Index]
 }
 
-// recordFailure records an attempt without a complete response.
-func (c *call) recordFailure(ctx context.Context, target *state.Target, notExecuted bool, reason string) {
-	c.reason = reason
-	c.progress.Outcome = Unknown
-	if notExecuted {
-		c.progress.Outcome = NotExecuted
-	} else {
-		c.progress.PossibleExecutions++
-	}
-	now := time.Now()
-	cause := context.Cause(ctx)
-	switch {
-	case errors.Is(cause, ingress.ErrCallerClosed):
-		return
-	case errors.Is(cause, errSilent):
-		c.reason = reasonSilent
-	case errors.Is(cause, errDeadline):
-		c.reason = reasonTimeout
-	case errors.Is(cause, ingress.ErrStopped):
-		c.reason = reasonStopped
-		return // The target is not at fault.
-	}
-	if reason == http1client.ReasonRefused || reason == http1client.ReasonNoConnection {
-		c.h.TargetHealth.RecordUnreachable(target.Hash, now)
-		c.h.Pool.CloseIdle(endpoint(target))
-		c.h.Log.Warn().Str("call", c.headers.ID).Str("target", target.ID).Str("reason", reason).
-			Msg("target unreachable, excluded from new calls")
-		return
-	}
-	c.h.TargetHealth.RecordFailure(target.Hash, now)
-}
-
 // relay handles a target's response: it relays a stream, and buffers any other
 // response for the decision that follows.
-func (c *call) relay(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) {
+func (c *call) relay(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) attemptEnd {
 	headers := platform.DecodeResponseHeaders(response.Head.Status, response.Head.Fields)
 	if headers.HasLoad {
 		c.load, c.hasLoad = headers.Load, true
@@ -183,94 +146,42 @@
 	c.headAt = time.Since(c.attemptStart)
 	if reason := c.doubt(response.Head.Status, headers); reason != "" {
 		c.h.Pool.Discard(response)
-		c.progress.PossibleExecutions++
-		c.recordUnusable(target, reason)
-		return
+		return unusableEnd(reason)
 	}
 	if headers.NotExecuted {
 		// The head is the proof: its body may be slow and must not delay a retry.
 		c.h.Pool.Drain(response)
-		c.recordNotExecuted(target, response.Head.Status)
-		return
+		return notExecutedEnd(response.Head.Status)
 	}
 	if c.writer.Started() && !c.continuesStream(response.Head) {
 		c.h.Pool.Drain(response)
-		c.progress.PossibleExecutions++
-		c.recordUnusable(target, "no-stream")
-		return
+		return unusableEnd("no-stream")
 	}
 	if c.isStream(response.Head) {
-		c.relayStream(ctx, target, tracked, response)
-		return
+		return c.relayStream(ctx, target, tracked, response)
 	}
 	body, err := c.readBody(response)
 	if err = checkWholeBody(response.Head, body, err); err != nil {
 		c.h.Pool.Discard(response)
-		c.recordBodyError(ctx, target, err)
-		return
+		if !errors.Is(err, errResponseMemory) {
+			c.logIncomplete(target, err)
+		}
+		return bodyEnd(err)
 	}
 	c.h.Pool.Release(response)
-	c.progress.PossibleExecutions++
 	c.buffered = &bufferedResponse{head: response.Head, body: body}
 	if response.Head.Status >= 500 {
-		c.progress.Outcome = FailedAtTarget
-		c.reason = "target-failed"
-		c.h.TargetHealth.RecordFailure(target.Hash, time.Now())
-		return
+		return attemptEnd{outcome: FailedAtTarget, stage: stageBody, reason: "target-failed", blame: blameFailure}
 	}
-	c.progress.Outcome = Responded
-	now := time.Now()
-	c.h.TargetHealth.RecordSuccess(target.Hash, now)
-	c.recordComplete(ctx, target, response.Head)
-	if response.Head.Status/100 == 2 && !c.route.Streaming {
+	if now := time.Now(); response.Head.Status/100 == 2 && !c.route.Streaming {
 		c.recordPace(target, now.Sub(c.attemptStart), now)
 	}
-}
-
-// recordUnusable records a response that must not be relayed.
-func (c *call) recordUnusable(target *state.Target, reason string) {
-	c.buffered = nil
-	c.progress.Outcome = Unknown
-	c.reason = reason
-	c.h.TargetHealth.RecordFailure(target.Hash, time.Now())
-}
-
-// recordNotExecuted records a response that proves that the target has not
-// executed the call.
-func (c *call) recordNotExecuted(target *state.Target, status int) {
-	c.progress.Outcome = NotExecuted
-	c.reason = "target-refused"
-	now := time.Now()
-	if status == http.StatusMisdirectedRequest {
-		// Another server now listens on the address.
-		c.reason = "target-replaced"
-		c.h.TargetHealth.RecordUnreachable(target.Hash, now)
-		return
-	}
-	c.h.TargetHealth.RecordFailure(target.Hash, now)
-}
-
-// recordBodyError records a response whose body could not be read completely.
-func (c *call) recordBodyError(ctx context.Context, target *state.Target, err error) {
-	if errors.Is(err, errResponseMemory) {
-		// The target is not at fault.
-		c.progress.PossibleExecutions++
-		c.progress.Outcome = Unknown
-		c.reason = "response-memory"
-		return
-	}
-	reason := "answer-cut"
-	c.logIncomplete(target, err)
-	c.recordCut(ctx, target)
-	if errors.Is(err, http1client.ErrBodyTooLarge) {
-		reason = "answer-too-large"
-	}
-	c.recordFailure(ctx, target, false, reason)
+	return wholeEnd(stageBody, response.Head)
 }
 
 // relayStream relays events as they arrive, complete ones only, so that a stream
 // can be resumed after the last one. Only a complete event counts as progress.
-func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) {
+func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) attemptEnd {
 	buffer := make([]byte, streamReadBytes)
 	prefilled := false
 	c.stream.beginAttempt(c.writer.Started())
@@ -294,17 +205,13 @@
 		}
 		if c.writer.WriteFailed() {
 			c.h.Pool.Discard(response)
-			c.reason = "caller-gone"
-			c.progress.PossibleExecutions++
-			c.progress.Outcome = Responded
-			return
+			return attemptEnd{outcome: Responded, stage: stageEvents, reason: reasonCallerGone}
 		}
 		if invalid != nil {
 			c.logIncomplete(target, invalid)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
-			c.recordFailure(ctx, target, false, invalidReason(invalid))
-			return
+			return unusableEnd(invalidReason(invalid))
 		}
 		if err == nil {
 			continue
@@ -313,14 +220,13 @@
 			c.logIncomplete(target, err)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
-			c.recordCut(ctx, target)
-			c.recordFailure(ctx, target, false, "stream-cut")
-			return
+			return attemptEnd{outcome: Unknown, stage: stageEvents, reason: "stream-cut", isCut: true, blame: blameFailure}
 		}
 		c.writeEvents(response.Head, c.stream.pending) // Empty lines.
-		c.finishStream(target, response)
-		c.recordComplete(ctx, target, response.Head)
-		return
+		c.writeHead(response.Head)
+		c.writer.EndChunked()
+		c.h.Pool.Release(response)
+		return wholeEnd(stageEvents, response.Head)
 	}
 }
 
@@ -357,12 +263,3 @@
 		c.writer.StartChunked(head.Status, head.Reason, endToEndFields(head))
 	}
 }
-
-func (c *call) finishStream(target *state.Target, response *http1client.Response) {
-	c.writeHead(response.Head)
-	c.writer.EndChunked()
-	c.h.Pool.Release(response)
-	c.progress.PossibleExecutions++
-	c.progress.Outcome = Responded
-	c.h.TargetHealth.RecordSuccess(target.Hash, time.Now())
-}
--- a/internal/fleet/forward/quarantine.go
+++ b/internal/fleet/forward/quarantine.go
@@ -11,6 +11,7 @@
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/quarantine"
+	"hickoryrock/internal/target/http1client"
 	"hickoryrock/internal/wire/http1"
 )
 
@@ -29,6 +30,20 @@
 	holdCheckInterval = 50 * time.Millisecond
 )
 
+// A sight is what a router sees of a target that has left a call without a whole response.
+type sight string
+
+const (
+	// sightRefused means that no process listens on the target's address.
+	sightRefused sight = "refused"
+	// sightAccepted means that the target accepts connections.
+	sightAccepted sight = "accepted"
+	// sightNone means that the target does not respond.
+	sightNone sight = "no-response"
+	// sightLeft means that the target drains or is no longer listed.
+	sightLeft sight = "left"
+)
+
 // sharedHashes returns the hashes of the parts that other calls may share: all but the
 // last one, which belongs to the call or to its chat.
 func sharedHashes(parts []affinity.Part) []uint64 {
@@ -114,16 +129,53 @@
 	}
 }
 
-// hasCrashed reports whether the target has ended without notice: it refuses connections
-// although it is listed and not draining. A target that is unreachable, or that only resets
-// connections, has not crashed.
-func (c *call) hasCrashed(ctx context.Context, target *state.Target) bool {
+// recordEvidence records what the end of an attempt says about the parts of the call's prompt.
+func (c *call) recordEvidence(ctx context.Context, target *state.Target, end attemptEnd, at time.Time) {
+	if len(c.sharedParts) == 0 {
+		return // No other call shares the prompt.
+	}
+	switch {
+	case end.head != nil && end.head.Status/100 == 2:
+		// A response that ends with its connection may have been ended by a crash.
+		if end.head.Length == http1.UntilClose && c.lookAt(ctx, target) == sightRefused {
+			return
+		}
+		c.h.Quarantine.RecordAnswer(c.sharedParts, at)
+	case end.isCut && context.Cause(ctx) == nil: // This router has not ended the attempt.
+		sight := c.lookAt(ctx, target)
+		c.logCut(target, end, sight)
+		if sight == sightRefused && end.stage != http1client.StageSend && end.stage != http1client.StageWait {
+			c.recordCrash(target, at)
+		}
+	}
+}
+
+// recordCrash records that a target has crashed while it answered the call.
+func (c *call) recordCrash(target *state.Target, at time.Time) {
+	age := c.answerAge(at)
+	c.crashed = age < quarantine.ProgressInterval
+	c.h.Quarantine.RecordCrash(quarantine.Crash{Target: target.Hash, At: at, Parts: c.sharedParts}, age, at)
+	metrics.GetOrCreateCounter(`hickoryrock_target_crashes_total`).Inc()
+	c.h.Log.Warn().Str("call", c.headers.ID).Str("target", target.ID).Strs("parts", partNames(c.sharedParts)).
+		Int64("answer-age-ms", age.Milliseconds()).Bool("suspected", c.crashed).
+		Uint64("store-era", c.targets.Revision.Era).Uint64("targets-revision", c.targets.Revision.Number).Msg("target crashed while it answered a call")
+}
+
+// lookAt finds out what has become of a target that has left a call without a whole response. One
+// that accepts connections has not crashed, and one that does not respond may be unreachable.
+func (c *call) lookAt(ctx context.Context, target *state.Target) sight {
 	if !c.isServing(target) {
-		return false
+		return sightLeft
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
-	return c.h.Pool.Refuses(ctx, endpoint(target))
+	switch c.h.Pool.Probe(ctx, endpoint(target)) {
+	case http1client.ProbeRefused:
+		return sightRefused
+	case http1client.ProbeAccepted:
+		return sightAccepted
+	}
+	return sightNone
 }
 
 // isServing reports whether this incarnation of a target is listed and not draining.
@@ -136,23 +188,12 @@
 	return false
 }
 
-// recordCut records that an answer was cut that the target had begun. It tells a crash of
-// the target from other causes.
-func (c *call) recordCut(ctx context.Context, target *state.Target) {
-	at := time.Now()
-	if context.Cause(ctx) != nil || len(c.sharedParts) == 0 {
-		return // This router has ended the attempt, or no other call shares the prompt.
-	}
-	if !c.hasCrashed(ctx, target) {
-		return
-	}
-	age := c.answerAge(at)
-	c.crashed = age < quarantine.ProgressInterval
-	c.h.Quarantine.RecordCrash(quarantine.Crash{Target: target.Hash, At: at, Parts: c.sharedParts}, age, at)
-	metrics.GetOrCreateCounter(`hickoryrock_target_crashes_total`).Inc()
-	c.h.Log.Warn().Str("call", c.headers.ID).Str("target", target.ID).Strs("parts", partNames(c.sharedParts)).
-		Int64("answer-age-ms", age.Milliseconds()).Bool("suspected", c.crashed).
-		Uint64("store-era", c.targets.Revision.Era).Uint64("targets-revision", c.targets.Revision.Number).Msg("target crashed while it answered a call")
+// logCut logs the end of an attempt whose connection ended before the response was whole.
+func (c *call) logCut(target *state.Target, end attemptEnd, s sight) {
+	metrics.GetOrCreateCounter(`hickoryrock_cut_attempts_total{stage="` + string(end.stage) + `",target="` + string(s) + `"}`).Inc()
+	c.h.Log.Warn().Str("call", c.headers.ID).Str("target", target.ID).Str("stage", string(end.stage)).Str("reason", end.reason).
+		Str("target-is", string(s)).Int64("attempt-ms", time.Since(c.attemptStart).Milliseconds()).Strs("parts", partNames(c.sharedParts)).
+		Uint64("store-era", c.targets.Revision.Era).Uint64("targets-revision", c.targets.Revision.Number).Msg("attempt cut")
 }
 
 // recordSound records from time to time that an answer goes on, which a part that crashes targets
@@ -166,18 +207,6 @@
 	c.h.Quarantine.RecordAnswer(c.sharedParts, now)
 }
 
-// recordComplete records a complete answer. One that ends with its connection may have
-// been ended by a crash.
-func (c *call) recordComplete(ctx context.Context, target *state.Target, head *http1.Response) {
-	if len(c.sharedParts) == 0 || head.Status/100 != 2 {
-		return
-	}
-	if head.Length == http1.UntilClose && c.hasCrashed(ctx, target) {
-		return
-	}
-	c.h.Quarantine.RecordAnswer(c.sharedParts, time.Now())
-}
-
 // partNames returns the hashes of prompt parts as they appear in logs.
 func partNames(parts []uint64) []string {
 	names := make([]string, len(parts))
--- a/internal/target/http1client/dial.go
+++ b/internal/target/http1client/dial.go
@@ -7,15 +7,30 @@
 	"syscall"
 )
 
-// Refuses reports whether a new connection to an endpoint is refused, as it is when no
-// process listens there. An endpoint that does not respond does not count.
-func (p *Pool) Refuses(ctx context.Context, e Endpoint) bool {
+const (
+	// ProbeFailed means that an endpoint did not respond in time.
+	ProbeFailed ProbeResult = iota
+	// ProbeAccepted means that an endpoint accepts connections.
+	ProbeAccepted
+	// ProbeRefused means that an endpoint refuses connections, as it does when no process
+	// listens there.
+	ProbeRefused
+)
+
+// ProbeResult is the result of a new connection on which nothing is sent.
+type ProbeResult uint8
+
+// Probe opens a new connection to an endpoint and closes it.
+func (p *Pool) Probe(ctx context.Context, e Endpoint) ProbeResult {
 	c, failure := p.dial(ctx, e)
-	if failure != nil {
-		return failure.Reason == ReasonRefused
+	switch {
+	case failure == nil:
+		_ = c.Close() // Nothing was sent.
+		return ProbeAccepted
+	case failure.Reason == ReasonRefused:
+		return ProbeRefused
 	}
-	_ = c.Close() // Nothing was sent.
-	return false
+	return ProbeFailed
 }
 
 // dial opens a new connection to an endpoint.
@@ -29,5 +44,5 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		reason = ReasonRefused
 	}
-	return nil, &Failure{Status: NotSent, Reason: reason, Err: err}
+	return nil, &Failure{Status: NotSent, Stage: StageConnect, Reason: reason, Err: err}
 }
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -24,6 +24,15 @@
 	// Unknown means that the call may have run.
 	Unknown
 
+	// StageConnect is the stage of a call without a connection.
+	StageConnect Stage = "connect"
+	// StageSend is the stage of a call that is being sent.
+	StageSend Stage = "send"
+	// StageWait is the stage of a call of whose response nothing has arrived.
+	StageWait Stage = "wait"
+	// StageHead is the stage of a call of whose response the head has arrived in part.
+	StageHead Stage = "head"
+
 	// ReasonRefused is the reason when the target refuses the connection.
 	ReasonRefused = "connection-refused"
 	// ReasonNoConnection is the reason when dialing fails in another way, such as a timeout.
@@ -53,14 +62,19 @@
 	// CallStatus says whether a failed call may have run.
 	CallStatus uint8
 
+	// Stage is how far a call had come when it failed, in kebab case.
+	Stage string
+
 	// Failure is why a call has no response.
 	Failure struct {
 		Status CallStatus
+		Stage  Stage
 		// Reason is a stable error code in kebab case.
 		Reason string
-		// HasBegun is set if the target had begun to answer when the connection failed.
-		HasBegun bool
-		Err      error
+		// IsCut is set if the connection ended, or was given up, during the call. It is not set
+		// if the target sent bytes that are no response to the call.
+		IsCut bool
+		Err   error
 	}
 
 	// Endpoint is one instance of a target.
@@ -150,10 +164,10 @@
 		cn.discard()
 		return nil, err
 	}
-	head, hasBegun, err := cn.readHead(c)
+	head, stage, err := cn.readHead(c)
 	if err != nil {
 		cn.discard()
-		return nil, &Failure{Status: Unknown, Reason: failureReason(err), HasBegun: hasBegun, Err: err}
+		return nil, &Failure{Status: Unknown, Stage: stage, Reason: failureReason(err), IsCut: isCut(err), Err: err}
 	}
 	return &Response{Head: head, Body: http1.Body(cn.reader, head.Length), Reused: cn.reused, conn: cn}, nil
 }
@@ -267,34 +281,37 @@
 	if n == 0 {
 		status = NotSent
 	}
-	return &Failure{Status: status, Reason: "send-failed", Err: err}
+	return &Failure{Status: status, Stage: StageSend, Reason: "send-failed", IsCut: status == Unknown, Err: err}
 }
 
-// readHead reads the head of the response to this call and skips responses to earlier calls. If
-// it fails, hasBegun reports whether the connection failed within a head.
-func (c *conn) readHead(call Call) (head *http1.Response, hasBegun bool, err error) {
+// readHead reads the head of the response to this call and skips responses to earlier calls.
+func (c *conn) readHead(call Call) (*http1.Response, Stage, error) {
 	for range maxStaleResponses + 1 {
 		if _, err := c.reader.Peek(1); err != nil {
-			return nil, false, err
+			return nil, StageWait, err
 		}
 		head, err := http1.ReadResponse(c.reader, maxHeadBytes, call.Method)
 		if err != nil {
-			return nil, !errors.Is(err, http1.ErrMalformed) && !errors.Is(err, http1.ErrTooLarge), err
+			return nil, StageHead, err
 		}
 		match := call.Match(head.Fields)
 		if match == MatchThisCall || (match == MatchUnknown && !c.reused) {
-			return head, true, nil
+			return head, StageHead, nil
 		}
 		metrics.GetOrCreateCounter(`hickoryrock_stale_answers_total`).Inc()
 		if head.Length == http1.UntilClose {
 			break
 		}
 		body := http1.Body(c.reader, head.Length)
-		if n, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleBodyBytes)); err != nil || n == maxStaleBodyBytes {
+		n, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleBodyBytes))
+		if err != nil {
+			return nil, StageWait, err
+		}
+		if n == maxStaleBodyBytes {
 			break
 		}
 	}
-	return nil, false, errOtherCall
+	return nil, StageWait, errOtherCall
 }
 
 var errOtherCall = errors.New("response belongs to another call")
@@ -306,6 +323,11 @@
 	_ = c.Close() // Anything the target still sends is discarded.
 }
 
+// isCut reports whether a response could not be read because the connection ended.
+func isCut(err error) bool {
+	return !errors.Is(err, http1.ErrMalformed) && !errors.Is(err, http1.ErrTooLarge) && !errors.Is(err, errOtherCall)
+}
+
 func failureReason(err error) string {
 	var timeout net.Error
 	switch {
