--- a/internal/caller/ingress/response.go
+++ b/internal/caller/ingress/response.go
@@ -24,6 +24,8 @@
 	retryAfterBase   = 100 * time.Millisecond
 	retryAfterJitter = 200 * time.Millisecond
 	retryAfterHeader = "Retry-After"
+	// maxCopiedBytes bounds the data that is copied behind its head, to be written at once.
+	maxCopiedBytes = 4 << 10
 )
 
 // RetryAfterField returns a Retry-After header, in fractional seconds with jitter, for a
@@ -77,10 +79,10 @@
 		return
 	}
 	b := http1.AppendResponse(nil, status, reason, fields, int64(len(body)), w.closeAfter)
-	if w.method != "HEAD" && status != 204 && status != 304 {
-		b = append(b, body...)
+	if w.method == "HEAD" || status == 204 || status == 304 {
+		body = nil
 	}
-	w.write(b)
+	w.writeParts(b, body, nil)
 }
 
 // StartChunked begins a chunked response. Its head is buffered and sent with the first
@@ -100,12 +102,27 @@
 	}
 	w.buf = strconv.AppendInt(w.buf, int64(len(data)), 16)
 	w.buf = append(w.buf, "\r\n"...)
-	w.buf = append(w.buf, data...)
-	w.buf = append(w.buf, "\r\n"...)
-	w.write(w.buf)
+	if len(data) <= maxCopiedBytes {
+		w.buf = append(append(w.buf, data...), "\r\n"...)
+		w.write(w.buf)
+	} else {
+		w.writeParts(w.buf, data, []byte("\r\n"))
+	}
 	w.buf = w.buf[:0]
 }
 
+// writeParts writes several parts at once without copying them.
+func (w *ResponseWriter) writeParts(parts ...[]byte) {
+	if w.writeFailed {
+		return
+	}
+	w.conn.limitWrite()
+	buffers := net.Buffers(parts)
+	if _, err := buffers.WriteTo(w.conn.Conn); err != nil {
+		w.writeFailed = true
+	}
+}
+
 // EndChunked sends the final chunk of a chunked response.
 func (w *ResponseWriter) EndChunked() {
 	if w.advance(inChunks, complete) {
@@ -151,6 +168,9 @@
 	_ = w.conn.Close() // The error does not matter: the caller sees a reset.
 }
 
+// Interrupt lets the write in progress fail, if there is one. It may be used concurrently.
+func (w *ResponseWriter) Interrupt() { _ = w.conn.SetWriteDeadline(time.Unix(1, 0)) }
+
 // WriteFailed reports whether a write to the caller failed or the response was aborted.
 func (w *ResponseWriter) WriteFailed() bool { return w.writeFailed }
 
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -51,6 +51,8 @@
 
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	c.memory.Release() // The response of the attempt before is not used.
+	c.memory, c.headBytes = c.h.answerMemory.Begin(target.Hash, func() { c.endForMemory(cancel) }), 0
 	c.lastProgress.Store(0)
 	c.attemptStart = time.Now()
 	stop := c.watchSilence(target, cancel)
@@ -63,7 +65,7 @@
 	})
 	response, failure := c.h.Pool.Do(attemptCtx, endpoint(target), http1client.Call{
 		Method: c.request.Method, Target: c.request.Target, Fields: fields, Body: c.body, Match: c.matchResponse,
-		NewConnection: c.headers.ID == "",
+		NewConnection: c.headers.ID == "", ReserveHead: c.holdHead,
 	})
 	if failure != nil {
 		c.headAt = time.Since(c.attemptStart)
@@ -184,7 +186,7 @@
 func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) attemptEnd {
 	buffer := make([]byte, streamReadBytes)
 	prefilled := false
-	c.stream.beginAttempt(c.writer.Started())
+	c.stream.beginAttempt(c.writer.Started(), c.holdBody)
 	var pace streamPace
 	for {
 		n, err := response.Body.Read(buffer)
@@ -211,7 +213,7 @@
 			c.logIncomplete(target, invalid)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
-			return unusableEnd(invalidReason(invalid))
+			return invalidEnd(invalid)
 		}
 		if err == nil {
 			continue
@@ -239,6 +241,8 @@
 		return "stream-skips"
 	case errors.Is(err, errForeignEvent):
 		return "foreign-event"
+	case errors.Is(err, errResponseMemory):
+		return http1client.ReasonNoMemory
 	case errors.Is(err, errNotAnEvent):
 		return "not-an-event"
 	}
--- a/internal/fleet/forward/body.go
+++ b/internal/fleet/forward/body.go
@@ -1,38 +1,80 @@
 package forward
 
 import (
-	"bytes"
+	"context"
+	"errors"
 	"io"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"hickoryrock/internal/policy/answermemory"
 	"hickoryrock/internal/target/http1client"
 )
 
-// readBody reads the complete body of a response, because the call may have to be
-// retried if it is truncated. A body of more than smallBodyBytes is read only after
-// its memory has been reserved; otherwise the error is errResponseMemory. The error
-// is http1client.ErrBodyTooLarge for more than maxBufferedBodyBytes.
+const (
+	// headCopies is the memory of a parsed head as a multiple of its bytes.
+	headCopies = 3
+	// minBodyBuffer is the size of the first buffer for a body without a length.
+	minBodyBuffer = 2 << 10
+)
+
+// holdHead reports whether there is memory for a number of bytes of the response's head.
+func (c *call) holdHead(bytes int) bool {
+	c.headBytes = headCopies * bytes
+	return c.headBytes <= answermemory.FreeBytes || c.memory.Hold(c.headBytes)
+}
+
+// holdBody reports whether there is memory for a number of bytes of the response's body besides
+// its head.
+func (c *call) holdBody(bytes int) bool { return c.memory.Hold(c.headBytes + bytes) }
+
+// readBody reads the complete body of a response, because the call may have to be retried if it is
+// truncated. The error is errResponseMemory if there is no memory for it, and
+// http1client.ErrBodyTooLarge for more than maxBufferedBodyBytes.
 func (c *call) readBody(response *http1client.Response) ([]byte, error) {
 	length := response.Head.Length
 	if length > maxBufferedBodyBytes {
 		return nil, http1client.ErrBodyTooLarge
 	}
-	var start []byte
-	if length < 0 {
-		var err error
-		if start, err = io.ReadAll(io.LimitReader(response.Body, smallBodyBytes+1)); err != nil {
-			return nil, err
-		}
-		if len(start) <= smallBodyBytes {
-			return start, nil
-		}
-		length = maxBufferedBodyBytes + 1
+	limit := maxBufferedBodyBytes + 1
+	if length >= 0 {
+		limit = int(length)
 	}
-	if length > smallBodyBytes {
-		if !c.h.responseMemory.TryAcquire(length) {
-			return nil, errResponseMemory
+	body := make([]byte, 0, min(limit, minBodyBuffer))
+	for {
+		if len(body) == cap(body) && len(body) < limit {
+			size := min(2*cap(body), limit)
+			if !c.holdBody(size) {
+				return nil, errResponseMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := response.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxBufferedBodyBytes:
+			return nil, http1client.ErrBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return body, err
 		}
-		c.reserved += length
 	}
-	response.Body = io.MultiReader(bytes.NewReader(start), response.Body)
-	return http1client.ReadBody(response, maxBufferedBodyBytes)
+}
+
+// endForMemory ends an attempt whose response occupies memory that others need.
+func (c *call) endForMemory(cancel context.CancelCauseFunc) {
+	cancel(errResponseMemory)
+	c.writer.Interrupt()
+}
+
+// AnswerMemory returns what unfinished responses occupy beyond a small part of each, in bytes.
+func (h *Handler) AnswerMemory() int64 { return h.answerMemory.Used() }
+
+// logMemory logs and counts an answer that is ended because the memory for answers is used up.
+func (h *Handler) logMemory(e answermemory.Ended) {
+	metrics.GetOrCreateCounter(`hickoryrock_answers_ended_for_memory_total`).Inc()
+	h.Log.Warn().Str("target", h.View().Targets.Name(e.Target)).Int64("bytes", e.Bytes).Int64("target-bytes", e.TargetBytes).
+		Int64("used-bytes", e.UsedBytes).Int64("limit-bytes", h.ResponseMemory).
+		Msg("answer ended: the memory for answers is used up and its target occupies the most")
 }
--- a/internal/fleet/forward/end.go
+++ b/internal/fleet/forward/end.go
@@ -59,14 +59,25 @@
 	if failure.Status == http1client.NotSent {
 		end.outcome = NotExecuted
 	}
-	if failure.Reason == http1client.ReasonRefused || failure.Reason == http1client.ReasonNoConnection {
+	switch failure.Reason {
+	case http1client.ReasonRefused, http1client.ReasonNoConnection:
 		end.blame = blameUnreachable
+	case http1client.ReasonNoMemory:
+		end.blame = blameNone
+	}
+	return end
+}
+
+// invalidEnd is the end of an attempt whose stream must not be relayed beyond what has been relayed.
+func invalidEnd(err error) attemptEnd {
+	end := attemptEnd{outcome: Unknown, stage: stageEvents, reason: invalidReason(err), blame: blameFailure}
+	if errors.Is(err, errResponseMemory) {
+		end.blame = blameNone
 	}
 	return end
 }
 
-// unusableEnd is the end of an attempt whose response must not be relayed, or not beyond what has
-// been relayed.
+// unusableEnd is the end of an attempt whose response must not be relayed.
 func unusableEnd(reason string) attemptEnd {
 	return attemptEnd{outcome: Unknown, stage: stageBody, reason: reason, blame: blameFailure}
 }
@@ -85,7 +96,7 @@
 	end := attemptEnd{outcome: Unknown, stage: stageBody, reason: "answer-cut", isCut: true, blame: blameFailure}
 	switch {
 	case errors.Is(err, errResponseMemory):
-		end.reason, end.isCut, end.blame = "response-memory", false, blameNone
+		end.reason, end.isCut, end.blame = http1client.ReasonNoMemory, false, blameNone
 	case errors.Is(err, http1client.ErrBodyTooLarge):
 		end.reason, end.isCut = "answer-too-large", false
 	}
@@ -124,6 +135,8 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, ingress.ErrCallerClosed):
 		end.blame = blameNone
+	case errors.Is(cause, errResponseMemory):
+		end.reason, end.blame = http1client.ReasonNoMemory, blameNone
 	case errors.Is(cause, errSilent):
 		end.reason = reasonSilent
 	case errors.Is(cause, errDeadline):
--- a/internal/fleet/forward/endless_test.go
+++ b/internal/fleet/forward/endless_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/standin/rawserver"
 	"hickoryrock/platform/platformtest"
 )
@@ -154,21 +155,70 @@
 	large := strings.Repeat("x", 512<<10)
 	release := make(chan struct{})
 	f := newFixture(t, 1, firstCall(func(c net.Conn, r rawserver.Request) bool {
-		_, _ = io.WriteString(c, platformtest.ResponseHead(r, len(large))+large[:1])
+		_, _ = io.WriteString(c, platformtest.ResponseHead(r, len(large))+large[1:])
 		<-release
-		_, err := io.WriteString(c, large[1:])
+		_, err := io.WriteString(c, large[:1])
 		return err == nil
 	}, always("200 OK", "", large)), withResponseMemory(768<<10))
 	first := make(chan response, 1)
 	go func() { first <- f.call("/open/a") }()
 	f.awaitRequests(1)
-	time.Sleep(50 * time.Millisecond) // The first response's head has been read.
+	time.Sleep(50 * time.Millisecond) // All but the last byte has been read.
 	f.Assert(f.call("/open/a").Status, qt.Equals, 502)
 	close(release)
 	f.assertResponse(<-first, 200, large)
 	f.assertResponse(f.call("/open/a"), 200, large)
 }
 
+// Guards against a target that uses up the memory for answers, so that large ones of other targets
+// are not relayed (LOST, issue 40): its own answers end.
+func TestMemoryIsTakenFromTheTargetThatOccupiesTheMost(t *testing.T) {
+	const stalled = 12
+	large := strings.Repeat("x", 200<<10)
+	var reading atomic.Int64
+	for name, begin := range map[string]func(r rawserver.Request) string{
+		"bodies": func(r rawserver.Request) string {
+			return platformtest.ResponseHead(r, 70_000) + strings.Repeat("x", 69_999)
+		},
+		"events": func(r rawserver.Request) string {
+			return platformtest.StreamHead(r) + chunk("data: "+strings.Repeat("x", 60_000))
+		},
+		"heads": func(rawserver.Request) string { return "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 60_000) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			reading.Store(0)
+			f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
+				if reading.Add(1) > stalled {
+					_, err := io.WriteString(c, platformtest.Response(r, "200 OK", "", large))
+					return err == nil
+				}
+				_, _ = io.WriteString(c, begin(r))
+				_, _ = c.Read(make([]byte, 1))
+				return false
+			}, withResponseMemory(768<<10))
+			for range stalled {
+				go f.call("/stream/a")
+			}
+			f.awaitRequests(stalled)
+			time.Sleep(100 * time.Millisecond) // The stalled answers have been read.
+			f.renameTargets()
+			f.assertResponse(f.call("/open/a"), 200, large)
+		})
+	}
+}
+
+// renameTargets publishes a view with other targets at the same addresses.
+func (f *fixture) renameTargets() {
+	view := f.view.Load()
+	var targets []*state.Target
+	for _, old := range view.Targets.ByService["s"] {
+		t := *old
+		t.ID += "-other"
+		targets = append(targets, &t)
+	}
+	f.view.Store(&state.View{Configuration: view.Configuration, Targets: state.NewTargets(targets)})
+}
+
 // A response head that proves that the call was not executed must be acted on before
 // its body arrives, which may be slow or never end.
 func TestNotExecutedResponseWithSlowBody(t *testing.T) {
--- a/internal/fleet/forward/events.go
+++ b/internal/fleet/forward/events.go
@@ -10,6 +10,8 @@
 	// maxEventBytes bounds the buffered bytes of an incomplete event. It is far above
 	// the size of an event with tokens, and many calls fit into the memory of a small VM.
 	maxEventBytes = 64 << 10
+	// maxIdleEventBytes bounds the buffer that is kept when fewer bytes are pending.
+	maxIdleEventBytes = 16 << 10
 	// boundaryOverlap is the number of bytes before a read at which the end of an
 	// event may begin.
 	boundaryOverlap = 2
@@ -36,7 +38,10 @@
 type (
 	// eventBuffer splits a server-sent event stream at event boundaries and checks its events.
 	eventBuffer struct {
-		pending []byte
+		// buffer holds the events that were returned last, and after them the bytes pending.
+		buffer, pending []byte
+		// reserve reports whether there is memory for a number of bytes; nil means that there is.
+		reserve func(bytes int) bool
 		// lastID is the ID of the last event with one that was returned; unnumbered is set if
 		// events without an ID have followed it, hasUnnumbered if there were any.
 		lastID        string
@@ -73,9 +78,10 @@
 )
 
 // beginAttempt prepares for the stream of another target, which resumes after lastID if the
-// stream has begun.
-func (e *eventBuffer) beginAttempt(begun bool) {
+// stream has begun. reserve is asked for the memory of its bytes.
+func (e *eventBuffer) beginAttempt(begun bool, reserve func(bytes int) bool) {
 	e.resumed, e.hasLines, e.hasEvents = begun, begun, false
+	e.buffer, e.pending, e.reserve = nil, nil, reserve
 }
 
 // end returns what is known about the stream at the end of its body.
@@ -83,13 +89,17 @@
 	return &streamEnd{resumed: e.resumed, unfinished: e.unfinished, hasEvents: e.hasEvents, tail: e.pending}
 }
 
-// add appends bytes of the stream and returns the complete events among all pending bytes. The
-// result is a copy. An error means that the stream must not be relayed beyond them: it is
-// errEventTooLarge when more than maxEventBytes are pending, errNotAnEvent when other bytes
-// than events follow, and another one when the target does not resume the stream.
+// add appends bytes of the stream and returns the complete events among all pending bytes, which
+// are valid until the next call. An error means that the stream must not be relayed beyond them: it
+// is errEventTooLarge when more than maxEventBytes are pending, errResponseMemory when there is no
+// memory for them, errNotAnEvent when other bytes than events follow, and another one when the
+// target does not resume the stream.
 func (e *eventBuffer) add(data []byte) ([]byte, error) {
 	searched := max(len(e.pending)-boundaryOverlap, 0)
-	e.pending = append(e.pending, data...)
+	if !e.append(data) {
+		e.unfinished = true
+		return nil, errResponseMemory
+	}
 	end := lastBoundary(e.pending[searched:])
 	if end == 0 {
 		if len(e.pending) > maxEventBytes {
@@ -101,11 +111,28 @@
 	end += searched
 	valid, err := e.acceptAll(e.pending[:end])
 	e.unfinished = e.unfinished || err != nil
-	complete := bytes.Clone(e.pending[:valid])
-	e.pending = append(e.pending[:0], e.pending[end:]...)
+	complete := e.pending[:valid]
+	e.pending = e.pending[end:]
 	return complete, err
 }
 
+// append adds bytes to those pending. It returns false if there is no memory for them.
+func (e *eventBuffer) append(data []byte) bool {
+	needed := len(e.pending) + len(data)
+	if size := cap(e.buffer); needed > size || (size > maxIdleEventBytes && needed <= maxIdleEventBytes) {
+		size = max(needed, min(2*needed, maxEventBytes))
+		if e.reserve != nil && !e.reserve(size) {
+			return false
+		}
+		e.buffer = append(make([]byte, 0, size), e.pending...)
+	} else {
+		e.buffer = append(e.buffer[:0], e.pending...)
+	}
+	e.buffer = append(e.buffer, data...)
+	e.pending = e.buffer
+	return true
+}
+
 // acceptAll checks complete events. It returns the number of bytes before the first one that
 // must not be relayed, and why.
 func (e *eventBuffer) acceptAll(events []byte) (int, error) {
--- a/internal/fleet/forward/events_test.go
+++ b/internal/fleet/forward/events_test.go
@@ -13,7 +13,7 @@
 // whether the stream is whole.
 func readAll(body string, part int) (relayed string, whole bool) {
 	var e eventBuffer
-	e.beginAttempt(false)
+	e.beginAttempt(false, nil)
 	for len(body) > 0 {
 		n := min(part, len(body))
 		events, err := e.add([]byte(body[:n]))
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -11,11 +11,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 
 	"hickoryrock/internal/caller/ingress"
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/policy/affinity"
+	"hickoryrock/internal/policy/answermemory"
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/retries"
 	"hickoryrock/internal/policy/targetbackoff"
@@ -38,11 +38,8 @@
 	cacheIndexWaitFraction = 0.25
 	// maxBufferedBodyBytes is the largest response body that is buffered.
 	maxBufferedBodyBytes = 1 << 20
-	// smallBodyBytes is the size up to which a response body is buffered without a
-	// reservation of memory.
-	smallBodyBytes = 32 << 10
-	// defaultResponseMemory is the default limit of the memory of all buffered large
-	// responses, in bytes.
+	// defaultResponseMemory is the default limit of the memory of all answers that are larger
+	// than answermemory.FreeBytes, in bytes.
 	defaultResponseMemory = 32 << 20
 )
 
@@ -50,7 +47,7 @@
 	errDeadline = errors.New("the call's deadline is exceeded")
 	errSilent   = errors.New("the target has stopped sending")
 
-	errResponseMemory = errors.New("memory limit of buffered responses reached")
+	errResponseMemory = errors.New("memory limit of all responses reached")
 )
 
 type (
@@ -90,8 +87,8 @@
 		FailureDomain string
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
 		LoadFactor float64
-		// ResponseMemory limits the memory of all buffered large responses, in bytes.
-		// Zero means defaultResponseMemory.
+		// ResponseMemory limits the memory of the parts of all responses that are buffered, beyond
+		// a small part of each, in bytes. Zero means defaultResponseMemory.
 		ResponseMemory int64
 		Log            zerolog.Logger
 	}
@@ -99,8 +96,7 @@
 	// Handler forwards calls to targets. It is safe for concurrent use.
 	Handler struct {
 		Config
-		// responseMemory limits the memory of all buffered large responses, in bytes.
-		responseMemory *semaphore.Weighted
+		answerMemory   *answermemory.Budget
 		usual          usualTimes
 		callTimes      callTimes
 		crashInquiries *crashInquiries
@@ -144,8 +140,9 @@
 		// its body.
 		headAt  time.Duration
 		framing string
-		// reserved is the part of the response memory that this call holds, in bytes.
-		reserved int64
+		// memory is that of the last attempt's response, of whose head headBytes are held.
+		memory    *answermemory.Answer
+		headBytes int
 		// buffered is a target's complete response, relayed unless a retry follows.
 		buffered *bufferedResponse
 		reason   string
@@ -205,10 +202,9 @@
 	if config.OthersServe == nil {
 		config.OthersServe = func() bool { return true }
 	}
-	return &Handler{
-		Config: config, responseMemory: semaphore.NewWeighted(config.ResponseMemory),
-		crashInquiries: newCrashInquiries(config.View, config.Pool),
-	}
+	h := &Handler{Config: config, crashInquiries: newCrashInquiries(config.View, config.Pool)}
+	h.answerMemory = answermemory.New(config.ResponseMemory, h.logMemory)
+	return h
 }
 
 // ServeCall implements ingress.Handler.
@@ -221,7 +217,7 @@
 		view: view, targets: view.Targets, start: start, tried: make(map[uint64]bool),
 	}
 	c.serve(ctx)
-	h.responseMemory.Release(c.reserved)
+	c.memory.Release()
 	c.record()
 }
 
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -194,6 +194,18 @@
 	return t
 }
 
+// Name returns the ID of the target with a hash, or the hash if it is not listed.
+func (t *Targets) Name(hash uint64) string {
+	for _, list := range t.ByService {
+		for _, target := range list {
+			if target.Hash == hash {
+				return target.ID
+			}
+		}
+	}
+	return strconv.FormatUint(hash, 16)
+}
+
 // Incarnation returns the hash that identifies this incarnation. It includes the start time:
 // a target that restarts under the same name has lost its cache and state.
 func (t *Target) Incarnation() uint64 {
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -135,6 +135,7 @@
 		NewestConfiguration: r.newestConfiguration,
 		ResponseMemory:      int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
+	metrics.GetOrCreateGauge(`hickoryrock_answer_memory_bytes`, func() float64 { return float64(handler.AnswerMemory()) })
 	r.server = ingress.New(handler, r.limits, log,
 		ingress.WithBodyMemory(int64(bodyMemoryFraction*float64(s.MemoryBytes))))
 	if err := r.listen(); err != nil {
@@ -336,23 +337,12 @@
 }
 
 func (r *Router) logTargetChange(c targetstats.Change) {
-	r.log.Warn().Str("target", r.targetName(c.Target)).Bool("aside", c.Ejected).Float64("failures", c.Failures).
+	r.log.Warn().Str("target", r.watcher.View().Targets.Name(c.Target)).Bool("aside", c.Ejected).Float64("failures", c.Failures).
 		Float64("results", c.Results).Float64("common-share", c.OthersFailureRate).Msg("target ejected or readmitted because of its failure rate")
 }
 
 func (r *Router) logTargetWait(target uint64, wait time.Duration) {
 	metrics.GetOrCreateCounter(`hickoryrock_target_waits_total`).Inc()
-	r.log.Info().Str("target", r.targetName(target)).Dur("for-ms", wait).
+	r.log.Info().Str("target", r.watcher.View().Targets.Name(target)).Dur("for-ms", wait).
 		Msg("target has turned a request away and wants none for a time")
 }
-
-func (r *Router) targetName(hash uint64) string {
-	for _, list := range r.watcher.View().Targets.ByService {
-		for _, t := range list {
-			if t.Hash == hash {
-				return t.ID
-			}
-		}
-	}
-	return strconv.FormatUint(hash, 16)
-}
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -35,6 +35,8 @@
 
 	// ReasonRefused is the reason when the target refuses the connection.
 	ReasonRefused = "connection-refused"
+	// ReasonNoMemory is the reason when there is no memory for the head of the response.
+	ReasonNoMemory = "response-memory"
 	// ReasonNoConnection is the reason when dialing fails in another way, such as a timeout.
 	ReasonNoConnection = "no-connection"
 
@@ -96,6 +98,9 @@
 		// NewConnection is set when the call must not be sent on a kept connection, such as
 		// one whose response cannot be told from those to earlier calls.
 		NewConnection bool
+		// ReserveHead reports whether there is memory for a number of bytes of the response's head.
+		// Nil means that there is.
+		ReserveHead func(bytes int) bool
 	}
 
 	// ResponseMatch says which call a response belongs to.
@@ -290,7 +295,7 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, StageWait, err
 		}
-		head, err := http1.ReadResponse(c.reader, maxHeadBytes, call.Method)
+		head, err := http1.ReadResponseReserving(c.reader, maxHeadBytes, call.Method, call.ReserveHead)
 		if err != nil {
 			return nil, StageHead, err
 		}
@@ -325,7 +330,8 @@
 
 // isCut reports whether a response could not be read because the connection ended.
 func isCut(err error) bool {
-	return !errors.Is(err, http1.ErrMalformed) && !errors.Is(err, http1.ErrTooLarge) && !errors.Is(err, errOtherCall)
+	return !errors.Is(err, http1.ErrMalformed) && !errors.Is(err, http1.ErrTooLarge) && !errors.Is(err, http1.ErrNoMemory) &&
+		!errors.Is(err, errOtherCall)
 }
 
 func failureReason(err error) string {
@@ -333,6 +339,8 @@
 	switch {
 	case errors.Is(err, errOtherCall):
 		return "other-call"
+	case errors.Is(err, http1.ErrNoMemory):
+		return ReasonNoMemory
 	case errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge):
 		return "malformed-answer"
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -341,20 +349,6 @@
 	return "connection-lost"
 }
 
-// ReadBody reads a complete body. It returns ErrBodyTooLarge for more than limit bytes.
-func ReadBody(resp *Response, limit int64) ([]byte, error) {
-	if resp.Head.Length >= 0 && resp.Head.Length <= limit {
-		body := make([]byte, resp.Head.Length)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, ErrBodyTooLarge
-	}
-	return body, err
-}
-
 func keepAliveTimeout(value string) (time.Duration, bool) {
 	for part := range strings.SplitSeq(value, ",") {
 		name, number, ok := strings.Cut(strings.TrimSpace(part), "=")
--- a/internal/target/http1client/http1client_test.go
+++ b/internal/target/http1client/http1client_test.go
@@ -17,8 +17,6 @@
 	"hickoryrock/internal/wire/http1"
 )
 
-const bodyLimit = 1 << 20
-
 func response(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nCall: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
@@ -62,7 +60,7 @@
 	if failure != nil {
 		return "", failure
 	}
-	body, err := http1client.ReadBody(resp, bodyLimit)
+	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		f.pool.Discard(resp)
 		return "", &http1client.Failure{Status: http1client.Unknown, Reason: "truncated", Err: err}
@@ -222,7 +220,7 @@
 	endpoint := http1client.Endpoint{Address: l.Addr().String(), Key: "t"}
 	resp, failure := pool.Do(context.Background(), endpoint, newCall("1", "POST", body))
 	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
-	got, err := http1client.ReadBody(resp, bodyLimit)
+	got, err := io.ReadAll(resp.Body)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(got), qt.Equals, "early")
 	pool.Release(resp)
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -41,6 +41,8 @@
 var (
 	// ErrTooLarge means that the head of a message exceeds the limit.
 	ErrTooLarge = errors.New("the head of the message is too large")
+	// ErrNoMemory means that there is no memory for the head of a message.
+	ErrNoMemory = errors.New("no memory for the head of the message")
 	// ErrMalformed means that a message violates the protocol or is ambiguous.
 	ErrMalformed = errors.New("malformed message")
 )
@@ -142,7 +144,7 @@
 // error that wraps ErrTooLarge or ErrMalformed for a head that is not acceptable,
 // and io.EOF if the connection ends before the first byte.
 func ReadRequest(r *bufio.Reader, limit int) (*Request, error) {
-	line, fields, err := readHead(r, limit)
+	line, fields, err := readHead(r, allowance{limit: limit})
 	if err != nil {
 		return nil, err
 	}
@@ -192,8 +194,14 @@
 // method. It skips up to maxInterimResponses interim (1xx) responses and returns an
 // error that wraps ErrMalformed after more; limit in bytes applies to each head.
 func ReadResponse(r *bufio.Reader, limit int, method string) (*Response, error) {
+	return ReadResponseReserving(r, limit, method, nil)
+}
+
+// ReadResponseReserving is ReadResponse with a function that is called before the part of a head
+// that has been read grows to a number of bytes. If it returns false, the error is ErrNoMemory.
+func ReadResponseReserving(r *bufio.Reader, limit int, method string, reserve func(bytes int) bool) (*Response, error) {
 	for range maxInterimResponses + 1 {
-		resp, err := readResponse(r, limit, method)
+		resp, err := readResponse(r, allowance{limit: limit, reserve: reserve}, method)
 		if err != nil || resp.Status >= 200 {
 			return resp, err
 		}
@@ -204,8 +212,8 @@
 	return nil, eris.Wrapf(ErrMalformed, "more than %d interim responses", maxInterimResponses)
 }
 
-func readResponse(r *bufio.Reader, limit int, method string) (*Response, error) {
-	line, fields, err := readHead(r, limit)
+func readResponse(r *bufio.Reader, a allowance, method string) (*Response, error) {
+	line, fields, err := readHead(r, a)
 	if err != nil {
 		return nil, err
 	}
@@ -290,8 +298,8 @@
 
 // readTrailers discards the trailer section and returns io.EOF if it is complete.
 func (b *chunkedBody) readTrailers() error {
-	for remaining := maxTrailerBytes; ; {
-		line, err := readLine(b.source, &remaining)
+	for a := (allowance{limit: maxTrailerBytes}); ; {
+		line, err := readLine(b.source, &a)
 		if err != nil {
 			return eris.Wrap(io.ErrUnexpectedEOF, "trailer")
 		}
--- a/internal/wire/http1/parse.go
+++ b/internal/wire/http1/parse.go
@@ -11,17 +11,37 @@
 	"github.com/rotisserie/eris"
 )
 
-// readHead reads a start line and the header fields of at most limit bytes.
-func readHead(r *bufio.Reader, limit int) (string, []Field, error) {
-	remaining := limit
-	start, err := readLine(r, &remaining)
+// allowance bounds what may be read.
+type allowance struct {
+	// used and limit are in bytes.
+	used, limit int
+	// reserve reports whether there is memory for a number of bytes; nil means that there is.
+	reserve func(bytes int) bool
+}
+
+// take adds bytes that have been read. It returns ErrTooLarge beyond the limit, and ErrNoMemory if
+// there is no memory for them.
+func (a *allowance) take(bytes int) error {
+	a.used += bytes
+	if a.used > a.limit {
+		return ErrTooLarge
+	}
+	if a.reserve != nil && !a.reserve(a.used) {
+		return ErrNoMemory
+	}
+	return nil
+}
+
+// readHead reads a start line and the header fields.
+func readHead(r *bufio.Reader, a allowance) (string, []Field, error) {
+	start, err := readLine(r, &a)
 	if err != nil {
 		return "", nil, err
 	}
 	line := string(start)
 	fields := make([]Field, 0, 16)
 	for {
-		raw, err := readLine(r, &remaining)
+		raw, err := readLine(r, &a)
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
@@ -43,15 +63,13 @@
 	}
 }
 
-// readLine returns a line without the CR LF and subtracts its size from remaining.
-// The line is valid until the next read.
-func readLine(r *bufio.Reader, remaining *int) ([]byte, error) {
+// readLine returns a line without the CR LF. The line is valid until the next read.
+func readLine(r *bufio.Reader, a *allowance) ([]byte, error) {
 	var buffered []byte
 	for {
 		part, err := r.ReadSlice('\n')
-		*remaining -= len(part)
-		if *remaining < 0 {
-			return nil, ErrTooLarge
+		if err := a.take(len(part)); err != nil {
+			return nil, err
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			buffered = append(buffered, part...)
