--- /dev/null
+++ b/internal/caller/ingress/head.go
@@ -0,0 +1,41 @@
+package ingress
+
+import "golang.org/x/sync/semaphore"
+
+const (
+	// freeHeadBytes is the size up to which the head of a request takes no part in the bound of
+	// the memory of requests.
+	freeHeadBytes = 2 << 10
+	// headCopies is the memory of a parsed head as a multiple of its bytes.
+	headCopies = 3
+	// headStepBytes is the unit of what a large head takes.
+	headStepBytes = 4 << 10
+)
+
+// headMemory is the memory that the head of one request occupies.
+type headMemory struct {
+	total *semaphore.Weighted
+	// held is in bytes.
+	held int64
+}
+
+// hold reports whether there is memory for a number of bytes of the head.
+func (m *headMemory) hold(bytes int) bool {
+	if bytes <= freeHeadBytes {
+		return true
+	}
+	need := (headCopies*int64(bytes) + headStepBytes - 1) / headStepBytes * headStepBytes
+	if need <= m.held {
+		return true
+	}
+	if !m.total.TryAcquire(need - m.held) {
+		return false
+	}
+	m.held = need
+	return true
+}
+
+func (m *headMemory) release() {
+	m.total.Release(m.held)
+	m.held = 0
+}
--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -64,7 +64,7 @@
 		handler Handler
 		limits  func() state.Limits
 		log     zerolog.Logger
-		// bodyMemory limits the memory of all request bodies together, in bytes.
+		// bodyMemory limits the memory of all request bodies and large heads together, in bytes.
 		bodyMemory *semaphore.Weighted
 		closeDelay time.Duration
 
@@ -220,8 +220,11 @@
 	defer s.active.Add(-1)
 	limits := s.limits()
 	c.beginCall(limits.HeaderTimeout)
-	req, err := http1.ReadRequest(c.reader, limits.HeaderBytes)
+	head := headMemory{total: s.bodyMemory}
+	defer head.release()
+	req, err := http1.ReadRequestReserving(c.reader, limits.HeaderBytes, head.hold)
 	if err != nil {
+		head.release() // Before reject, which may linger on the connection.
 		s.reject(c, err)
 		return false
 	}
@@ -362,7 +365,7 @@
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, http1.ErrMalformed):
 		status = http.StatusBadRequest
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, errBodyMemory), errors.Is(err, http1.ErrNoMemory):
 		status = http.StatusServiceUnavailable
 		fields = append(fields, RetryAfterField(0))
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/internal/caller/ingress/ingress_test.go
+++ b/internal/caller/ingress/ingress_test.go
@@ -46,12 +46,13 @@
 	blockingHandler
 	server  *ingress.Server
 	address string
-	// bodyBytes is the limit of a request's body.
-	bodyBytes int64
+	// bodyBytes and headerBytes are the limits of a request's body and head.
+	bodyBytes   int64
+	headerBytes int
 }
 
 func (f *fixture) limits() state.Limits {
-	return state.Limits{HeaderBytes: 1 << 10, BodyBytes: f.bodyBytes, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	return state.Limits{HeaderBytes: f.headerBytes, BodyBytes: f.bodyBytes, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 }
 
 func newFixture(t *testing.T, opts ...ingress.Option) *fixture {
@@ -60,7 +61,7 @@
 
 func newFixtureWithLimit(t *testing.T, bodyBytes int64, opts ...ingress.Option) *fixture {
 	f := &fixture{
-		C: qt.New(t), blockingHandler: blockingHandler{make(chan int, 10), make(chan struct{}, 10)}, bodyBytes: bodyBytes,
+		C: qt.New(t), blockingHandler: blockingHandler{make(chan int, 10), make(chan struct{}, 10)}, bodyBytes: bodyBytes, headerBytes: 1 << 10,
 	}
 	f.serveWith(f.blockingHandler, opts...)
 	return f
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -144,7 +144,13 @@
 // error that wraps ErrTooLarge or ErrMalformed for a head that is not acceptable,
 // and io.EOF if the connection ends before the first byte.
 func ReadRequest(r *bufio.Reader, limit int) (*Request, error) {
-	line, fields, err := readHead(r, allowance{limit: limit})
+	return ReadRequestReserving(r, limit, nil)
+}
+
+// ReadRequestReserving is ReadRequest with a function that is called before the part of the head
+// that has been read grows to a number of bytes. If it returns false, the error is ErrNoMemory.
+func ReadRequestReserving(r *bufio.Reader, limit int, reserve func(bytes int) bool) (*Request, error) {
+	line, fields, err := readHead(r, allowance{limit: limit, reserve: reserve})
 	if err != nil {
 		return nil, err
 	}
