--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -72,7 +72,7 @@
 		c.recordEnd(attemptCtx, target, failureEnd(failure))
 		return
 	}
-	c.recordEnd(attemptCtx, target, c.relay(attemptCtx, target, tracked, response))
+	c.recordEnd(attemptCtx, target, c.relay(target, tracked, response))
 }
 
 // overdueAfter returns the time after which a call without any response bytes
@@ -137,7 +137,7 @@
 
 // relay handles a target's response: it relays a stream, and buffers any other
 // response for the decision that follows.
-func (c *call) relay(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) attemptEnd {
+func (c *call) relay(target *state.Target, tracked *targetstats.Call, response *http1client.Response) attemptEnd {
 	headers := platform.DecodeResponseHeaders(response.Head.Status, response.Head.Fields)
 	if headers.HasLoad {
 		c.load, c.hasLoad = headers.Load, true
@@ -160,7 +160,7 @@
 		return unusableEnd("no-stream")
 	}
 	if c.isStream(response.Head) {
-		return c.relayStream(ctx, target, tracked, response)
+		return c.relayStream(target, tracked, response)
 	}
 	body, err := c.readBody(response)
 	if err = checkWholeBody(response.Head, body, err); err != nil {
@@ -183,7 +183,7 @@
 
 // relayStream relays events as they arrive, complete ones only, so that a stream
 // can be resumed after the last one. Only a complete event counts as progress.
-func (c *call) relayStream(ctx context.Context, target *state.Target, tracked *targetstats.Call, response *http1client.Response) attemptEnd {
+func (c *call) relayStream(target *state.Target, tracked *targetstats.Call, response *http1client.Response) attemptEnd {
 	buffer := make([]byte, streamReadBytes)
 	prefilled := false
 	c.stream.beginAttempt(c.writer.Started(), c.holdBody)
--- a/internal/soak/scenario/memory_test.go
+++ b/internal/soak/scenario/memory_test.go
@@ -161,7 +161,7 @@
 			}
 			return false
 		}, false},
-		{"a head of 60 KB that stops before its end", platformtest.PathOnce, func(c net.Conn, r rawserver.Request) bool {
+		{"a head of 60 KB that stops before its end", platformtest.PathOnce, func(c net.Conn, _ rawserver.Request) bool {
 			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("A: "+strings.Repeat("b", 100)+"\r\n", 600))
 			if err == nil {
 				_, _ = c.Read(make([]byte, 1))
