--- a/internal/fleet/forward/quarantine.go
+++ b/internal/fleet/forward/quarantine.go
@@ -137,9 +137,10 @@
 	case cause == nil:
 		c.crashed = c.inquire(ctx, target, end, at, cutProbeAge).hasCrashed() && c.answerAge(at) < quarantine.ProgressInterval
 	case errors.Is(cause, errSilent), errors.Is(cause, errDeadline):
-		// The end of the target's process may not have reached this router.
-		if c.h.TargetHealth.SilentFor(target.Hash, at) > c.silenceLimit() {
-			c.inquire(ctx, target, end, at, silentProbeAge)
+		// The end of the target's process may not have reached this router. It has ended about
+		// when the target was heard last, and targets that lose power at once did so together.
+		if silence := c.h.TargetHealth.SilentFor(target.Hash, at); silence > c.silenceLimit() {
+			c.inquire(ctx, target, end, at.Add(-silence), silentProbeAge)
 		}
 	}
 }
@@ -159,7 +160,7 @@
 // crashRecorder returns a function that records that a target has crashed before it had answered
 // the call. It may be called when the call has ended.
 func (c *call) crashRecorder(target *state.Target, end attemptEnd, at time.Time) func() {
-	h, id, parts, age, revision := c.h, c.headers.ID, c.sharedParts, c.answerAge(at), c.targets.Revision
+	h, id, parts, age, revision := c.h, c.headers.ID, c.sharedParts, max(c.answerAge(at), 0), c.targets.Revision
 	return func() {
 		h.Quarantine.RecordCrash(quarantine.Crash{Target: target.Hash, At: at, Parts: parts}, age, time.Now())
 		metrics.GetOrCreateCounter(`hickoryrock_target_crashes_total`).Inc()
--- a/internal/fleet/forward/quarantine_test.go
+++ b/internal/fleet/forward/quarantine_test.go
@@ -101,6 +101,25 @@
 		_ = f.callWithParts("/talk/a", guiltyPart, "e1")
 		f.assertSuspected(tracker)
 	})
+	t.Run("answers since the target was heard last count", func(t *testing.T) {
+		var f *fixture
+		tracker := quarantine.NewTracker()
+		f = newFixture(t, 2, firstCall(func(c net.Conn, r rawserver.Request) bool {
+			_, _ = io.WriteString(c, platformtest.StreamHead(r)+chunk("id: 1\ndata: x\n\n"))
+			time.Sleep(100 * time.Millisecond)
+			tracker.RecordAnswer([]uint64{partHash(rarePart)}, time.Now())
+			f.stopTarget(c)
+			time.Sleep(10 * time.Millisecond)
+			other := quarantine.Crash{Target: 1, At: time.Now(), Parts: []uint64{partHash(rarePart)}}
+			tracker.RecordCrash(other, 0, other.At)
+			time.Sleep(time.Second)
+			return false
+		}, reset), func(c *forward.Config) { c.Quarantine = tracker })
+		f.cacheIndex.MarkRestored()
+		_ = f.callWithParts("/talk/a", rarePart, guiltyPart, "e1")
+		f.assertSuspected(tracker)
+		f.Assert(tracker.Standing([]uint64{partHash(rarePart)}, time.Now()), qt.Equals, quarantine.Clear)
+	})
 	t.Run("the target has started again", func(t *testing.T) {
 		tracker := quarantine.NewTracker()
 		f := newFixture(t, 2, reset, func(c *forward.Config) { c.Quarantine = tracker })
