--- a/internal/fleet/forward/crash.go
+++ b/internal/fleet/forward/crash.go
@@ -65,9 +65,10 @@
 		// looked is closed after the first look, when seen is set.
 		looked chan struct{}
 		seen   sight
-		// lookedAt is the time of the first look, zero before.
+		// lookedAt is the time of the first look, zero before, and last what was seen last. Both
+		// are guarded by the lock of crashInquiries, as is onCrash.
 		lookedAt time.Time
-		crashed  bool
+		last     sight
 		// onCrash is called for each end that waits for the result.
 		onCrash []func()
 	}
@@ -80,51 +81,53 @@
 // hasCrashed reports whether what is seen of a target shows that it has ended without notice.
 func (s sight) hasCrashed() bool { return s == sightRefused || s == sightRestarted }
 
-// inquire begins to find out whether a target has crashed, or joins an inquiry whose first look is
-// not older than maxAge. It returns the inquiry, or nil if there are too many. onCrash is called if
-// the target turns out to have crashed and this is not known yet.
-func (c *crashInquiries) inquire(target *state.Target, maxAge time.Duration, onCrash func()) *inquiry {
+// inquire finds out whether a target has crashed, or joins an inquiry whose first look is not older
+// than maxAge. It returns what is seen of the target within crashWait. onCrash is called if the target
+// turns out later to have crashed.
+func (c *crashInquiries) inquire(ctx context.Context, target *state.Target, maxAge time.Duration, onCrash func()) sight {
+	i, s := c.join(target, maxAge, onCrash)
+	if s.hasCrashed() || i == nil {
+		return s
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashWait)
+	defer cancel()
+	select {
+	case <-i.looked:
+		return i.seen
+	case <-ctx.Done():
+		return sightNone
+	}
+}
+
+// join returns the inquiry that onCrash has joined, or what is known of the target if it has
+// crashed or if there are too many inquiries.
+func (c *crashInquiries) join(target *state.Target, maxAge time.Duration, onCrash func()) (*inquiry, sight) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i := c.byTarget[target.Hash]
-	if i != nil && i.crashed {
-		return i
+	if i != nil && i.last.hasCrashed() {
+		return nil, i.last
 	}
 	if i == nil || (!i.lookedAt.IsZero() && time.Since(i.lookedAt) > maxAge) {
 		if c.running >= maxInquiries {
 			countDroppedEnd()
-			return nil
+			return nil, sightNone
 		}
-		i = &inquiry{target: target, looked: make(chan struct{})}
+		i = &inquiry{target: target, looked: make(chan struct{}), last: sightNone}
 		c.byTarget[target.Hash] = i
 		c.running++
 		go c.run(i)
 	}
 	if len(i.onCrash) >= maxWaitingEnds {
 		countDroppedEnd()
-		return i
+	} else {
+		i.onCrash = append(i.onCrash, onCrash)
 	}
-	i.onCrash = append(i.onCrash, onCrash)
-	return i
+	return i, sightNone
 }
 
 func countDroppedEnd() { metrics.GetOrCreateCounter(`hickoryrock_crash_inquiries_dropped_total`).Inc() }
 
-// await returns what the first look has shown, or sightNone if it takes longer than crashWait.
-func (i *inquiry) await(ctx context.Context) sight {
-	if i == nil {
-		return sightNone
-	}
-	ctx, cancel := context.WithTimeout(ctx, crashWait)
-	defer cancel()
-	select {
-	case <-i.looked:
-		return i.seen
-	case <-ctx.Done():
-		return sightNone
-	}
-}
-
 // run follows a target until it is known whether it has crashed, or for inquiryTime.
 func (c *crashInquiries) run(i *inquiry) {
 	s := c.look(i.target)
@@ -150,7 +153,7 @@
 func (c *crashInquiries) recordLook(i *inquiry, s sight) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i.seen, i.lookedAt, i.crashed = s, time.Now(), s.hasCrashed()
+	i.seen, i.lookedAt, i.last = s, time.Now(), s
 	close(i.looked)
 }
 
@@ -159,9 +162,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running--
-	i.crashed = s.hasCrashed()
+	i.last = s
 	for _, onCrash := range i.onCrash {
-		if i.crashed {
+		if s.hasCrashed() {
 			go onCrash()
 		}
 	}
@@ -171,7 +174,7 @@
 			delete(c.byTarget, i.target.Hash)
 		}
 	}
-	if !i.crashed || i.target.StartUnixMilli == 0 { // The next incarnation may have the same hash.
+	if !s.hasCrashed() || i.target.StartUnixMilli == 0 { // The next incarnation may have the same hash.
 		forget()
 		return
 	}
--- a/internal/fleet/forward/quarantine.go
+++ b/internal/fleet/forward/quarantine.go
@@ -149,7 +149,7 @@
 // it is known. It returns what is seen of the target within a short time.
 func (c *call) inquire(ctx context.Context, target *state.Target, end attemptEnd, at time.Time, maxAge time.Duration) sight {
 	record := sync.OnceFunc(c.crashRecorder(target, end, at))
-	seen := c.h.crashInquiries.inquire(target, maxAge, record).await(ctx)
+	seen := c.h.crashInquiries.inquire(ctx, target, maxAge, record)
 	if seen.hasCrashed() {
 		record()
 	}
--- a/internal/fleet/forward/quarantine_test.go
+++ b/internal/fleet/forward/quarantine_test.go
@@ -124,12 +124,29 @@
 		tracker := quarantine.NewTracker()
 		f := newFixture(t, 2, reset, func(c *forward.Config) { c.Quarantine = tracker })
 		f.cacheIndex.MarkRestored()
-		time.AfterFunc(200*time.Millisecond, func() { f.restartTargets() })
+		time.AfterFunc(200*time.Millisecond, f.restartTargets)
 		_ = f.callWithParts("/chat/a", guiltyPart, "e1")
 		f.assertSuspected(tracker)
 	})
 }
 
+// Guards against calls that notice a crash after the router knows of it and are no evidence (BUDGET,
+// issue 40).
+func TestLaterEndsAtACrashedTargetAreEvidence(t *testing.T) {
+	tracker := quarantine.NewTracker()
+	f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
+		if slices.Contains(platformtest.Parts(r), guiltyPart) {
+			time.Sleep(600 * time.Millisecond)
+		}
+		return reset(c, r)
+	}, func(c *forward.Config) { c.Quarantine = tracker })
+	f.cacheIndex.MarkRestored()
+	time.AfterFunc(200*time.Millisecond, f.restartTargets)
+	go f.callWithParts("/chat/a", rarePart, "e1")
+	_ = f.callWithParts("/chat/a", guiltyPart, "e1")
+	f.assertSuspected(tracker)
+}
+
 // Guards against probes in the number of the calls: all those that one target leaves share one.
 func TestCallsThatATargetLeavesShareAProbe(t *testing.T) {
 	const calls = 40
