--- a/internal/node/edge/quarantine.go
+++ b/internal/node/edge/quarantine.go
@@ -24,7 +24,7 @@
 	quarantineRefreshAge = 3 * time.Minute
 )
 
-// settleTime returns the age from which the crash of a target counts.
+// settleTime returns the time after which a crash that was learned of counts.
 func (r *Router) settleTime() time.Duration {
 	return settleMargin + settleIntervals*r.fleet.ReportInterval()
 }
--- a/internal/policy/quarantine/options.go
+++ b/internal/policy/quarantine/options.go
@@ -8,7 +8,7 @@
 
 	// Options holds the settings of a tracker.
 	Options struct {
-		// SettleTime returns the age from which a crash counts. Other routers' reports of
+		// SettleTime returns the time after which a crash that was learned of counts. Other routers' reports of
 		// complete answers must arrive within it.
 		SettleTime func() time.Duration
 		// OnChange is called when a part is quarantined or released, with the tracker's lock
@@ -31,7 +31,7 @@
 	return func(o *Options) { o.OnChange = onChange }
 }
 
-// WithSettleTime sets the age from which a crash counts.
+// WithSettleTime sets the time after which a crash that was learned of counts.
 func WithSettleTime(settleTime func() time.Duration) Option {
 	return func(o *Options) { o.SettleTime = settleTime }
 }
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -41,8 +41,8 @@
 	maxClockSkew = time.Hour
 	// answerTTL is the time for which the last complete answer with a part is remembered.
 	answerTTL = 30 * time.Second
-	// defaultSettleTime is the age from which a crash counts, so that the answers that
-	// other routers have completed since are known.
+	// defaultSettleTime is the time after which a crash that was learned of counts, so that the
+	// answers that other routers have completed since are known.
 	defaultSettleTime = 300 * time.Millisecond
 
 	maxCrashes    = 256
@@ -112,6 +112,8 @@
 	crash struct {
 		target uint64
 		at     time.Time
+		// knownAt is when this router has learned of the crash, or of the last of its parts.
+		knownAt time.Time
 		// parts may have caused the crash; acquitted parts have been answered completely since.
 		parts     []uint64
 		acquitted []uint64
@@ -229,13 +231,13 @@
 		if len(t.crashes) == maxCrashes {
 			t.crashes = slices.Delete(t.crashes, 0, 1)
 		}
-		t.crashes = append(t.crashes, &crash{target: c.Target, at: c.At})
+		t.crashes = append(t.crashes, &crash{target: c.Target, at: c.At, knownAt: now})
 		i = len(t.crashes) - 1
 	}
 	for _, p := range c.Parts {
 		t.addPart(t.crashes[i], p, now)
 	}
-	if settled := c.At.Add(t.opts.SettleTime()); t.reviewAt.IsZero() || settled.Before(t.reviewAt) {
+	if settled := t.crashes[i].knownAt.Add(t.opts.SettleTime()); t.reviewAt.IsZero() || settled.Before(t.reviewAt) {
 		t.reviewAt = settled
 	}
 	t.signalChange()
@@ -262,6 +264,7 @@
 	if !isNew {
 		return
 	}
+	c.knownAt = now
 	if r := t.records[part]; r != nil && r.IsActive(now) {
 		r.Crashes++
 		r.LastCrash, r.LastSeen = c.at, now
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -59,6 +59,19 @@
 		tr.Merge(quarantine.Report{Answers: []quarantine.Answer{{Part: guilty, At: after(1550 * time.Millisecond)}}}, after(1700*time.Millisecond))
 		c.Assert(standing(tr, 1900*time.Millisecond, guilty), qt.Equals, quarantine.Clear)
 	})
+	t.Run("also if the crashes were noticed late", func(t *testing.T) {
+		// Guards against verdicts without the answers that others know (DENIED, issue 40).
+		c := qt.New(t)
+		tr := quarantine.NewTracker()
+		for i := range 5 {
+			tr.RecordCrash(quarantine.Crash{
+				Target: uint64(i + 1), At: after(time.Duration(i) * 500 * time.Millisecond), Parts: []uint64{subject},
+			}, 0, after(5*time.Second))
+		}
+		c.Assert(standing(tr, 5100*time.Millisecond, subject), qt.Equals, quarantine.Repeated)
+		tr.Merge(quarantine.Report{Answers: []quarantine.Answer{{Part: subject, At: after(4 * time.Second)}}}, after(5200*time.Millisecond))
+		c.Assert(standing(tr, 6*time.Second, subject), qt.Equals, quarantine.Clear)
+	})
 	t.Run("a target's crash counts once, however many routers report it", func(t *testing.T) {
 		c := qt.New(t)
 		tr := quarantine.NewTracker()
--- a/internal/policy/quarantine/review.go
+++ b/internal/policy/quarantine/review.go
@@ -19,7 +19,7 @@
 	t.reviewAt = time.Time{}
 	settle := t.opts.SettleTime()
 	for _, c := range t.crashes {
-		if settled := c.at.Add(settle); settled.After(now) && (t.reviewAt.IsZero() || settled.Before(t.reviewAt)) {
+		if settled := c.knownAt.Add(settle); settled.After(now) && (t.reviewAt.IsZero() || settled.Before(t.reviewAt)) {
 			t.reviewAt = settled
 		}
 	}
@@ -33,13 +33,13 @@
 	}
 }
 
-// evidence returns the crashes until a time that no quarantined part accounts for. The
+// evidence returns the crashes known until a time that no quarantined part accounts for. The
 // lock must be held.
 func (t *Tracker) evidence(until, now time.Time) evidence {
 	t.expire(now)
 	e := evidence{byPart: make(map[uint64][]*crash)}
 	for _, c := range t.crashes {
-		if c.at.After(until) || t.isExplained(c, now) {
+		if c.knownAt.After(until) || t.isExplained(c, now) {
 			continue
 		}
 		e.crashes = append(e.crashes, c)
