--- a/internal/fleet/forward/quarantine_test.go
+++ b/internal/fleet/forward/quarantine_test.go
@@ -141,6 +141,7 @@
 		return reset(c, r)
 	}, func(c *forward.Config) { c.Quarantine = tracker })
 	f.cacheIndex.MarkRestored()
+	f.restartTargets() // They state a start time now.
 	time.AfterFunc(200*time.Millisecond, f.restartTargets)
 	go f.callWithParts("/chat/a", rarePart, "e1")
 	_ = f.callWithParts("/chat/a", guiltyPart, "e1")
