--- a/internal/policy/answermemory/answermemory.go
+++ b/internal/policy/answermemory/answermemory.go
@@ -100,6 +100,7 @@
 		}
 		if !b.makeRoom(a, more) || !time.Now().Before(deadline) {
 			b.endAnswer(a)
+			return false
 		}
 	}
 	return false
--- a/internal/policy/answermemory/answermemory_test.go
+++ b/internal/policy/answermemory/answermemory_test.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// releaseDelay is the time after which an answer that is ended is released.
+	releaseDelay = 10 * time.Millisecond
+
 	limit = 100 << 10
 	large = answermemory.FreeBytes + 40<<10
 )
@@ -36,7 +39,7 @@
 // begin begins an answer that is released soon after it is ended.
 func (f *fixture) begin(target uint64) *answermemory.Answer {
 	var a *answermemory.Answer
-	a = f.budget.Begin(target, func() { time.AfterFunc(10*time.Millisecond, func() { a.Release() }) })
+	a = f.budget.Begin(target, func() { time.AfterFunc(releaseDelay, func() { a.Release() }) })
 	return a
 }
 
@@ -58,8 +61,9 @@
 		f := newFixture(t)
 		f.Assert(f.begin(faulty).Hold(large), qt.IsTrue)
 		f.Assert(f.begin(faulty).Hold(large), qt.IsTrue)
-		third := f.begin(faulty)
+		third, started := f.budget.Begin(faulty, func() {}), time.Now()
 		f.Assert(third.Hold(large), qt.IsFalse)
+		f.Assert(time.Since(started) < 200*time.Millisecond, qt.IsTrue) // It does not wait for others.
 		f.Assert(third.Hold(1), qt.IsFalse)
 		f.assertEnded(faulty, 1)
 		f.Assert(f.budget.Used() <= limit, qt.IsTrue)
