--- a/internal/policy/answermemory/answermemory.go
+++ b/internal/policy/answermemory/answermemory.go
@@ -15,7 +15,7 @@
 	// stepBytes is the unit of what an answer occupies beyond FreeBytes.
 	stepBytes = 8 << 10
 	// maxWait is how long an answer waits for the memory of those that are ended.
-	maxWait = 250 * time.Millisecond
+	maxWait = time.Second
 )
 
 type (
