--- a/internal/fleet/forward/quarantine_test.go
+++ b/internal/fleet/forward/quarantine_test.go
@@ -130,6 +130,21 @@
 	})
 }
 
+// Guards against a crash that is taken for the end of an answer that ends with its connection (BUDGET,
+// issue 40).
+func TestCrashThatEndsAnAnswerWithItsConnectionIsEvidence(t *testing.T) {
+	var f *fixture
+	tracker := quarantine.NewTracker()
+	f = newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
+		_, _ = io.WriteString(c, platformtest.UnframedStreamHead(r)+"id: 1\ndata: x\n\n")
+		f.stopTarget(c)
+		return false
+	}, func(c *forward.Config) { c.Quarantine = tracker })
+	f.cacheIndex.MarkRestored()
+	_ = f.callWithParts("/talk/a", guiltyPart, "e1")
+	f.assertSuspected(tracker)
+}
+
 // Guards against calls that notice a crash after the router knows of it and are no evidence (BUDGET,
 // issue 40).
 func TestLaterEndsAtACrashedTargetAreEvidence(t *testing.T) {
