Let the parser say what a head occupies

The callers' side and the targets' side both held how much memory a parsed head takes as a multiple of its bytes, and both multiplied. The parser knows, and passes the memory. The bounds are the same: 2 KB of a caller's head are free, as 6 KB of memory.

--- a/internal/caller/ingress/head.go
+++ b/internal/caller/ingress/head.go
@@ -3,11 +3,9 @@
 import "golang.org/x/sync/semaphore"
 
 const (
-	// freeHeadBytes is the size up to which the head of a request takes no part in the bound of
-	// the memory of requests.
-	freeHeadBytes = 2 << 10
-	// headCopies is the memory of a parsed head as a multiple of its bytes.
-	headCopies = 3
+	// freeHeadBytes is what the head of a request may occupy without a share of the bound of the
+	// memory of requests.
+	freeHeadBytes = 6 << 10
 	// headStepBytes is the unit of what a large head takes.
 	headStepBytes = 4 << 10
 )
@@ -19,12 +17,12 @@
 	held int64
 }
 
-// hold reports whether there is memory for a number of bytes of the head.
+// hold reports whether there is memory for a head that occupies a number of bytes.
 func (m *headMemory) hold(bytes int) bool {
 	if bytes <= freeHeadBytes {
 		return true
 	}
-	need := (headCopies*int64(bytes) + headStepBytes - 1) / headStepBytes * headStepBytes
+	need := (int64(bytes) + headStepBytes - 1) / headStepBytes * headStepBytes
 	if need <= m.held {
 		return true
 	}
--- a/internal/caller/ingress/response.go
+++ b/internal/caller/ingress/response.go
@@ -82,7 +82,7 @@
 	if w.method == "HEAD" || status == 204 || status == 304 {
 		body = nil
 	}
-	w.writeParts(b, body, nil)
+	w.writeParts(b, body)
 }
 
 // StartChunked begins a chunked response. Its head is buffered and sent with the first
--- a/internal/fleet/forward/body.go
+++ b/internal/fleet/forward/body.go
@@ -11,16 +11,12 @@
 	"hickoryrock/internal/target/http1client"
 )
 
-const (
-	// headCopies is the memory of a parsed head as a multiple of its bytes.
-	headCopies = 3
-	// minBodyBuffer is the size of the first buffer for a body without a length.
-	minBodyBuffer = 2 << 10
-)
+// minBodyBuffer is the size of the first buffer for a body, in bytes.
+const minBodyBuffer = 2 << 10
 
-// holdHead reports whether there is memory for a number of bytes of the response's head.
+// holdHead reports whether there is memory for a response head that occupies a number of bytes.
 func (c *call) holdHead(bytes int) bool {
-	c.headBytes = headCopies * bytes
+	c.headBytes = bytes
 	return c.headBytes <= answermemory.FreeBytes || c.memory.Hold(c.headBytes)
 }
 
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -98,7 +98,7 @@
 		// NewConnection is set when the call must not be sent on a kept connection, such as
 		// one whose response cannot be told from those to earlier calls.
 		NewConnection bool
-		// ReserveHead reports whether there is memory for a number of bytes of the response's head.
+		// ReserveHead reports whether there is memory for a head that occupies a number of bytes.
 		// Nil means that there is.
 		ReserveHead func(bytes int) bool
 	}
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -29,6 +29,8 @@
 	version10              = "HTTP/1.0"
 	version11              = "HTTP/1.1"
 
+	// parsedSize is the memory of a parsed head as a multiple of its bytes.
+	parsedSize = 3
 	// maxTrailerBytes bounds the trailer section, which is discarded.
 	maxTrailerBytes = 4 << 10
 	// maxContentLengthDigits prevents overflow of an int64.
@@ -147,8 +149,8 @@
 	return ReadRequestReserving(r, limit, nil)
 }
 
-// ReadRequestReserving is ReadRequest with a function that is called before the part of the head
-// that has been read grows to a number of bytes. If it returns false, the error is ErrNoMemory.
+// ReadRequestReserving is ReadRequest with a function that is called before the memory of the head
+// grows to a number of bytes. If it returns false, the error is ErrNoMemory.
 func ReadRequestReserving(r *bufio.Reader, limit int, reserve func(bytes int) bool) (*Request, error) {
 	line, fields, err := readHead(r, allowance{limit: limit, reserve: reserve})
 	if err != nil {
@@ -203,8 +205,8 @@
 	return ReadResponseReserving(r, limit, method, nil)
 }
 
-// ReadResponseReserving is ReadResponse with a function that is called before the part of a head
-// that has been read grows to a number of bytes. If it returns false, the error is ErrNoMemory.
+// ReadResponseReserving is ReadResponse with a function that is called before the memory of a head
+// grows to a number of bytes. If it returns false, the error is ErrNoMemory.
 func ReadResponseReserving(r *bufio.Reader, limit int, method string, reserve func(bytes int) bool) (*Response, error) {
 	for range maxInterimResponses + 1 {
 		resp, err := readResponse(r, allowance{limit: limit, reserve: reserve}, method)
--- a/internal/wire/http1/parse.go
+++ b/internal/wire/http1/parse.go
@@ -15,7 +15,8 @@
 type allowance struct {
 	// used and limit are in bytes.
 	used, limit int
-	// reserve reports whether there is memory for a number of bytes; nil means that there is.
+	// reserve reports whether there is memory for a number of bytes, which is parsedSize times
+	// what was read; nil means that there is.
 	reserve func(bytes int) bool
 }
 
@@ -26,7 +27,7 @@
 	if a.used > a.limit {
 		return ErrTooLarge
 	}
-	if a.reserve != nil && !a.reserve(a.used) {
+	if a.reserve != nil && !a.reserve(parsedSize*a.used) {
 		return ErrNoMemory
 	}
 	return nil
