Blame no target for the router's memory in one place

Three constructors of an attempt's end made the same exception for a response without memory. It is one line where ends are attributed now, and an invalid stream needs no constructor of its own.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -148,7 +148,7 @@
 	c.headAt = time.Since(c.attemptStart)
 	if reason := c.doubt(response.Head.Status, headers); reason != "" {
 		c.h.Pool.Discard(response)
-		return unusableEnd(reason)
+		return unusableEnd(stageBody, reason)
 	}
 	if headers.NotExecuted {
 		// The head is the proof: its body may be slow and must not delay a retry.
@@ -157,7 +157,7 @@
 	}
 	if c.writer.Started() && !c.continuesStream(response.Head) {
 		c.h.Pool.Drain(response)
-		return unusableEnd("no-stream")
+		return unusableEnd(stageBody, "no-stream")
 	}
 	if c.isStream(response.Head) {
 		return c.relayStream(target, tracked, response)
@@ -213,7 +213,7 @@
 			c.logIncomplete(target, invalid)
 			c.stream.reset()
 			c.h.Pool.Discard(response)
-			return invalidEnd(invalid)
+			return unusableEnd(stageEvents, invalidReason(invalid))
 		}
 		if err == nil {
 			continue
--- a/internal/fleet/forward/end.go
+++ b/internal/fleet/forward/end.go
@@ -59,27 +59,16 @@
 	if failure.Status == http1client.NotSent {
 		end.outcome = NotExecuted
 	}
-	switch failure.Reason {
-	case http1client.ReasonRefused, http1client.ReasonNoConnection:
+	if failure.Reason == http1client.ReasonRefused || failure.Reason == http1client.ReasonNoConnection {
 		end.blame = blameUnreachable
-	case http1client.ReasonNoMemory:
-		end.blame = blameNone
-	}
-	return end
-}
-
-// invalidEnd is the end of an attempt whose stream must not be relayed beyond what has been relayed.
-func invalidEnd(err error) attemptEnd {
-	end := attemptEnd{outcome: Unknown, stage: stageEvents, reason: invalidReason(err), blame: blameFailure}
-	if errors.Is(err, errResponseMemory) {
-		end.blame = blameNone
 	}
 	return end
 }
 
-// unusableEnd is the end of an attempt whose response must not be relayed.
-func unusableEnd(reason string) attemptEnd {
-	return attemptEnd{outcome: Unknown, stage: stageBody, reason: reason, blame: blameFailure}
+// unusableEnd is the end of an attempt whose response must not be relayed, or not beyond what has
+// been relayed.
+func unusableEnd(stage http1client.Stage, reason string) attemptEnd {
+	return attemptEnd{outcome: Unknown, stage: stage, reason: reason, blame: blameFailure}
 }
 
 // notExecutedEnd is the end of an attempt whose response proves that the target has not executed
@@ -96,7 +85,7 @@
 	end := attemptEnd{outcome: Unknown, stage: stageBody, reason: "answer-cut", isCut: true, blame: blameFailure}
 	switch {
 	case errors.Is(err, errResponseMemory):
-		end.reason, end.isCut, end.blame = http1client.ReasonNoMemory, false, blameNone
+		end.reason, end.isCut = http1client.ReasonNoMemory, false
 	case errors.Is(err, http1client.ErrBodyTooLarge):
 		end.reason, end.isCut = "answer-too-large", false
 	}
@@ -132,6 +121,9 @@
 
 // attributeToRouter changes an end that was caused by this router or by the caller.
 func (c *call) attributeToRouter(ctx context.Context, end *attemptEnd) {
+	if end.reason == http1client.ReasonNoMemory {
+		end.blame = blameNone
+	}
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, ingress.ErrCallerClosed):
 		end.blame = blameNone
