Keep one sight of an inquiry and flatten its loop

The first and the last look at a target were kept side by side, and a caller that joined had to choose between them. It reads the last one under the lock, which is the first one until there is another.

--- a/internal/fleet/forward/crash.go
+++ b/internal/fleet/forward/crash.go
@@ -62,13 +62,12 @@
 	// without a whole response at about the same time share it.
 	inquiry struct {
 		target *state.Target
-		// looked is closed after the first look, when seen is set.
+		// looked is closed after the first look.
 		looked chan struct{}
-		seen   sight
-		// lookedAt is the time of the first look, zero before, and last what was seen last. Both
+		// lookedAt is the time of the first look, zero before, and seen what was seen last. Both
 		// are guarded by the lock of crashInquiries, as is onCrash.
 		lookedAt time.Time
-		last     sight
+		seen     sight
 		// onCrash is called for each end that waits for the result.
 		onCrash []func()
 	}
@@ -85,35 +84,36 @@
 // than maxAge. It returns what is seen of the target within crashWait. onCrash is called if the target
 // turns out later to have crashed.
 func (c *crashInquiries) inquire(ctx context.Context, target *state.Target, maxAge time.Duration, onCrash func()) sight {
-	i, s := c.join(target, maxAge, onCrash)
-	if s.hasCrashed() || i == nil {
-		return s
+	i := c.join(target, maxAge, onCrash)
+	if i == nil {
+		return sightNone
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashWait)
 	defer cancel()
 	select {
 	case <-i.looked:
-		return i.seen
 	case <-ctx.Done():
-		return sightNone
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return i.seen
 }
 
-// join returns the inquiry that onCrash has joined, or what is known of the target if it has
-// crashed or if there are too many inquiries.
-func (c *crashInquiries) join(target *state.Target, maxAge time.Duration, onCrash func()) (*inquiry, sight) {
+// join returns the inquiry that onCrash has joined, or one that has found a crash. It returns nil
+// if there are too many inquiries.
+func (c *crashInquiries) join(target *state.Target, maxAge time.Duration, onCrash func()) *inquiry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i := c.byTarget[target.Hash]
-	if i != nil && i.last.hasCrashed() {
-		return nil, i.last
+	if i != nil && i.seen.hasCrashed() {
+		return i
 	}
 	if i == nil || (!i.lookedAt.IsZero() && time.Since(i.lookedAt) > maxAge) {
 		if c.running >= maxInquiries {
 			countDroppedEnd()
-			return nil, sightNone
+			return nil
 		}
-		i = &inquiry{target: target, looked: make(chan struct{}), last: sightNone}
+		i = &inquiry{target: target, looked: make(chan struct{}), seen: sightNone}
 		c.byTarget[target.Hash] = i
 		c.running++
 		go c.run(i)
@@ -123,7 +123,7 @@
 	} else {
 		i.onCrash = append(i.onCrash, onCrash)
 	}
-	return i, sightNone
+	return i
 }
 
 func countDroppedEnd() { metrics.GetOrCreateCounter(`hickoryrock_crash_inquiries_dropped_total`).Inc() }
@@ -135,15 +135,10 @@
 	c.recordLook(i, s)
 	for probedAt := time.Now(); !s.hasCrashed() && s != sightLeft && time.Now().Before(end); {
 		time.Sleep(inquiryInterval)
-		switch c.listed(i.target) {
-		case sightRestarted:
-			s = sightRestarted
-		case sightLeft:
-			s = sightLeft
-		default:
-			if s == sightNone && time.Since(probedAt) > reprobeInterval {
-				s, probedAt = c.look(i.target), time.Now()
-			}
+		if listed := c.listed(i.target); listed != sightAccepted {
+			s = listed
+		} else if s == sightNone && time.Since(probedAt) > reprobeInterval {
+			s, probedAt = c.look(i.target), time.Now()
 		}
 	}
 	c.finish(i, s)
@@ -153,7 +148,7 @@
 func (c *crashInquiries) recordLook(i *inquiry, s sight) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i.seen, i.lookedAt, i.last = s, time.Now(), s
+	i.seen, i.lookedAt = s, time.Now()
 	close(i.looked)
 }
 
@@ -162,9 +157,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running--
-	i.last = s
-	for _, onCrash := range i.onCrash {
-		if s.hasCrashed() {
+	i.seen = s
+	if s.hasCrashed() {
+		for _, onCrash := range i.onCrash {
 			go onCrash()
 		}
 	}
