--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -10,6 +10,7 @@
 
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/policy/affinity"
+	"hickoryrock/internal/policy/eligibility"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/target/http1client"
 	"hickoryrock/internal/wire/http1"
@@ -17,9 +18,8 @@
 )
 
 const (
-	reasonNoTarget = "no-target"
-	reasonSilent   = "target-silent"
-	reasonTimeout  = "timeout"
+	reasonSilent  = "target-silent"
+	reasonTimeout = "timeout"
 
 	// minOverdue is the shortest time after which a call without any response bytes
 	// counts as a failure of its target.
@@ -37,8 +37,8 @@
 	target := c.choose()
 	if target == nil {
 		c.progress.Outcome = NotExecuted
-		obstacle := c.untilAccepted(time.Now())
-		c.reason, c.retryAfter = obstacle.reason, obstacle.wait
+		refusal := c.refusal(time.Now())
+		c.reason, c.retryAfter = refusal.Reason.String(), refusal.Wait
 		return
 	}
 	c.tried[target.Hash] = true
@@ -114,7 +114,7 @@
 		candidates[i] = affinity.Candidate{
 			Target: t.Hash, Calls: summaries[i].Calls, PendingTokens: summaries[i].PendingTokens, Slowness: summaries[i].Slowness,
 			Ejected: summaries[i].Ejected || c.h.TargetHealth.SilentFor(t.Hash, now) > limit,
-			Tried:   c.tried[t.Hash], Draining: t.Draining, Exhausted: t.Leaving || !c.h.accepts(t, now),
+			Tried:   c.tried[t.Hash], Draining: t.Draining || t.Evacuated, Exhausted: !c.h.maySupplyCache(t, now),
 			FailureDomain: t.FailureDomain, SameDomain: t.FailureDomain == c.h.FailureDomain,
 		}
 	}
@@ -135,6 +135,16 @@
 	return targets[choice.Index]
 }
 
+// maySupplyCache reports whether requests may reach a target, at least fetches by other targets from
+// its cache. In an evacuated failure domain they may only for the first part of the time in
+// which calls may still arrive there.
+func (h *Handler) maySupplyCache(t *state.Target, now time.Time) bool {
+	if t.Leaving || (t.Evacuated && now.Sub(t.EvacuatedAt) >= h.EvacuatedFetchTime) {
+		return false
+	}
+	return h.eligibility.CheckRules(t, now).Reason == eligibility.Eligible
+}
+
 // relay handles a target's response: it relays a stream, and buffers any other
 // response for the decision that follows.
 func (c *call) relay(target *state.Target, tracked *targetstats.Call, response *http1client.Response) attemptEnd {
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -16,6 +16,7 @@
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/answermemory"
+	"hickoryrock/internal/policy/eligibility"
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/retries"
 	"hickoryrock/internal/policy/targetbackoff"
@@ -85,6 +86,9 @@
 		NewestConfiguration func() (version int64, behind time.Duration)
 		// FailureDomain is the router's failure domain.
 		FailureDomain string
+		// EvacuatedFetchTime is how long after the evacuation of a failure domain is known
+		// other targets may fetch from the caches there.
+		EvacuatedFetchTime time.Duration
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
 		LoadFactor float64
 		// ResponseMemory limits the memory of the parts of all responses that are buffered, beyond
@@ -96,6 +100,7 @@
 	// Handler forwards calls to targets. It is safe for concurrent use.
 	Handler struct {
 		Config
+		eligibility    *eligibility.Checker
 		answerMemory   *answermemory.Budget
 		usual          usualTimes
 		callTimes      callTimes
@@ -203,6 +208,7 @@
 		config.OthersServe = func() bool { return true }
 	}
 	h := &Handler{Config: config, crashInquiries: newCrashInquiries(config.View, config.Pool)}
+	h.eligibility = eligibility.New(h.backoffRule, h.limitsRule)
 	h.answerMemory = answermemory.New(config.ResponseMemory, h.logMemory)
 	return h
 }
@@ -283,7 +289,8 @@
 // budget unless one is reserved or the attempt did not reach a target.
 func (c *call) takeRetry() bool {
 	switch c.reason {
-	case reasonNoTarget, reasonLimits, reasonBackoff:
+	case eligibility.None.String(), eligibility.Limited.String(), eligibility.Backoff.String(),
+		eligibility.Warming.String(), eligibility.Evacuated.String():
 		return false
 	case http1client.ReasonRefused, http1client.ReasonNoConnection:
 		return true
@@ -316,8 +323,8 @@
 			c.writer.Respond(c.status, c.buffered.head.Reason, endToEndFields(c.buffered.head), c.buffered.body)
 		}
 	case Reject:
-		if o := c.untilAccepted(time.Now()); o.reason == reasonBackoff {
-			c.retryAfter = max(c.retryAfter, o.wait)
+		if v := c.refusal(time.Now()); v.Reason == eligibility.Backoff {
+			c.retryAfter = max(c.retryAfter, v.Wait)
 		}
 		c.reject(c.reason)
 	case Fail:
--- a/internal/fleet/forward/observe.go
+++ b/internal/fleet/forward/observe.go
@@ -5,24 +5,19 @@
 	"time"
 
 	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/policy/eligibility"
 	"hickoryrock/platform"
 )
 
 const (
-	reasonLimits  = "target-limits"
-	reasonBackoff = "target-backoff"
-
 	// otherRouterDelay is the time after which a caller should try another router if this
 	// one may not send to any target that has named a limit.
 	otherRouterDelay = 100 * time.Millisecond
+	// evacuatedRetryDelay is the time after which a caller should return if all targets are in
+	// evacuated failure domains. Evacuations last for seconds and more.
+	evacuatedRetryDelay = time.Second
 )
 
-// obstacle is why no target takes a call now, and the time until one may.
-type obstacle struct {
-	reason string
-	wait   time.Duration
-}
-
 // observeTarget records what the head of an answer says of its target. An answer with 421
 // (Misdirected Request) is from another server, and a successful one without a seal may be.
 func (c *call) observeTarget(target *state.Target, status int, headers platform.ResponseHeaders) {
@@ -41,44 +36,36 @@
 	}
 }
 
-// accepts reports whether a target takes another request from this router now, as far as it
-// has said.
-func (h *Handler) accepts(t *state.Target, now time.Time) bool {
-	return h.Backoff.Remaining(t.Hash, now) == 0 && h.Limits.Allows(t.Hash, now)
+// backoffRule is the eligibility.Rule of targets that want no requests for a time.
+func (h *Handler) backoffRule(t *state.Target, now time.Time) eligibility.Verdict {
+	if wait := h.Backoff.Remaining(t.Hash, now); wait > 0 {
+		return eligibility.Verdict{Reason: eligibility.Backoff, Wait: wait}
+	}
+	return eligibility.Verdict{}
 }
 
-// untilAccepted returns why no target takes the call, and the time until one may. The time is
-// zero if one would take it that has not been tried, or a later call of the same caller.
-func (c *call) untilAccepted(now time.Time) obstacle {
-	var limited []uint64
-	var shortest time.Duration
-	isFree := false
-	for _, t := range c.targets.ByService[c.service] {
-		wait := c.h.Backoff.Remaining(t.Hash, now)
-		switch {
-		case t.Draining:
-		case wait > 0:
-			if shortest == 0 || wait < shortest {
-				shortest = wait
-			}
-		case !c.tried[t.Hash] && !c.h.Limits.Allows(t.Hash, now):
-			limited = append(limited, t.Hash)
-		default:
-			isFree = true
-		}
+// limitsRule is the eligibility.Rule of targets that name a limit.
+func (h *Handler) limitsRule(t *state.Target, now time.Time) eligibility.Verdict {
+	if h.Limits.Allows(t.Hash, now) {
+		return eligibility.Verdict{}
+	}
+	wait, ok := h.Limits.Wait([]uint64{t.Hash}, now)
+	if !ok {
+		wait = otherRouterDelay
 	}
-	switch {
-	case len(limited) > 0:
-		wait, ok := c.h.Limits.Wait(limited, now)
-		if !ok {
-			wait = otherRouterDelay
-		}
-		if shortest > 0 {
-			wait = min(wait, shortest)
-		}
-		return obstacle{reasonLimits, wait}
-	case shortest > 0 && !isFree:
-		return obstacle{reasonBackoff, shortest}
+	return eligibility.Verdict{Reason: eligibility.Limited, Wait: wait}
+}
+
+// isEligible reports whether a target may be sent another call now.
+func (h *Handler) isEligible(t *state.Target, now time.Time) bool {
+	return h.eligibility.Check(t, now).Reason == eligibility.Eligible
+}
+
+// refusal returns why no target takes the call, and the time until one may.
+func (c *call) refusal(now time.Time) eligibility.Verdict {
+	v := c.h.eligibility.Refusal(c.targets.ByService[c.service], c.tried, now)
+	if v.Reason == eligibility.Evacuated {
+		v.Wait = evacuatedRetryDelay
 	}
-	return obstacle{reason: reasonNoTarget}
+	return v
 }
--- a/internal/fleet/forward/silence.go
+++ b/internal/fleet/forward/silence.go
@@ -120,7 +120,7 @@
 	targets := c.h.View().Targets.ByService[c.service]
 	summaries := c.h.TargetHealth.Summaries(state.Hashes(targets), now)
 	for i, t := range targets {
-		if !t.Draining && !c.tried[t.Hash] && !summaries[i].Ejected && c.h.accepts(t, now) {
+		if !c.tried[t.Hash] && !summaries[i].Ejected && c.h.isEligible(t, now) {
 			return true
 		}
 	}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -76,6 +76,10 @@
 		// CacheTransfer is set when engines can fetch prompt parts from each other's
 		// caches.
 		CacheTransfer bool
+		// ColdTime is how long a target is cold after its start, ColdRate the calls a second
+		// that a cold one bears. Zero means that the service has no such targets.
+		ColdTime time.Duration
+		ColdRate float64
 	}
 
 	// Limits bound the size of a caller's requests and the time to receive them.
@@ -107,6 +111,12 @@
 		// Leaving is set when this incarnation has said in an answer that it leaves, which it
 		// never takes back. Draining is then set, too.
 		Leaving bool
+		// Evacuated is set while operators have evacuated the target's failure domain, since
+		// EvacuatedAt as far as this router knows.
+		Evacuated   bool
+		EvacuatedAt time.Time
+		// ColdLeft is how long the target stays cold, as of its entry.
+		ColdLeft time.Duration
 		// StartUnixMilli is the start time of this incarnation in Unix milliseconds;
 		// zero when unknown.
 		StartUnixMilli int64
