--- a/internal/policy/answermemory/answermemory.go
+++ b/internal/policy/answermemory/answermemory.go
@@ -29,7 +29,7 @@
 		// not been released.
 		used, ending int64
 		byTarget     map[uint64]*holdings
-		// released is closed and replaced when an answer is released.
+		// released is closed and replaced when an answer gives memory back.
 		released chan struct{}
 	}
 
@@ -141,16 +141,17 @@
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.ended {
+	if a.bytes > 0 {
+		if a.ended {
+			b.ending -= a.bytes
+		} else {
+			b.unlist(a)
+		}
 		b.used -= a.bytes
-		b.ending -= a.bytes
-		a.bytes = 0
-	} else {
-		b.set(a, 0)
+		close(b.released)
+		b.released = make(chan struct{})
 	}
-	a.ended = true
-	close(b.released)
-	b.released = make(chan struct{})
+	a.bytes, a.ended = 0, true
 }
 
 // largest returns the target whose answers would occupy the most if those of asking occupied more.
@@ -174,37 +175,49 @@
 
 // endAnswer ends an answer, which occupies its memory until it is released. The lock must be held.
 func (b *Budget) endAnswer(a *Answer) {
-	held, targetBytes := a.bytes, int64(0)
+	targetBytes := int64(0)
 	if h := b.byTarget[a.target]; h != nil {
 		targetBytes = h.bytes
 	}
-	b.onEnd(Ended{Target: a.target, Bytes: held, TargetBytes: targetBytes, UsedBytes: b.used})
-	b.set(a, 0)
-	a.bytes, a.ended = held, true
-	b.used += held
-	b.ending += held
+	b.onEnd(Ended{Target: a.target, Bytes: a.bytes, TargetBytes: targetBytes, UsedBytes: b.used})
+	b.unlist(a)
+	b.ending += a.bytes
+	a.ended = true
 	a.end()
 }
 
 // set changes what an answer occupies. The lock must be held.
 func (b *Budget) set(a *Answer, bytes int64) {
-	if bytes == a.bytes {
-		return
+	if bytes == 0 {
+		b.unlist(a)
+	} else {
+		b.list(a, bytes)
 	}
+	b.used += bytes - a.bytes
+	a.bytes = bytes
+}
+
+// list enters among the answers of a target what one of them will occupy. The lock must be held.
+func (b *Budget) list(a *Answer, bytes int64) {
 	h := b.byTarget[a.target]
 	if h == nil {
 		h = new(holdings)
 		b.byTarget[a.target] = h
 	}
-	switch {
-	case a.bytes == 0:
+	if a.bytes == 0 {
 		h.answers = append(h.answers, a)
-	case bytes == 0:
-		h.answers = slices.DeleteFunc(h.answers, func(other *Answer) bool { return other == a })
 	}
 	h.bytes += bytes - a.bytes
-	b.used += bytes - a.bytes
-	a.bytes = bytes
+}
+
+// unlist removes an answer from those of its target. The lock must be held.
+func (b *Budget) unlist(a *Answer) {
+	h := b.byTarget[a.target]
+	if h == nil || a.bytes == 0 {
+		return
+	}
+	h.answers = slices.DeleteFunc(h.answers, func(other *Answer) bool { return other == a })
+	h.bytes -= a.bytes
 	if len(h.answers) == 0 {
 		delete(b.byTarget, a.target)
 	}
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -253,9 +253,7 @@
 		at := t.answers[part]
 		t.outbox.addAnswer(Answer{part, at})
 		if at.After(c.at) {
-			if len(c.acquitted) < maxCrashParts {
-				c.acquitted = append(c.acquitted, part)
-			}
+			c.addAcquitted(part)
 			return
 		}
 	}
@@ -271,6 +269,13 @@
 	}
 }
 
+// addAcquitted adds a part that has been answered completely since the crash.
+func (c *crash) addAcquitted(part uint64) {
+	if len(c.acquitted) < maxCrashParts {
+		c.acquitted = append(c.acquitted, part)
+	}
+}
+
 // wasAnswered reports whether a call with the part was answered lately. The lock must be held.
 func (t *Tracker) wasAnswered(part uint64, now time.Time) bool {
 	at, ok := t.answers[part]
@@ -298,9 +303,7 @@
 	for _, c := range t.crashes {
 		if i := slices.Index(c.parts, a.Part); i >= 0 && a.At.After(c.at) {
 			c.parts = slices.Delete(c.parts, i, i+1)
-			if len(c.acquitted) < maxCrashParts {
-				c.acquitted = append(c.acquitted, a.Part)
-			}
+			c.addAcquitted(a.Part)
 			suspected = true
 		}
 	}
--- a/internal/policy/quarantine/report.go
+++ b/internal/policy/quarantine/report.go
@@ -171,25 +171,21 @@
 // parts, those that were lately answered give way.
 func (o *outbox) addCrash(c Crash, wasAnswered func(part uint64) bool) {
 	defer o.signal()
-	for i := range o.crashes {
-		known := &o.crashes[i].value
-		if known.Target != c.Target || c.At.Sub(known.At).Abs() >= crashNoticeTime {
-			continue
-		}
-		for _, p := range c.Parts {
-			known.Parts, _ = addBounded(known.Parts, p, maxReportParts, wasAnswered)
+	i := slices.IndexFunc(o.crashes, func(q queued[Crash]) bool {
+		return q.value.Target == c.Target && c.At.Sub(q.value.At).Abs() < crashNoticeTime
+	})
+	if i < 0 {
+		if len(o.crashes) >= maxQueued {
+			return
 		}
-		o.crashes[i].repeats = crashRepeats
-		return
+		o.crashes = append(o.crashes, queued[Crash]{value: Crash{Target: c.Target, At: c.At}})
+		i = len(o.crashes) - 1
 	}
-	if len(o.crashes) < maxQueued {
-		var parts []uint64
-		for _, p := range c.Parts {
-			parts, _ = addBounded(parts, p, maxReportParts, wasAnswered)
-		}
-		c.Parts = parts
-		o.crashes = append(o.crashes, queued[Crash]{c, crashRepeats})
+	q := &o.crashes[i]
+	for _, p := range c.Parts {
+		q.value.Parts, _ = addBounded(q.value.Parts, p, maxReportParts, wasAnswered)
 	}
+	q.repeats = crashRepeats
 }
 
 // addBounded adds a part to those of a crash, of which there are at most limit. At the limit, it
--- a/internal/soak/scenario/memory_test.go
+++ b/internal/soak/scenario/memory_test.go
@@ -50,30 +50,24 @@
 	ip     string
 }
 
-func newFaultyFleet(t *testing.T, subnet int, faulty rawserver.Handler) *faultyFleet {
+func newFaultyFleet(t *testing.T, program string, subnet int, faulty rawserver.Handler) *faultyFleet {
 	f := &faultyFleet{C: qt.New(t), ip: fmt.Sprintf("127.79.%d.1", subnet)}
 	dir := t.TempDir()
 	store := platformtest.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.FaultyConfiguration(1))
-	addTarget := func(name, service string, handler rawserver.Handler) {
-		target, stop, err := rawserver.New(handler)
+	store.Set(platformtest.KindTargets, "i-sound", platformtest.Target(startTarget(f.C).Address(), "ready", 1))
+	for i := range faultyTargets {
+		target, stop, err := rawserver.New(faulty)
 		f.Assert(err, qt.IsNil)
 		t.Cleanup(stop)
-		store.Set(platformtest.KindTargets, name, platformtest.TargetOf(service, target.Address(), "ready", 1))
-	}
-	addTarget("i-sound", "s", func(c net.Conn, r rawserver.Request) bool {
-		_, err := io.WriteString(c, platformtest.Response(r, "200 OK", "", "x"))
-		return err == nil
-	})
-	for i := range faultyTargets {
-		addTarget(fmt.Sprint("i-faulty-", i), "faulty", faulty)
+		store.Set(platformtest.KindTargets, fmt.Sprint("i-faulty-", i), platformtest.TargetOf("faulty", target.Address(), "ready", 1))
 	}
 	settings := filepath.Join(dir, "router.json")
 	data := platformtest.FleetSettingsWithMemory("router", f.ip, "domain", faultyPorts, strings.TrimPrefix(server.URL, "http://"), smallVMMemoryMB)
 	f.Assert(os.WriteFile(settings, data, 0o600), qt.IsNil)
-	f.router = process.New("router", dir, buildRouter(f.C, dir), "edge", "-settings", settings)
+	f.router = process.New("router", dir, program, "edge", "-settings", settings)
 	f.Assert(f.router.Start(), qt.IsNil)
 	t.Cleanup(func() { f.router.Stop(0) })
 	for end := time.Now().Add(20 * time.Second); f.callSound() != nil; time.Sleep(50 * time.Millisecond) {
@@ -136,15 +130,16 @@
 		}
 	}
 	chunk := func(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
-	begin := func(bytes int) rawserver.Handler {
+	stopping := func(begin func(r rawserver.Request) string) rawserver.Handler {
 		return func(c net.Conn, r rawserver.Request) bool {
-			_, err := io.WriteString(c, platformtest.ResponseHead(r, 1_000_000)+strings.Repeat("x", bytes))
+			_, err := io.WriteString(c, begin(r))
 			if err == nil {
 				_, _ = c.Read(make([]byte, 1))
 			}
 			return false
 		}
 	}
+	program := buildRouter(qt.New(t), t.TempDir())
 	status := func(rawserver.Request) string { return "HTTP/1.1 200 OK\r\n" }
 	for i, test := range []struct {
 		name, path string
@@ -154,33 +149,27 @@
 	}{
 		{"comments of 60 KB in a stream", platformtest.PathResume, endless(platformtest.StreamHead, chunk(":"+strings.Repeat("c", 60_000)+"\n\n")), false},
 		{"a stream whose event does not end", platformtest.PathStream, endless(platformtest.StreamHead, chunk(strings.Repeat("d", 4_000))), true},
-		{"events of 60 KB that stop before their end", platformtest.PathStream, func(c net.Conn, r rawserver.Request) bool {
-			_, err := io.WriteString(c, platformtest.StreamHead(r)+chunk("data: "+strings.Repeat("d", 60_000)))
-			if err == nil {
-				_, _ = c.Read(make([]byte, 1))
-			}
-			return false
-		}, false},
-		{"a head of 60 KB that stops before its end", platformtest.PathOnce, func(c net.Conn, _ rawserver.Request) bool {
-			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("A: "+strings.Repeat("b", 100)+"\r\n", 600))
-			if err == nil {
-				_, _ = c.Read(make([]byte, 1))
-			}
-			return false
-		}, false},
+		{"events of 60 KB that stop before their end", platformtest.PathStream, stopping(func(r rawserver.Request) string {
+			return platformtest.StreamHead(r) + chunk("data: "+strings.Repeat("d", 60_000))
+		}), false},
+		{"a head of 60 KB that stops before its end", platformtest.PathOnce, stopping(func(r rawserver.Request) string {
+			return status(r) + strings.Repeat("A: "+strings.Repeat("b", 100)+"\r\n", 600)
+		}), false},
 		{"a head", platformtest.PathOnce, endless(status, "A: "+strings.Repeat("b", 1_000)+"\r\n"), true},
 		{"a field", platformtest.PathOnce, endless(status, strings.Repeat("b", 1_000)), true},
 		{"a body without a length", platformtest.PathOnce, endless(func(r rawserver.Request) string {
 			return strings.Replace(platformtest.StreamHead(r), "Transfer-Encoding: chunked\r\n", "", 1)
 		}, strings.Repeat("b", 1_000)), false},
 		{"a body in chunks", platformtest.PathOnce, endless(platformtest.StreamHead, chunk(strings.Repeat("b", 1_000))), true},
-		{"bodies of 1 MB that stop after 30 KB", platformtest.PathOnce, begin(30_000), true},
+		{"bodies of 1 MB that stop after 30 KB", platformtest.PathOnce, stopping(func(r rawserver.Request) string {
+			return platformtest.ResponseHead(r, 1_000_000) + strings.Repeat("x", 30_000)
+		}), true},
 	} {
 		if test.rare && !*allFaults {
 			continue
 		}
 		t.Run(test.name, func(t *testing.T) {
-			f := newFaultyFleet(t, i+1, test.handler)
+			f := newFaultyFleet(t, program, i+1, test.handler)
 			f.assertSoundCallsBeside(test.path)
 		})
 	}
