--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -34,11 +34,9 @@
 // attempt sends the call to one target and records the outcome.
 func (c *call) attempt(ctx context.Context) {
 	c.h.awaitFreshView(ctx) // The router may have been paused since the last attempt.
-	target := c.choose()
+	target := c.selectTarget(ctx)
 	if target == nil {
 		c.progress.Outcome = NotExecuted
-		refusal := c.refusal(time.Now())
-		c.reason, c.retryAfter = refusal.Reason.String(), refusal.Wait
 		return
 	}
 	c.tried[target.Hash] = true
@@ -55,24 +53,47 @@
 	c.memory, c.headBytes = c.h.answerMemory.Begin(target.Hash, func() { c.endForMemory(cancel) }), 0
 	c.lastProgress.Store(0)
 	c.attemptStart = time.Now()
+	c.hasLoad = false
 	stop := c.watchSilence(target, cancel)
 	defer stop()
+	end := c.exchange(attemptCtx, target, tracked)
+	c.recordEnd(attemptCtx, target, end)
+	c.releaseSlot(end)
+}
 
+// selectTarget returns the target of the next attempt: the one at which the coordinator of the
+// service has granted a slot, or else the one that this router chooses. It returns nil and sets
+// the reason if there is none.
+func (c *call) selectTarget(ctx context.Context) *state.Target {
+	if c.usesSlots() {
+		if target, isDecided := c.acquireSlot(ctx); isDecided {
+			return target
+		}
+	}
+	target := c.choose()
+	if target == nil {
+		refusal := c.refusal(time.Now())
+		c.reason, c.retryAfter = refusal.Reason.String(), refusal.Wait
+	}
+	return target
+}
+
+// exchange sends the call to a target and relays the response.
+func (c *call) exchange(ctx context.Context, target *state.Target, tracked *targetstats.Call) attemptEnd {
 	remaining := time.Until(c.deadline)
 	fields := platform.TargetRequestFields(c.request, platform.TargetRequest{
 		Target: target, CacheSource: c.cacheSource, Workspace: c.workspace.Name,
 		ForwardKey: c.view.Configuration.Workspaces == nil, Remaining: remaining, LastEventID: c.stream.lastID,
 	})
-	response, failure := c.h.Pool.Do(attemptCtx, endpoint(target), http1client.Call{
+	response, failure := c.h.Pool.Do(ctx, endpoint(target), http1client.Call{
 		Method: c.request.Method, Target: c.request.Target, Fields: fields, Body: c.body, Match: c.matchResponse,
 		NewConnection: c.headers.ID == "", ReserveHead: c.holdHead,
 	})
 	if failure != nil {
 		c.headAt = time.Since(c.attemptStart)
-		c.recordEnd(attemptCtx, target, failureEnd(failure))
-		return
+		return failureEnd(failure)
 	}
-	c.recordEnd(attemptCtx, target, c.relay(target, tracked, response))
+	return c.relay(target, tracked, response)
 }
 
 // overdueAfter returns the time after which a call without any response bytes
@@ -151,6 +172,9 @@
 	headers := platform.DecodeResponseHeaders(response.Head.Status, response.Head.Fields)
 	if headers.HasLoad {
 		c.load, c.hasLoad = headers.Load, true
+		if headers.Load.Pace > 0 {
+			c.h.uneven.add(c.service)
+		}
 	}
 	c.observeTarget(target, response.Head.Status, headers)
 	c.recordProgress(tracked, time.Now())
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -14,6 +14,7 @@
 
 	"hickoryrock/internal/caller/ingress"
 	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/peer/slotgrant"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/answermemory"
 	"hickoryrock/internal/policy/eligibility"
@@ -89,6 +90,12 @@
 		// EvacuatedFetchTime is how long after the evacuation of a failure domain is known
 		// other targets may fetch from the caches there.
 		EvacuatedFetchTime time.Duration
+		// Slots assigns the slots of plain services' targets. Nil means that this router chooses
+		// targets by itself.
+		Slots SlotSource
+		// HasPressure is set where callers compete for too little room, so that all plain services'
+		// slots are assigned. Otherwise those of services are whose targets are uneven.
+		HasPressure bool
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
 		LoadFactor float64
 		// ResponseMemory limits the memory of the parts of all responses that are buffered, beyond
@@ -105,6 +112,7 @@
 		usual          usualTimes
 		callTimes      callTimes
 		crashInquiries *crashInquiries
+		uneven         unevenServices
 	}
 
 	// call is the state of one call from a caller.
@@ -155,6 +163,10 @@
 		targets   *state.Targets
 		sentTo    []string
 		placement affinity.Choice
+		// slot is the grant of the attempt in progress, or zero. slotWait is how long the call has
+		// waited for grants.
+		slot     slotgrant.Grant
+		slotWait time.Duration
 		// cacheSource is the target from whose cache the selected target fetches, or nil.
 		cacheSource *state.Target
 		status      int
@@ -290,7 +302,7 @@
 func (c *call) takeRetry() bool {
 	switch c.reason {
 	case eligibility.None.String(), eligibility.Limited.String(), eligibility.Backoff.String(),
-		eligibility.Warming.String(), eligibility.Evacuated.String():
+		eligibility.Warming.String(), eligibility.Evacuated.String(), reasonNoSlot:
 		return false
 	case http1client.ReasonRefused, http1client.ReasonNoConnection:
 		return true
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -46,6 +46,9 @@
 	if c.hasLoad {
 		line = line.Int("target-running", c.load.Running).Int("target-waiting", c.load.Waiting)
 	}
+	if c.slotWait > 0 {
+		line = line.Dur("slot-wait-ms", c.slotWait)
+	}
 	if c.quarantined.Crashes > 0 {
 		line = line.Str("quarantined", quarantine.PartName(c.quarantined.Part)).Int("crashes", c.quarantined.Crashes).
 			Dur("last-crash-ago-ms", time.Since(c.quarantined.LastCrash))
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -20,6 +20,7 @@
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/fleet/storewatch"
 	"hickoryrock/internal/peer/gossip"
+	"hickoryrock/internal/peer/slotgrant"
 	"hickoryrock/internal/platform/objects"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/quarantine"
@@ -77,10 +78,13 @@
 		targetLimits *targetlimits.Tracker
 		// targetBackoff knows the targets that want no requests from this router for a time.
 		targetBackoff *targetbackoff.Tracker
-		server        *ingress.Server
-		guard         *freshness.Guard
-		bounds        atomic.Pointer[platform.Bounds]
-		stalls        *stalls
+		// slots exchanges the slots of plain services' targets with the other routers; nil if no
+		// port is free for it.
+		slots  *slotgrant.Client
+		server *ingress.Server
+		guard  *freshness.Guard
+		bounds atomic.Pointer[platform.Bounds]
+		stalls *stalls
 		// shutdown is nil until the router is told to stop.
 		shutdown atomic.Pointer[forward.Shutdown]
 		// joined is closed once this router is registered, the router entries have been
@@ -128,12 +132,16 @@
 		guardOptions = append(guardOptions, freshness.WithUnconfirmedStart())
 	}
 	r.guard = freshness.New(r.confirmView, log, guardOptions...)
+	if err := r.listenForSlots(); err != nil {
+		r.close()
+		return nil, nil, err
+	}
 	handler := forward.New(forward.Config{
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
 		Quarantine: r.quarantine, Limits: r.targetLimits, Backoff: r.targetBackoff, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load, OthersServe: r.othersServe,
-		NewestConfiguration: r.newestConfiguration,
-		ResponseMemory:      int64(responseMemoryFraction * float64(s.MemoryBytes)),
+		NewestConfiguration: r.newestConfiguration, Slots: r.slotSource(), HasPressure: s.HasPressure,
+		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	metrics.GetOrCreateGauge(`hickoryrock_answer_memory_bytes`, func() float64 { return float64(handler.AnswerMemory()) })
 	r.server = ingress.New(handler, r.limits, log,
@@ -185,7 +193,7 @@
 	peerAddress := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0]))
 	fleet, closeFleet, err := gossip.New(gossip.Identity{
 		Router: s.Router, CallerAddress: s.CallerAddress, PeerAddress: peerAddress,
-		FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixMicro()),
+		FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixMicro()), CPUShare: s.CPUShare,
 	}, r.gossipState, r.tracker, r.cacheIndex, r.watcher, r.log, gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.targetLimits))
 	if err != nil {
 		return err
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -84,7 +84,7 @@
 
 func (f *Fleet) setIdentity(b *peerv1.Beacon) {
 	b.Router, b.CallerAddress, b.PeerAddress = f.self.Router, f.self.CallerAddress, f.self.PeerAddress
-	b.FailureDomain = f.self.FailureDomain
+	b.FailureDomain, b.ProcessorMilli = f.self.FailureDomain, uint32(min(f.self.CPUShare, maxCPUShare)*1000)
 }
 
 // encode numbers and encodes a beacon; it returns nil on an error, which it logs. The
@@ -209,6 +209,7 @@
 	}
 	b.CallerAddress, b.PeerAddress = p.beacon.GetCallerAddress(), p.beacon.GetPeerAddress()
 	b.FailureDomain, b.Router = p.beacon.GetFailureDomain(), p.beacon.GetRouter()
+	b.ProcessorMilli = p.beacon.GetProcessorMilli()
 	return b
 }
 
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -111,6 +111,8 @@
 	failedSourceTime = 2 * time.Second
 	// maxDatagramBytes is the size of the receive buffer.
 	maxDatagramBytes = 8 << 10
+	// maxCPUShare is more cores than any VM has.
+	maxCPUShare = 1 << 16
 	// countScale is the factor by which decayed counts are multiplied on the wire.
 	countScale = 100
 )
@@ -124,6 +126,8 @@
 		FailureDomain string
 		// Incarnation is the start time of the process in Unix microseconds.
 		Incarnation uint64
+		// CPUShare is the number of processor cores that the router may use; zero if unknown.
+		CPUShare float64
 	}
 
 	// State is the part of a router's state that its beacons advertise.
--- a/internal/peer/gossip/peers.go
+++ b/internal/peer/gossip/peers.go
@@ -85,6 +85,27 @@
 	return identities
 }
 
+// ServingIdentities returns the identities of the live routers that serve callers, and whether this
+// one is among them; it comes first then.
+func (f *Fleet) ServingIdentities() (identities []Identity, includesSelf bool) {
+	local := f.localState()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	identities = make([]Identity, 0, len(f.peers)+1)
+	if includesSelf = local.Serving && !f.leaving; includesSelf {
+		identities = append(identities, f.self)
+	}
+	for _, p := range f.peers {
+		if p.servesCallers() {
+			identities = append(identities, Identity{
+				Router: p.beacon.GetRouter(), PeerAddress: p.beacon.GetPeerAddress(), FailureDomain: p.beacon.GetFailureDomain(),
+				Incarnation: p.beacon.GetIncarnation(), CPUShare: float64(p.beacon.GetProcessorMilli()) / 1000,
+			})
+		}
+	}
+	return identities, includesSelf
+}
+
 // CallerAddresses returns up to limit addresses of routers that serve callers,
 // those in the given failure domain first.
 func (f *Fleet) CallerAddresses(failureDomain string, limit int) []string {
