--- /dev/null
+++ b/internal/policy/targetpace/window.go
@@ -0,0 +1,232 @@
+package targetpace
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// initialWindow is the number of calls in flight that a new target gets: one would stop
+	// with the first router that holds its answer back.
+	initialWindow = 2
+	// goalMargin is added to the mean of the settled targets; a target there is settled.
+	goalMargin = 2
+	// maxWindow is far above the calls in flight at any target.
+	maxWindow = 1 << 20
+	// maxEpoch leaves room for the epochs after one that is reported.
+	maxEpoch = math.MaxUint32 - 1
+	// settleTime is the time without a setback after which a target is settled.
+	settleTime = 5 * time.Second
+	// recoveryTime is the time in which routers notice the same recovery. After it, a recovery
+	// opens a new window if the last one has not changed for inUseTime.
+	recoveryTime = 2 * time.Second
+	inUseTime    = time.Second
+	// reportDelay is the time that a report takes, in addition to the interval.
+	reportDelay = 50 * time.Millisecond
+	// maxProcesses bounds the processes whose successes are counted for one target.
+	maxProcesses = 1024
+)
+
+// window is the fleet's window of calls in flight at a target: the level of an epoch and the
+// successful answers in it. The counts are a grow-only counter, merged by maximum.
+type window struct {
+	open         bool
+	epoch, level uint32
+	// own counts this process's successes; peers holds those of others by process, peerSum
+	// is their sum.
+	own     uint32
+	peers   map[uint64]uint32
+	peerSum uint64
+	// openedAt is the time of the opening, setbackAt of the last epoch that a setback or a
+	// report began, steadySince of the later of both, changedAt of the last change.
+	openedAt    time.Time
+	setbackAt   time.Time
+	steadySince time.Time
+	changedAt   time.Time
+	// reportsDue is the number of reports that still have to carry the window.
+	reportsDue int
+}
+
+// RecordSuccess records a successful answer of a target.
+func (t *Tracker) RecordSuccess(hash uint64, now time.Time) {
+	t.lock(now)
+	defer t.unlock()
+	known := t.targets[hash]
+	if known == nil || !known.window.open {
+		return
+	}
+	w := &known.window
+	w.own = min(w.own+1, maxWindow)
+	w.changedAt, w.reportsDue = now, maxReports
+	t.advance(known, now)
+}
+
+// RecordSetback records a refusal, a failure or a slow first answer of a target; why names it in
+// kebab case. It halves the window, and has no effect on a settled target.
+func (t *Tracker) RecordSetback(hash uint64, why string, now time.Time) {
+	t.lock(now)
+	defer t.unlock()
+	known := t.targets[hash]
+	if known == nil || !known.window.open {
+		return
+	}
+	w := &known.window
+	// Within the time of a report, routers see setbacks of calls that were sent under the same
+	// window; it is halved once for all of them.
+	isSame := !w.setbackAt.IsZero() && now.Sub(w.setbackAt) < t.opts.ReportInterval()+reportDelay
+	w.steadySince = now
+	if isSame {
+		return
+	}
+	from := known.pace()
+	w.begin(w.epoch+1, uint32(w.size()/2), now)
+	w.setbackAt, w.reportsDue = now, maxReports
+	t.announce(known, from, why, now)
+}
+
+// Window returns the fleet's window of calls in flight for a target, and whether it applies.
+func (t *Tracker) Window(hash uint64, now time.Time) (int, bool) {
+	t.lock(now)
+	defer t.unlock()
+	known := t.targets[hash]
+	if known == nil {
+		return 0, false
+	}
+	t.advance(known, now)
+	if !t.isLimited(known, now) {
+		return 0, false
+	}
+	return t.limit(known), true
+}
+
+// open begins the window of a target that is new or has recovered, if its service has windows.
+func (t *Tracker) open(known *target, why string, now time.Time) {
+	if t.services[known.service] == nil {
+		return
+	}
+	from, w := known.pace(), &known.window
+	w.begin(w.epoch+1, initialWindow, now)
+	w.open, w.openedAt, w.setbackAt, w.reportsDue = true, now, time.Time{}, maxReports
+	t.announce(known, from, why, now)
+	t.count(known.service)
+}
+
+func (t *Tracker) settle(known *target, why string, now time.Time) {
+	from := known.pace()
+	known.window.open = false
+	t.announce(known, from, why, now)
+	t.count(known.service)
+}
+
+// count updates whether more than half of a service's usable targets are new.
+func (t *Tracker) count(name string) {
+	s := t.services[name]
+	if s == nil {
+		return
+	}
+	n := 0
+	for _, hash := range s.targets {
+		if known := t.targets[hash]; known != nil && known.window.open {
+			n++
+		}
+	}
+	s.isNew = 2*n > len(s.targets)
+}
+
+// isLimited reports whether a target's window applies. It does not if there are no other targets
+// to take the load.
+func (t *Tracker) isLimited(known *target, now time.Time) bool {
+	s := t.services[known.service]
+	return known.window.open && s != nil && !s.isNew && now.Sub(s.at) <= serviceTTL
+}
+
+// goal returns the window at which the targets of a service are settled, and false if the mean is
+// not known. It is above initialWindow, so that a target has answered once.
+func (t *Tracker) goal(name string) (int, bool) {
+	s := t.services[name]
+	if s == nil || s.mean < 0 {
+		return 0, false
+	}
+	return max(int(math.Ceil(s.mean))+goalMargin, initialWindow+1), true
+}
+
+// limit returns the window of a target, at most the goal.
+func (t *Tracker) limit(known *target) int {
+	size := known.window.size()
+	if goal, ok := t.goal(known.service); ok {
+		return min(size, goal)
+	}
+	return size
+}
+
+// share returns how many calls this router may have in flight at a target.
+func (t *Tracker) share(known *target) int {
+	size, routers := t.limit(known), len(t.fleet.liveOthers)+1
+	share := size / routers
+	if t.ranks(known).live < size%routers {
+		share++
+	}
+	return share
+}
+
+// begin starts an epoch. After the last one only the level changes.
+func (w *window) begin(epoch, level uint32, now time.Time) {
+	w.epoch, w.level = min(epoch, maxEpoch), min(max(level, 1), maxWindow)
+	w.own, w.peers, w.peerSum = 0, nil, 0
+	w.steadySince, w.changedAt, w.reportsDue = now, now, 0
+}
+
+// size returns the window, at most maxWindow.
+func (w *window) size() int {
+	return int(min(uint64(w.level)+uint64(w.own)+w.peerSum, maxWindow))
+}
+
+func (w *window) settlesIn(now time.Time) time.Duration {
+	return settleTime - now.Sub(w.steadySince)
+}
+
+// hasRecovered reports whether the window follows from a recovery that is noticed now.
+func (w *window) hasRecovered(now time.Time) bool {
+	isNew := !w.openedAt.IsZero() && now.Sub(w.openedAt) < recoveryTime
+	return isNew || (w.open && now.Sub(w.changedAt) < inUseTime)
+}
+
+// merge takes over what another process reports and reports whether anything has changed. A
+// report of an earlier epoch or with an earlier count changes nothing.
+func (w *window) merge(process uint64, r Report, now time.Time) bool {
+	level := min(max(r.Level, 1), maxWindow)
+	switch {
+	case r.Epoch < w.epoch || r.Epoch > maxEpoch:
+		return false
+	case r.Epoch > w.epoch:
+		if !w.open {
+			w.open, w.openedAt = true, now
+		}
+		w.begin(r.Epoch, level, now)
+		w.setbackAt = now
+		w.count(process, r.Successes)
+		return true
+	}
+	isLower := level < w.level
+	w.level = min(w.level, level)
+	if w.count(process, r.Successes) || isLower {
+		w.changedAt = now
+		return true
+	}
+	return false
+}
+
+// count raises the count of a process and reports whether it did.
+func (w *window) count(process uint64, successes uint32) bool {
+	successes = min(successes, maxWindow)
+	before, ok := w.peers[process]
+	if successes <= before || (!ok && len(w.peers) >= maxProcesses) {
+		return false
+	}
+	if w.peers == nil {
+		w.peers = make(map[uint64]uint32)
+	}
+	w.peers[process] = successes
+	w.peerSum += uint64(successes - before)
+	return true
+}
