--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -239,6 +239,7 @@
 	}
 	f.mergeQuarantine(b, now)
 	f.mergeLimits(b, now)
+	f.mergeWindows(b, now)
 	f.mergeDepartures(b, now)
 	f.AddPeer(b.GetPeerAddress())
 	if !newer {
@@ -250,6 +251,7 @@
 	}
 	if isNewProcess {
 		f.opts.Limits.ReportAll()
+		f.opts.Pace.ReportAll()
 	}
 	if b.GetChange() != nil {
 		f.watcher.ApplyTargets(decodeChange(b.GetChange()), false, b.GetRouter())
--- a/internal/peer/gossip/datagram_fuzz_test.go
+++ b/internal/peer/gossip/datagram_fuzz_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -29,6 +30,9 @@
 		Loads:  []*peerv1.TargetLoad{{Target: 1, Calls: 1 << 31, UnreadTokens: 1 << 31, Results: 1 << 31, PaceSum: 1}},
 		Homes:  []*peerv1.PromptHome{{Part: 1, Target: 1, UnreadTokens: 1 << 31}},
 		Limits: []*peerv1.TargetLimit{{Target: 1, PerSecond: &limit, Sent: 1 << 31}},
+		Windows: []*peerv1.TargetWindow{
+			{Target: 1, Epoch: math.MaxUint32 - 1, Level: math.MaxUint32, Successes: math.MaxUint32}, {Target: 2, Epoch: 1}, {},
+		},
 	})
 	seed(kindRelay, &peerv1.Beacon{
 		Router: "c", PeerAddress: "127.0.0.1:9", FailureDomain: "a", Incarnation: 1, Number: 1,
@@ -57,6 +61,7 @@
 		fleet.sendRegular()
 		fleet.sendQuarantine(true)
 		fleet.sendLimits()
+		fleet.sendWindows()
 		fleet.markLost(time.Now().Add(time.Hour))
 		fleet.CallerAddresses("a", 64)
 		watcher.Snapshot(0, watcher.View().Targets.Revision)
--- a/internal/peer/gossip/fixture_test.go
+++ b/internal/peer/gossip/fixture_test.go
@@ -18,6 +18,7 @@
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/targetlimits"
+	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/testing/ports"
 	"hickoryrock/platform"
@@ -34,6 +35,7 @@
 	cacheIndex *affinity.CacheIndex
 	quarantine *quarantine.Tracker
 	limits     *targetlimits.Tracker
+	pace       *targetpace.Tracker
 	address    string
 	// confirmed is set if the router confirms its state to its peers.
 	confirmed atomic.Bool
@@ -81,13 +83,16 @@
 	r := &router{address: address, tracker: targetstats.NewTracker(func(targetstats.Change) {}), cacheIndex: affinity.NewCacheIndex(),
 		quarantine: quarantine.NewTracker()}
 	r.limits = targetlimits.NewTracker(func() (uint64, []uint64) { return r.LiveRouters() })
+	r.pace = targetpace.NewTracker(func() (uint64, []uint64) { return r.KnownRouters() },
+		targetpace.WithLiveRouters(func() (uint64, []uint64) { return r.LiveRouters() }))
 	store, closeStore := platform.NewStore(storeAddress)
 	r.watcher = storewatch.New(store, zerolog.Nop(),
 		func(c *storewatch.Delta) { r.SendNow(c) }, func() bool { return r.StoreServesPeers() })
 	fleet, closeFleet, err := gossip.New(gossip.Identity{
 		Router: name, CallerAddress: "callers-of-" + name, PeerAddress: address, FailureDomain: failureDomain,
 		Incarnation: uint64(time.Now().UnixMicro()),
-	}, r.localState, r.tracker, r.cacheIndex, r.watcher, zerolog.Nop(), gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.limits))
+	}, r.localState, r.tracker, r.cacheIndex, r.watcher, zerolog.Nop(), gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.limits),
+		gossip.WithPace(r.pace))
 	f.Assert(err, qt.IsNil)
 	r.Fleet = fleet
 	l, err := net.Listen("tcp4", address)
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -22,6 +22,7 @@
 	"hickoryrock/internal/fleet/storewatch"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/targetlimits"
+	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
 )
 
@@ -220,6 +221,9 @@
 	if f.opts.Limits == nil {
 		f.opts.Limits = targetlimits.NewTracker(f.LiveRouters)
 	}
+	if f.opts.Pace == nil {
+		f.opts.Pace = targetpace.NewTracker(f.KnownRouters, targetpace.WithLiveRouters(f.LiveRouters))
+	}
 	return f, func() { _ = conn.Close() }, nil
 }
 
@@ -297,6 +301,7 @@
 			regular.Reset(f.interval())
 			f.sendQuarantine(f.sendRegular())
 			f.sendLimits()
+			f.sendWindows()
 			f.sendDepartures()
 			f.markLost(now)
 		}
--- a/internal/peer/gossip/limits.go
+++ b/internal/peer/gossip/limits.go
@@ -41,7 +41,7 @@
 			Sent: l.GetSent(),
 		}
 	}
-	f.opts.Limits.Merge(uint64(senderID(b.GetPeerAddress()))^b.GetIncarnation(), reports, now)
+	f.opts.Limits.Merge(processHash(b), reports, now)
 }
 
 // LiveRouters returns the hash of this router and those of the other live routers that
--- a/internal/peer/gossip/options.go
+++ b/internal/peer/gossip/options.go
@@ -3,6 +3,7 @@
 import (
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/targetlimits"
+	"hickoryrock/internal/policy/targetpace"
 )
 
 type (
@@ -16,6 +17,9 @@
 		// Limits knows the limits that targets name. It calls LiveRouters and ReportInterval
 		// with its lock held, so the fleet must not call it with its own.
 		Limits *targetlimits.Tracker
+		// Pace knows the windows of new and recovered targets. It calls KnownRouters, LiveRouters
+		// and ReportInterval with its lock held, like Limits.
+		Pace *targetpace.Tracker
 	}
 )
 
@@ -24,6 +28,11 @@
 	return func(o *Options) { o.Limits = t }
 }
 
+// WithPace exchanges the windows that a tracker knows with the other routers.
+func WithPace(t *targetpace.Tracker) Option {
+	return func(o *Options) { o.Pace = t }
+}
+
 // WithQuarantine exchanges what a tracker knows with the other routers.
 func WithQuarantine(t *quarantine.Tracker) Option {
 	return func(o *Options) { o.Quarantine = t }
--- a/internal/peer/gossip/peers.go
+++ b/internal/peer/gossip/peers.go
@@ -12,8 +12,10 @@
 
 // peer is another router, as of its last beacon.
 type peer struct {
-	address       netip.AddrPort
-	lastContact   time.Time
+	address     netip.AddrPort
+	lastContact time.Time
+	// listedAt is when the peer was last added, also if it was known.
+	listedAt      time.Time
 	beacon        *peerv1.Beacon
 	live          bool
 	backoffRounds int
@@ -28,9 +30,12 @@
 		return
 	}
 	f.mu.Lock()
-	known := f.peers[peerAddress] != nil
+	known := f.peers[peerAddress]
+	if known != nil {
+		known.listedAt = time.Now()
+	}
 	f.mu.Unlock()
-	if known {
+	if known != nil {
 		return
 	}
 	address, err := parsePeerAddress(peerAddress)
@@ -40,7 +45,8 @@
 	}
 	f.mu.Lock()
 	if f.peers[peerAddress] == nil {
-		p := &peer{address: address, lastContact: time.Now()}
+		now := time.Now()
+		p := &peer{address: address, lastContact: now, listedAt: now}
 		f.peers[peerAddress], f.peersBySender[senderID(peerAddress)] = p, p
 	}
 	f.mu.Unlock()
