--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -42,6 +42,9 @@
 	c.tried[target.Hash] = true
 	c.sentTo = append(c.sentTo, target.ID)
 	c.progress.Attempts++
+	if c.h.Pace != nil {
+		c.h.Pace.Begin(target.Hash, time.Now())
+	}
 	tracked := c.h.TargetHealth.Begin(target.Hash, c.placement.PrefillTokens, time.Now())
 	defer tracked.End()
 	overdue := time.AfterFunc(overdueAfter(c.route.LatencyObjective, c.placement), func() { tracked.Overdue(time.Now()) })
@@ -130,6 +133,7 @@
 	targets := c.targets.ByService[c.service]
 	limit := c.silenceLimit()
 	summaries := c.h.TargetHealth.Summaries(state.Hashes(targets), now)
+	c.h.updatePace(c.service, targets, summaries, now)
 	candidates := make([]affinity.Candidate, len(targets))
 	for i, t := range targets {
 		candidates[i] = affinity.Candidate{
--- a/internal/fleet/forward/end.go
+++ b/internal/fleet/forward/end.go
@@ -115,6 +115,7 @@
 		c.reason = end.reason
 	}
 	c.recordHealth(target, end, at)
+	c.recordPaceOfEnd(target, end, at)
 	c.recordEvidence(ctx, target, end, at)
 	metrics.GetOrCreateCounter(`hickoryrock_attempt_ends_total{stage="` + string(end.stage) + `",reason="` + end.reason + `"}`).Inc()
 }
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"hickoryrock/internal/policy/retries"
 	"hickoryrock/internal/policy/targetbackoff"
 	"hickoryrock/internal/policy/targetlimits"
+	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/target/http1client"
 	"hickoryrock/internal/wire/http1"
@@ -71,6 +73,12 @@
 		// Backoff knows the targets that want no requests for a time. Nil means a tracker of
 		// the handler's own.
 		Backoff *targetbackoff.Tracker
+		// Pace bounds the calls to targets that are cold, or have started or recovered. Nil means
+		// that there are none.
+		Pace *targetpace.Tracker
+		// ColdLimit returns the bound on the calls to cold targets of a service. Nil means that
+		// there is none.
+		ColdLimit func(state.Service) targetpace.Limit
 		// OnLeaving is called with the hash of a target that says in an answer that it leaves.
 		// It must make View return the target as draining before it returns.
 		OnLeaving func(target uint64)
@@ -107,12 +115,18 @@
 	// Handler forwards calls to targets. It is safe for concurrent use.
 	Handler struct {
 		Config
-		eligibility    *eligibility.Checker
-		answerMemory   *answermemory.Budget
-		usual          usualTimes
-		callTimes      callTimes
-		crashInquiries *crashInquiries
-		uneven         unevenServices
+		eligibility *eligibility.Checker
+		// grantEligibility checks targets at which the coordinator of a service has granted a
+		// slot: it has bounded the calls in flight there.
+		grantEligibility *eligibility.Checker
+		recoveries       recoveries
+		// observedTargets holds the last *state.Target by hash of which Pace has been told.
+		observedTargets sync.Map
+		answerMemory    *answermemory.Budget
+		usual           usualTimes
+		callTimes       callTimes
+		crashInquiries  *crashInquiries
+		uneven          unevenServices
 	}
 
 	// call is the state of one call from a caller.
@@ -213,6 +227,9 @@
 	if config.OnLeaving == nil {
 		config.OnLeaving = func(uint64) {}
 	}
+	if config.ColdLimit == nil {
+		config.ColdLimit = func(state.Service) targetpace.Limit { return targetpace.Limit{} }
+	}
 	if config.NewestConfiguration == nil {
 		config.NewestConfiguration = func() (int64, time.Duration) { return 0, 0 }
 	}
@@ -221,6 +238,11 @@
 	}
 	h := &Handler{Config: config, crashInquiries: newCrashInquiries(config.View, config.Pool)}
 	h.eligibility = eligibility.New(h.backoffRule, h.limitsRule)
+	h.grantEligibility = h.eligibility
+	if h.Pace != nil {
+		h.eligibility = eligibility.New(h.backoffRule, h.limitsRule, h.paceRule)
+		h.grantEligibility = eligibility.New(h.backoffRule, h.limitsRule, h.coldRule)
+	}
 	h.answerMemory = answermemory.New(config.ResponseMemory, h.logMemory)
 	return h
 }
--- a/internal/fleet/forward/observe.go
+++ b/internal/fleet/forward/observe.go
@@ -30,6 +30,9 @@
 	if status/100 == 2 && !headers.Sealed {
 		return
 	}
+	if headers.HasCold {
+		c.h.observeCold(target, headers.ColdLeft, time.Now())
+	}
 	c.h.Backoff.Observe(target.Hash, headers.RetryAfter, time.Now())
 	if headers.Leaving {
 		c.h.OnLeaving(target.Hash)
--- a/internal/fleet/forward/pace.go
+++ b/internal/fleet/forward/pace.go
@@ -94,6 +94,9 @@
 func (c *call) recordPace(target *state.Target, took time.Duration, now time.Time) {
 	if ratio, ok := c.h.usual.ratio(c.route.Name, took); ok {
 		c.h.TargetHealth.RecordPace(target.Hash, ratio, now)
+		if c.h.Pace != nil && ratio >= slowAnswerFactor {
+			c.h.Pace.RecordSetback(target.Hash, "slow", now)
+		}
 	}
 }
 
--- a/internal/fleet/forward/slots.go
+++ b/internal/fleet/forward/slots.go
@@ -10,6 +10,7 @@
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/peer/slotgrant"
 	"hickoryrock/internal/policy/affinity"
+	"hickoryrock/internal/policy/eligibility"
 	"hickoryrock/internal/policy/slots"
 )
 
@@ -99,7 +100,8 @@
 	now := time.Now()
 	c.targets = c.h.View().Targets
 	for _, t := range c.targets.ByService[c.service] {
-		if t.Hash == grant.Target && !c.tried[t.Hash] && c.h.isEligible(t, now) {
+		isEligible := c.h.grantEligibility.Check(t, now).Reason == eligibility.Eligible
+		if t.Hash == grant.Target && !c.tried[t.Hash] && isEligible {
 			c.placement, c.cacheSource = affinity.Choice{Index: -1, Source: -1, Reason: placementSlot}, nil
 			c.h.Limits.Take(t.Hash, now)
 			return t
--- /dev/null
+++ b/internal/fleet/forward/warmup.go
@@ -0,0 +1,161 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/policy/eligibility"
+	"hickoryrock/internal/policy/targetpace"
+	"hickoryrock/internal/policy/targetstats"
+)
+
+// slowAnswerFactor is the multiple of the usual time from which an answer of a target that has
+// started or recovered says that it has too much to do.
+const slowAnswerFactor = 3
+
+// recoveries knows which targets get no calls for a reason that ends by itself, so that they are
+// not flooded when it ends. It is safe for concurrent use.
+type recoveries struct {
+	mu sync.Mutex
+	// excluded holds the reasons by target.
+	excluded map[uint64]string
+}
+
+// update records why a target gets no calls, or "" if it does, and returns the reason that has
+// ended, or "".
+func (r *recoveries) update(target uint64, reason string) (ended string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.excluded[target]
+	switch {
+	case reason != "":
+		if r.excluded == nil || len(r.excluded) > maxUsualRoutes {
+			r.excluded = make(map[uint64]string)
+		}
+		r.excluded[target] = reason
+	case before != "":
+		delete(r.excluded, target)
+		return before
+	}
+	return ""
+}
+
+// paceRule is the eligibility.Rule of targets that are cold, or have started or recovered.
+func (h *Handler) paceRule(t *state.Target, now time.Time) eligibility.Verdict {
+	return h.checkPace(t, now, (*targetpace.Tracker).Allows)
+}
+
+// coldRule is paceRule for calls whose number at the target is bounded elsewhere.
+func (h *Handler) coldRule(t *state.Target, now time.Time) eligibility.Verdict {
+	return h.checkPace(t, now, (*targetpace.Tracker).AllowsCold)
+}
+
+func (h *Handler) checkPace(
+	t *state.Target, now time.Time, allows func(*targetpace.Tracker, uint64, time.Time) (time.Duration, bool),
+) eligibility.Verdict {
+	limit, coldTime := h.coldLimit(t.Service)
+	if limit.PerSecond <= 0 && !h.HasWindows(t.Service) {
+		return eligibility.Verdict{}
+	}
+	h.observeEntry(t, limit, coldTime, now)
+	if wait, ok := allows(h.Pace, t.Hash, now); !ok {
+		return eligibility.Verdict{Reason: eligibility.Warming, Wait: wait}
+	}
+	return eligibility.Verdict{}
+}
+
+// coldLimit returns the bound on the calls to cold targets of a service, and how long they are
+// cold after their start.
+func (h *Handler) coldLimit(service string) (targetpace.Limit, time.Duration) {
+	c := h.View().Configuration
+	if c == nil {
+		return targetpace.Limit{}, 0
+	}
+	s := c.Services[service]
+	return h.ColdLimit(s), s.ColdTime
+}
+
+// observeEntry records what the entry of a target says of its start, once for each view.
+func (h *Handler) observeEntry(t *state.Target, limit targetpace.Limit, coldTime time.Duration, now time.Time) {
+	if known, ok := h.observedTargets.Load(t.Hash); ok && known == t {
+		return
+	}
+	h.observedTargets.Store(t.Hash, t)
+	s := targetpace.State{ColdStart: coldTime, ColdStated: t.HasCold, ColdLeft: t.ColdLeft, At: t.ReceivedAt, Limit: limit}
+	if t.StartUnixMilli > 0 {
+		s.Started = time.UnixMilli(t.StartUnixMilli)
+	}
+	h.Pace.Observe(t.Hash, t.Service, s, now)
+}
+
+// observeCold records what the answer of a target says of how long it stays cold.
+func (h *Handler) observeCold(t *state.Target, left time.Duration, now time.Time) {
+	if limit, _ := h.coldLimit(t.Service); h.Pace != nil && limit.PerSecond > 0 {
+		h.Pace.Observe(t.Hash, t.Service, targetpace.State{ColdStated: true, ColdLeft: left, Limit: limit}, now)
+	}
+}
+
+// PruneTargets forgets what is only needed of targets that are listed.
+func (h *Handler) PruneTargets(listed map[uint64]bool) {
+	h.observedTargets.Range(func(key, _ any) bool {
+		if hash, ok := key.(uint64); ok && !listed[hash] {
+			h.observedTargets.Delete(key)
+		}
+		return true
+	})
+}
+
+// HasWindows reports whether targets of a service that have started or recovered get their load
+// step by step.
+func (h *Handler) HasWindows(service string) bool {
+	return h.Pace != nil && (h.HasPressure || h.uneven.has(service))
+}
+
+// updatePace tells the pace tracker which targets of a service are in use, how many calls they
+// have, and which have recovered.
+func (h *Handler) updatePace(service string, targets []*state.Target, summaries []targetstats.Summary, now time.Time) {
+	if !h.HasWindows(service) {
+		return
+	}
+	usable := make([]uint64, 0, len(targets))
+	calls := 0
+	for i, t := range targets {
+		reason := ""
+		switch {
+		case summaries[i].Ejected:
+			reason = "ejected"
+		case t.Evacuated:
+			reason = eligibility.Evacuated.String()
+		case h.Backoff.Remaining(t.Hash, now) > 0:
+			reason = eligibility.Backoff.String()
+		case t.Draining:
+			continue
+		default:
+			usable = append(usable, t.Hash)
+			calls += summaries[i].Calls
+		}
+		if ended := h.recoveries.update(t.Hash, reason); ended != "" {
+			h.Pace.Recovered(t.Hash, service, ended, now)
+		}
+	}
+	h.Pace.SetMean(service, usable, float64(calls)/float64(max(len(usable), 1)), now)
+}
+
+// recordPaceOfEnd records what the end of an attempt says about how much its target bears.
+// Failures at the target are no sign of load: some calls fail wherever they run.
+func (c *call) recordPaceOfEnd(target *state.Target, end attemptEnd, now time.Time) {
+	if c.h.Pace == nil {
+		return
+	}
+	c.h.Pace.End(target.Hash, now)
+	switch {
+	case end.blame == blameReplaced, end.blame == blameNone, end.outcome == FailedAtTarget:
+	case end.blame == blameSuccess:
+		c.h.Pace.RecordSuccess(target.Hash, now)
+	case end.blame == blameUnreachable:
+		c.h.Pace.RecordSetback(target.Hash, "unreachable", now)
+	default:
+		c.h.Pace.RecordSetback(target.Hash, end.reason, now)
+	}
+}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -115,8 +115,11 @@
 		// EvacuatedAt as far as this router knows.
 		Evacuated   bool
 		EvacuatedAt time.Time
-		// ColdLeft is how long the target stays cold, as of its entry.
-		ColdLeft time.Duration
+		// ColdLeft is how long the target stays cold as of its entry, which was received at
+		// ReceivedAt; valid when HasCold is set.
+		ColdLeft   time.Duration
+		HasCold    bool
+		ReceivedAt time.Time
 		// StartUnixMilli is the start time of this incarnation in Unix milliseconds;
 		// zero when unknown.
 		StartUnixMilli int64
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -165,6 +165,7 @@
 // for a list of all targets. Missing entries are kept until keepUntil. w.mu must be held.
 func (w *Watcher) apply(changes []entryChange, revision state.Revision, full bool, keepUntil time.Time) {
 	listed := make(map[string]bool, len(changes))
+	now := time.Now()
 	changed := false
 	for _, c := range changes {
 		if c.deleted {
@@ -179,6 +180,12 @@
 		w.recordState(old.target, c.target, !full || c.revision > w.eraBase)
 		delete(w.expiring, c.name)
 		changed = changed || !bytes.Equal(old.raw, c.raw)
+		if c.target != nil {
+			c.target.ReceivedAt = now
+			if old.target != nil && bytes.Equal(old.raw, c.raw) {
+				c.target.ReceivedAt = old.target.ReceivedAt
+			}
+		}
 		w.entries[c.name] = entry{raw: c.raw, target: c.target}
 	}
 	if full {
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -27,6 +27,7 @@
 	"hickoryrock/internal/policy/retries"
 	"hickoryrock/internal/policy/targetbackoff"
 	"hickoryrock/internal/policy/targetlimits"
+	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/target/http1client"
 	"hickoryrock/platform"
@@ -76,6 +77,9 @@
 		retryBurst   float64
 		quarantine   *quarantine.Tracker
 		targetLimits *targetlimits.Tracker
+		// pace knows the targets that are cold, or have started or recovered.
+		pace    *targetpace.Tracker
+		handler *forward.Handler
 		// targetBackoff knows the targets that want no requests from this router for a time.
 		targetBackoff *targetbackoff.Tracker
 		// slots exchanges the slots of plain services' targets with the other routers; nil if no
@@ -105,6 +109,10 @@
 	r.quarantine = quarantine.NewTracker(quarantine.WithSettleTime(r.settleTime), quarantine.WithOnChange(r.logQuarantine))
 	r.targetLimits = targetlimits.NewTracker(func() (uint64, []uint64) { return r.fleet.LiveRouters() },
 		targetlimits.WithReportInterval(func() time.Duration { return r.fleet.ReportInterval() }))
+	r.pace = targetpace.NewTracker(func() (uint64, []uint64) { return r.fleet.KnownRouters() },
+		targetpace.WithLiveRouters(func() (uint64, []uint64) { return r.fleet.LiveRouters() }),
+		targetpace.WithReportInterval(func() time.Duration { return r.fleet.ReportInterval() }), targetpace.WithOnChange(r.logPace))
+	metrics.GetOrCreateGauge(`hickoryrock_warming_targets`, func() float64 { return float64(len(r.pace.Warming(time.Now()))) })
 	r.targetBackoff = targetbackoff.NewTracker(targetbackoff.WithOnWait(r.logTargetWait))
 	metrics.GetOrCreateGauge(`hickoryrock_quarantined_parts`, r.countQuarantined)
 	store, closeStore := platform.NewStore(s.StoreAddress)
@@ -140,9 +148,10 @@
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
 		Quarantine: r.quarantine, Limits: r.targetLimits, Backoff: r.targetBackoff, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load, OthersServe: r.othersServe,
-		NewestConfiguration: r.newestConfiguration, Slots: r.slotSource(), HasPressure: s.HasPressure,
+		NewestConfiguration: r.newestConfiguration, Slots: r.slotSource(), HasPressure: s.HasPressure, Pace: r.pace, ColdLimit: r.coldLimit,
 		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
+	r.handler = handler
 	metrics.GetOrCreateGauge(`hickoryrock_answer_memory_bytes`, func() float64 { return float64(handler.AnswerMemory()) })
 	r.server = ingress.New(handler, r.limits, log,
 		ingress.WithBodyMemory(int64(bodyMemoryFraction*float64(s.MemoryBytes))))
@@ -194,7 +203,7 @@
 	fleet, closeFleet, err := gossip.New(gossip.Identity{
 		Router: s.Router, CallerAddress: s.CallerAddress, PeerAddress: peerAddress,
 		FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixMicro()), CPUShare: s.CPUShare,
-	}, r.gossipState, r.tracker, r.cacheIndex, r.watcher, r.log, gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.targetLimits))
+	}, r.gossipState, r.tracker, r.cacheIndex, r.watcher, r.log, gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.targetLimits), gossip.WithPace(r.pace))
 	if err != nil {
 		return err
 	}
@@ -340,6 +349,7 @@
 		r.updateRetryBurst()
 		r.cacheIndex.Expire(listed, time.Now())
 		r.tracker.Prune(listed)
+		r.handler.PruneTargets(listed)
 		r.pool.CloseExpired(time.Now())
 	}
 }
@@ -349,6 +359,20 @@
 		Float64("results", c.Results).Float64("common-share", c.OthersFailureRate).Msg("target ejected or readmitted because of its failure rate")
 }
 
+// coldLimit returns the bound on the calls to cold targets of a service.
+func (r *Router) coldLimit(s state.Service) targetpace.Limit {
+	b := r.bounds.Load()
+	if b.ColdOvershoot <= 0 {
+		return targetpace.Limit{}
+	}
+	return targetpace.Limit{PerSecond: s.ColdRate, Overshoot: b.ColdOvershoot, Slack: b.ColdSlack}
+}
+
+func (r *Router) logPace(c targetpace.Change) {
+	r.log.Info().Str("target", r.watcher.View().Targets.Name(c.Target)).Str("service", c.Service).Stringer("from", c.From).
+		Stringer("to", c.To).Str("why", c.Why).Msg("target pace changed")
+}
+
 func (r *Router) logTargetWait(target uint64, wait time.Duration) {
 	metrics.GetOrCreateCounter(`hickoryrock_target_waits_total`).Inc()
 	r.log.Info().Str("target", r.watcher.View().Targets.Name(target)).Dur("for-ms", wait).
--- a/internal/node/edge/slots.go
+++ b/internal/node/edge/slots.go
@@ -84,6 +84,9 @@
 		}
 		isEligible := checker.Check(t, now).Reason == eligibility.Eligible
 		list[i] = slots.Target{Hash: t.Hash, Slots: t.Slots, IsEligible: isEligible}
+		if window, ok := r.pace.Window(t.Hash, now); ok {
+			list[i].Window = window
+		}
 		isAnyHealthy = isAnyHealthy || (isEligible && !summaries[i].Ejected)
 	}
 	for i := range list {
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -15,6 +15,7 @@
 
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/operator/command"
+	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
 )
 
@@ -56,6 +57,10 @@
 		Limit *float64 `json:"limit,omitempty"`
 		// WaitMS is the time for which the target wants no requests from this router.
 		WaitMS int64 `json:"wait-ms,omitempty"`
+		// Pace is set while the target is cold, or has started or recovered, and its part of the
+		// load is bounded; PaceReason is why it last changed.
+		Pace       string `json:"pace,omitempty"`
+		PaceReason string `json:"pace-reason,omitempty"`
 		targetstats.Summary
 	}
 )
@@ -70,6 +75,10 @@
 		CallerAddresses: r.fleet.CallerAddresses(r.settings.FailureDomain, 1<<10), Quarantine: r.quarantineViews(),
 	}
 	limits, waits := r.targetLimits.Limits(time.Now()), r.targetBackoff.Waits(time.Now())
+	warming := make(map[uint64]targetpace.Warming)
+	for _, w := range r.pace.Warming(time.Now()) {
+		warming[w.Target] = w
+	}
 	for service, targets := range v.Targets.ByService {
 		for i, s := range r.tracker.Summaries(state.Hashes(targets), time.Now()) {
 			t := targets[i]
@@ -77,6 +86,9 @@
 				ID: t.ID, Service: service, Address: t.Address, FailureDomain: t.FailureDomain, Leaving: t.Draining, SaysLeaving: t.Leaving,
 				WaitMS: waits[t.Hash].Milliseconds(), Summary: s,
 			}
+			if w, ok := warming[t.Hash]; ok {
+				entry.Pace, entry.PaceReason = w.Pace.String(), w.Why
+			}
 			if limit, ok := limits[t.Hash]; ok {
 				entry.Limit = &limit
 			}
--- a/internal/policy/targetpace/targetpace.go
+++ b/internal/policy/targetpace/targetpace.go
@@ -159,6 +159,18 @@
 	return t.allows(hash, now)
 }
 
+// AllowsCold is Allows without the window, for calls whose number is bounded elsewhere.
+func (t *Tracker) AllowsCold(hash uint64, now time.Time) (wait time.Duration, ok bool) {
+	t.lock(now)
+	defer t.unlock()
+	known := t.targets[hash]
+	if known == nil {
+		return 0, true
+	}
+	t.advance(known, now)
+	return t.coldWait(known, now)
+}
+
 // TryBegin counts a call to a target as in flight if Allows permits it, and reports whether it
 // did. Calls that are chosen at the same time can't pass the bound together.
 func (t *Tracker) TryBegin(hash uint64, now time.Time) bool {
