--- a/internal/fleet/storewatch/listwatch.go
+++ b/internal/fleet/storewatch/listwatch.go
@@ -117,7 +117,7 @@
 		page, err = w.store.List(ctx, s.kind)
 		return page, true, err
 	case c == watch:
-		page, err = w.store.Watch(ctx, s.kind, after.Number, w.watchWait)
+		page, err = w.store.Watch(ctx, s.kind, after.Number, s.wait)
 	default:
 		page, err = w.store.Watch(ctx, s.kind, after.Number, 0)
 	}
--- a/internal/fleet/storewatch/options.go
+++ b/internal/fleet/storewatch/options.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// WithEvacuations watches the evacuations of failure domains, which must be in force within
+// bound. Without it, or if bound is zero, there are none.
+func WithEvacuations(bound time.Duration) Option {
+	return func(w *Watcher) {
+		if bound > 0 {
+			w.evacuationWait = scale(evacuationWaitFraction, bound)
+		}
+	}
+}
+
 func scale(fraction float64, d time.Duration) time.Duration {
 	return time.Duration(fraction * float64(d))
 }
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -289,10 +289,13 @@
 	targets := make([]*state.Target, 0, len(w.entries))
 	var digest uint64
 	w.withheld = false
+	evacuations := w.evacuations.Load()
 	for _, e := range w.entries {
 		digest ^= xxhash.Sum64(e.raw)
 		if e.target != nil {
 			t := *e.target
+			evacuation, isEvacuated := evacuations.find(t.FailureDomain)
+			t.Evacuated, t.EvacuatedAt = isEvacuated, evacuation.Since
 			t.Leaving = w.departures.isAnnounced(t.Incarnation())
 			if !t.Draining && (t.Leaving || w.hasDeparted(&t)) {
 				t.Draining = true
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -23,6 +23,9 @@
 	// time within which a change must be in force: a watch that no longer
 	// delivers events must end well before that.
 	watchWaitFraction = 0.5
+	// evacuationWaitFraction is the same for evacuations. The wait is followed by a list, after
+	// which the other routers have to be told.
+	evacuationWaitFraction = 0.4
 	// retryBaseDelay and retryMaxDelay bound the backoff after failed calls.
 	retryBaseDelay = 50 * time.Millisecond
 	retryMaxDelay  = 800 * time.Millisecond
@@ -77,6 +80,11 @@
 		servesPeers func() bool
 		// watchWait is the wait of a watch call.
 		watchWait time.Duration
+		// evacuationWait is the wait of a watch call for evacuations; zero means that there are
+		// none.
+		evacuationWait time.Duration
+		// evacuations is nil until a set is known.
+		evacuations atomic.Pointer[Evacuations]
 		// maxRetention bounds how long a missing entry is kept.
 		maxRetention time.Duration
 		// lapseTime is how long after the store's return an entry may be listed whose target
@@ -105,6 +113,9 @@
 		// announcementsLeft is how often other routers are still to be told of incarnations
 		// that have said in answers to this router that they leave.
 		announcementsLeft map[uint64]int
+		// evacuationSendsLeft is how often other routers are still to be told of a changed set
+		// of evacuated failure domains.
+		evacuationSendsLeft int
 		// hasDepartures is set once the departures of earlier eras are known.
 		hasDepartures bool
 		// withheld is set while a listed target is not used only because its entry was removed
@@ -113,11 +124,14 @@
 
 		configurationWatch watchState
 		targetWatch        watchState
+		evacuationWatch    watchState
 	}
 
 	// watchState is the state of the list and watch calls of one kind.
 	watchState struct {
 		kind string
+		// wait is the wait of a watch call.
+		wait time.Duration
 		// lastSuccess is the time of the last successful call in Unix nanoseconds.
 		lastSuccess atomic.Int64
 		// refresh requests an immediate call to the store.
@@ -191,6 +205,8 @@
 	}
 	w.configurationWatch.kind, w.configurationWatch.refresh = platform.KindConfigurations, make(chan struct{}, 1)
 	w.targetWatch.kind, w.targetWatch.refresh = platform.KindTargets, make(chan struct{}, 1)
+	w.evacuationWatch.kind = platform.KindEvacuations
+	w.configurationWatch.wait, w.targetWatch.wait, w.evacuationWatch.wait = w.watchWait, w.watchWait, w.evacuationWait
 	w.view.Store(&state.View{Targets: state.NewTargets(nil)})
 	return w
 }
@@ -207,6 +223,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { w.listAndWatch(ctx, &w.configurationWatch, shouldWatch, w.handleConfigurations) })
 	group.Go(func() { w.listAndWatch(ctx, &w.targetWatch, shouldWatch, w.handleTargets) })
+	group.Go(func() { w.watchEvacuations(ctx, shouldWatch) })
 	group.Go(func() { w.sweep(ctx) })
 	group.Wait()
 }
@@ -236,6 +253,14 @@
 	if err != nil {
 		return err
 	}
+	if w.evacuationWait > 0 {
+		evacuations, err := w.store.List(ctx, platform.KindEvacuations)
+		if err != nil {
+			return err
+		}
+		w.recordEra(&w.evacuationWatch, &evacuations)
+		w.listEvacuations(evacuations, false)
+	}
 	w.recordEra(&w.configurationWatch, &configurations)
 	w.recordEra(&w.targetWatch, &targets)
 	w.handleConfigurations(configurations, true)
