--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -85,6 +85,7 @@
 func (f *Fleet) setIdentity(b *peerv1.Beacon) {
 	b.Router, b.CallerAddress, b.PeerAddress = f.self.Router, f.self.CallerAddress, f.self.PeerAddress
 	b.FailureDomain = f.self.FailureDomain
+	b.Evacuations = f.encodeEvacuations()
 }
 
 // encode numbers and encodes a beacon; it returns nil on an error, which it logs. The
@@ -240,6 +241,7 @@
 	f.mergeQuarantine(b, now)
 	f.mergeLimits(b, now)
 	f.mergeDepartures(b, now)
+	f.mergeEvacuations(b.GetEvacuations(), b.GetRouter())
 	f.AddPeer(b.GetPeerAddress())
 	if !newer {
 		return
--- a/internal/peer/gossip/broadcast_test.go
+++ b/internal/peer/gossip/broadcast_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "hickoryrock/api/peer/v1"
+	"hickoryrock/internal/fleet/storewatch"
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/targetstats"
 )
@@ -158,7 +159,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = receiver.Close() })
 	f, closeFleet, err := New(Identity{Router: "self", PeerAddress: "127.0.0.1:0", FailureDomain: "a"},
-		func() State { return State{} }, targetstats.NewTracker(func(targetstats.Change) {}), affinity.NewCacheIndex(), nil, zerolog.Nop())
+		func() State { return State{} }, targetstats.NewTracker(func(targetstats.Change) {}), affinity.NewCacheIndex(),
+		storewatch.New(nil, zerolog.Nop(), nil, nil), zerolog.Nop())
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(closeFleet)
 	f.peers = newPeers(map[string]int{"b": peerCount - 1})
--- a/internal/peer/gossip/catchup.go
+++ b/internal/peer/gossip/catchup.go
@@ -46,7 +46,7 @@
 	}
 	snapshot := &peerv1.Snapshot{
 		Configuration: s.Configuration, AllTargets: s.Full, Targets: encodeDelta(s.Targets),
-		Departures: encodeDepartures(s.Departures, time.Now()),
+		Departures: encodeDepartures(s.Departures, time.Now()), Evacuations: f.encodeEvacuations(),
 	}
 	for _, item := range s.Targets.Items {
 		snapshot.Targets.Items = append(snapshot.Targets.Items, encodeItem(item))
@@ -210,6 +210,7 @@
 	if len(snapshot.GetConfiguration()) > 0 {
 		f.watcher.ApplyConfiguration(snapshot.GetConfiguration(), "router")
 	}
+	f.mergeEvacuations(snapshot.GetEvacuations(), router)
 	f.watcher.ApplyDepartures(decodeDepartures(snapshot.GetDepartures(), time.Now()))
 	return f.watcher.ApplyTargets(decodeChange(snapshot.GetTargets()), snapshot.GetAllTargets(), router)
 }
--- a/internal/peer/gossip/fixture_test.go
+++ b/internal/peer/gossip/fixture_test.go
@@ -54,6 +54,9 @@
 	failingStoreAddress string
 	// slowCaches is the time that a router takes to send cache contents.
 	slowCaches time.Duration
+	// evacuationBound is the time within which evacuations must be in force; zero means that
+	// there are none.
+	evacuationBound time.Duration
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -83,7 +86,8 @@
 	r.limits = targetlimits.NewTracker(func() (uint64, []uint64) { return r.LiveRouters() })
 	store, closeStore := platform.NewStore(storeAddress)
 	r.watcher = storewatch.New(store, zerolog.Nop(),
-		func(c *storewatch.Delta) { r.SendNow(c) }, func() bool { return r.StoreServesPeers() })
+		func(c *storewatch.Delta) { r.SendNow(c) }, func() bool { return r.StoreServesPeers() },
+		storewatch.WithEvacuations(f.evacuationBound))
 	fleet, closeFleet, err := gossip.New(gossip.Identity{
 		Router: name, CallerAddress: "callers-of-" + name, PeerAddress: address, FailureDomain: failureDomain,
 		Incarnation: uint64(time.Now().UnixMicro()),
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -298,6 +298,7 @@
 			f.sendQuarantine(f.sendRegular())
 			f.sendLimits()
 			f.sendDepartures()
+			f.sendEvacuations()
 			f.markLost(now)
 		}
 	}
