--- a/internal/node/edge/caches.go
+++ b/internal/node/edge/caches.go
@@ -90,7 +90,7 @@
 }
 
 func (r *Router) loadCacheFromEngine(ctx context.Context, client *http.Client, t *state.Target) {
-	if t.Leaving || r.targetBackoff.Remaining(t.Hash, time.Now()) > 0 {
+	if t.Leaving || t.Evacuated || r.targetBackoff.Remaining(t.Hash, time.Now()) > 0 {
 		return
 	}
 	parts, headers, err := platform.ListCachedParts(ctx, client, t.Address)
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -51,6 +51,10 @@
 	// responseMemoryFraction is the part of the process's memory that buffered large
 	// responses may use.
 	responseMemoryFraction = 0.15
+	// evacuatedFetchFraction is the part of the time after which no call may reach the targets of
+	// an evacuated failure domain in which other targets fetch from the caches there. The rest is
+	// for the time until this router knows of the evacuation, and for fetches in progress.
+	evacuatedFetchFraction = 0.5
 	// defaultLoadFactor is the load factor when the settings specify none.
 	defaultLoadFactor = 2
 	readHeaderTimeout = 2 * time.Second
@@ -108,7 +112,11 @@
 	r.cleanups = append(r.cleanups, closeStore)
 	r.watcher = storewatch.New(store, log, func(change *storewatch.Delta) { r.fleet.SendNow(change) },
 		func() bool { return r.fleet.StoreServesPeers() },
-		storewatch.WithBounds(s.Bounds.ConfigurationApply, s.Bounds.Drain), storewatch.WithHeartbeat(s.Heartbeat))
+		storewatch.WithBounds(s.Bounds.ConfigurationApply, s.Bounds.Drain), storewatch.WithHeartbeat(s.Heartbeat),
+		storewatch.WithEvacuations(s.Bounds.Evacuate))
+	if s.Bounds.Evacuate > 0 {
+		metrics.GetOrCreateGauge(`hickoryrock_evacuated_domains`, r.countEvacuated)
+	}
 	metrics.GetOrCreateGauge(`hickoryrock_store_era`, func() float64 { return float64(r.watcher.View().Targets.Revision.Era) })
 	metrics.GetOrCreateGauge(`hickoryrock_configuration_behind_seconds`, func() float64 {
 		_, behind := r.newestConfiguration()
@@ -132,8 +140,8 @@
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
 		Quarantine: r.quarantine, Limits: r.targetLimits, Backoff: r.targetBackoff, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load, OthersServe: r.othersServe,
-		NewestConfiguration: r.newestConfiguration,
-		ResponseMemory:      int64(responseMemoryFraction * float64(s.MemoryBytes)),
+		NewestConfiguration: r.newestConfiguration, EvacuatedFetchTime: time.Duration(evacuatedFetchFraction * float64(s.Bounds.Evacuate)),
+		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	metrics.GetOrCreateGauge(`hickoryrock_answer_memory_bytes`, func() float64 { return float64(handler.AnswerMemory()) })
 	r.server = ingress.New(handler, r.limits, log,
--- a/internal/node/edge/edge_test.go
+++ b/internal/node/edge/edge_test.go
@@ -50,7 +50,9 @@
 	}, zerolog.Nop())
 }
 
-func newFixtureWithTarget(t *testing.T, store *platformtest.Store, target rawserver.Handler, log zerolog.Logger) *fixture {
+func newFixtureWithTarget(
+	t *testing.T, store *platformtest.Store, target rawserver.Handler, log zerolog.Logger, opts ...func(*platform.Settings),
+) *fixture {
 	f := &fixture{C: qt.New(t), store: store, stopped: make(chan struct{})}
 	storeServer := httptest.NewServer(f.store)
 	t.Cleanup(storeServer.Close)
@@ -68,6 +70,9 @@
 		strings.TrimPrefix(storeServer.URL, "http://")), 0o600), qt.IsNil)
 	f.settings, err = platform.LoadSettings(f.path)
 	f.Assert(err, qt.IsNil)
+	for _, opt := range opts {
+		opt(&f.settings)
+	}
 	router, stop, err := New(f.path, f.settings, log)
 	f.Assert(err, qt.IsNil)
 	f.router = router
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -33,6 +33,8 @@
 		Targets          []targetView `json:"targets"`
 		// Quarantine holds the prompt parts that crash targets.
 		Quarantine []quarantineView `json:"quarantine"`
+		// Evacuations holds the failure domains that operators have evacuated.
+		Evacuations []evacuationView `json:"evacuations,omitempty"`
 	}
 
 	quarantineView struct {
@@ -52,6 +54,8 @@
 		Leaving       bool   `json:"leaving"`
 		// SaysLeaving is set if the target has said in an answer that it leaves.
 		SaysLeaving bool `json:"says-leaving,omitempty"`
+		// Evacuated is set if the target's failure domain is evacuated.
+		Evacuated bool `json:"evacuated,omitempty"`
 		// Limit is the number of calls a second that the target names, from all routers.
 		Limit *float64 `json:"limit,omitempty"`
 		// WaitMS is the time for which the target wants no requests from this router.
@@ -68,6 +72,7 @@
 		StoreEra: advertised.TargetsRevision.Era, TargetsRevision: advertised.TargetsRevision.Number, StoreAgeMS: advertised.StoreAge.Milliseconds(),
 		WatchesStore: r.fleet.WatchesStore(), CallsBeingServed: r.server.Active(),
 		CallerAddresses: r.fleet.CallerAddresses(r.settings.FailureDomain, 1<<10), Quarantine: r.quarantineViews(),
+		Evacuations: r.evacuationViews(),
 	}
 	limits, waits := r.targetLimits.Limits(time.Now()), r.targetBackoff.Waits(time.Now())
 	for service, targets := range v.Targets.ByService {
@@ -75,7 +80,7 @@
 			t := targets[i]
 			entry := targetView{
 				ID: t.ID, Service: service, Address: t.Address, FailureDomain: t.FailureDomain, Leaving: t.Draining, SaysLeaving: t.Leaving,
-				WaitMS: waits[t.Hash].Milliseconds(), Summary: s,
+				Evacuated: t.Evacuated, WaitMS: waits[t.Hash].Milliseconds(), Summary: s,
 			}
 			if limit, ok := limits[t.Hash]; ok {
 				entry.Limit = &limit
