--- a/internal/fleet/storewatch/evacuations.go
+++ b/internal/fleet/storewatch/evacuations.go
@@ -107,12 +107,17 @@
 	case ok && page.Revision.Before(known.Revision):
 		return false
 	}
-	domains := make([]string, 0, len(page.Objects))
+	domains, skipped := make([]string, 0, len(page.Objects)), 0
 	for _, o := range page.Objects {
-		if name, valid := w.decodeEvacuation(o); valid && !o.Deleted {
+		name, valid := platform.DecodeEvacuation(o)
+		switch {
+		case !valid:
+			skipped++
+		case !o.Deleted:
 			domains = append(domains, name)
 		}
 	}
+	w.logSkippedEvacuations(skipped)
 	w.replaceEvacuations(Evacuations{Revision: page.Revision, provisional: provisional}, domains, originStore)
 	return true
 }
@@ -129,9 +134,9 @@
 	}
 	domains := known.Names()
 	for _, o := range page.Objects {
-		name, valid := w.decodeEvacuation(o)
+		name, valid := platform.DecodeEvacuation(o)
 		if !valid {
-			continue
+			continue // The next list logs it.
 		}
 		domains = slices.DeleteFunc(domains, func(d string) bool { return d == name })
 		if !o.Deleted {
@@ -141,13 +146,13 @@
 	w.replaceEvacuations(Evacuations{Revision: page.Revision}, domains, originStore)
 }
 
-// decodeEvacuation returns the failure domain that an entry names, and whether it names one.
-func (w *Watcher) decodeEvacuation(o platform.Object) (string, bool) {
-	name, ok := platform.DecodeEvacuation(o)
-	if !ok {
-		w.log.Info().Int("name-bytes", len(o.Name)).Uint64("revision", o.Revision).Msg("entry of an evacuation skipped")
+// logSkippedEvacuations logs how many entries of a list name no failure domain, unless as many did
+// before: lists are made every few seconds. w.mu must be held.
+func (w *Watcher) logSkippedEvacuations(n int) {
+	if n != w.evacuationsSkipped {
+		w.evacuationsSkipped = n
+		w.log.Warn().Int("entries", n).Msg("entries of evacuations skipped that name no failure domain")
 	}
-	return name, ok
 }
 
 // replaceEvacuations publishes a set with the given failure domains. Those that were evacuated
@@ -186,7 +191,10 @@
 	if len(domains) <= MaxEvacuatedDomains {
 		return domains
 	}
-	w.log.Warn().Int("domains", len(domains)).Int("limit", MaxEvacuatedDomains).Msg("too many evacuated failure domains")
+	if len(domains) != w.evacuationsFound {
+		w.evacuationsFound = len(domains)
+		w.log.Warn().Int("domains", len(domains)).Int("limit", MaxEvacuatedDomains).Msg("too many evacuated failure domains")
+	}
 	targets := w.targetsByDomain()
 	rank := func(domain string) int {
 		if targets[domain] > 0 {
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -116,6 +116,9 @@
 		// evacuationSendsLeft is how often other routers are still to be told of a changed set
 		// of evacuated failure domains.
 		evacuationSendsLeft int
+		// evacuationsSkipped and evacuationsFound are the last numbers of entries without a
+		// failure domain, and of failure domains beyond the limit, that were logged.
+		evacuationsSkipped, evacuationsFound int
 		// hasDepartures is set once the departures of earlier eras are known.
 		hasDepartures bool
 		// withheld is set while a listed target is not used only because its entry was removed
