--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -53,6 +53,10 @@
 	// responseMemoryFraction is the part of the process's memory that buffered large
 	// responses may use.
 	responseMemoryFraction = 0.15
+	// evacuatedFetchFraction is the part of the time after which no call may reach the targets of
+	// an evacuated failure domain in which other targets fetch from the caches there. The rest is
+	// for the time until this router knows of the evacuation, and for fetches in progress.
+	evacuatedFetchFraction = 0.5
 	// defaultLoadFactor is the load factor when the settings specify none.
 	defaultLoadFactor = 2
 	readHeaderTimeout = 2 * time.Second
@@ -120,7 +124,11 @@
 	r.cleanups = append(r.cleanups, closeStore)
 	r.watcher = storewatch.New(store, log, func(change *storewatch.Delta) { r.fleet.SendNow(change) },
 		func() bool { return r.fleet.StoreServesPeers() },
-		storewatch.WithBounds(s.Bounds.ConfigurationApply, s.Bounds.Drain), storewatch.WithHeartbeat(s.Heartbeat))
+		storewatch.WithBounds(s.Bounds.ConfigurationApply, s.Bounds.Drain), storewatch.WithHeartbeat(s.Heartbeat),
+		storewatch.WithEvacuations(s.Bounds.Evacuate))
+	if s.Bounds.Evacuate > 0 {
+		metrics.GetOrCreateGauge(`hickoryrock_evacuated_domains`, r.countEvacuated)
+	}
 	metrics.GetOrCreateGauge(`hickoryrock_store_era`, func() float64 { return float64(r.watcher.View().Targets.Revision.Era) })
 	metrics.GetOrCreateGauge(`hickoryrock_configuration_behind_seconds`, func() float64 {
 		_, behind := r.newestConfiguration()
@@ -149,6 +157,7 @@
 		Quarantine: r.quarantine, Limits: r.targetLimits, Backoff: r.targetBackoff, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load, OthersServe: r.othersServe,
 		NewestConfiguration: r.newestConfiguration, Slots: r.slotSource(), HasPressure: s.HasPressure, Pace: r.pace, ColdLimit: r.coldLimit,
+		EvacuatedFetchTime: time.Duration(evacuatedFetchFraction * float64(s.Bounds.Evacuate)),
 		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	r.handler = handler
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -34,6 +34,8 @@
 		Targets          []targetView `json:"targets"`
 		// Quarantine holds the prompt parts that crash targets.
 		Quarantine []quarantineView `json:"quarantine"`
+		// Evacuations holds the failure domains that operators have evacuated.
+		Evacuations []evacuationView `json:"evacuations,omitempty"`
 	}
 
 	quarantineView struct {
@@ -53,6 +55,8 @@
 		Leaving       bool   `json:"leaving"`
 		// SaysLeaving is set if the target has said in an answer that it leaves.
 		SaysLeaving bool `json:"says-leaving,omitempty"`
+		// Evacuated is set if the target's failure domain is evacuated.
+		Evacuated bool `json:"evacuated,omitempty"`
 		// Limit is the number of calls a second that the target names, from all routers.
 		Limit *float64 `json:"limit,omitempty"`
 		// WaitMS is the time for which the target wants no requests from this router.
@@ -73,6 +77,7 @@
 		StoreEra: advertised.TargetsRevision.Era, TargetsRevision: advertised.TargetsRevision.Number, StoreAgeMS: advertised.StoreAge.Milliseconds(),
 		WatchesStore: r.fleet.WatchesStore(), CallsBeingServed: r.server.Active(),
 		CallerAddresses: r.fleet.CallerAddresses(r.settings.FailureDomain, 1<<10), Quarantine: r.quarantineViews(),
+		Evacuations: r.evacuationViews(),
 	}
 	limits, waits := r.targetLimits.Limits(time.Now()), r.targetBackoff.Waits(time.Now())
 	warming := make(map[uint64]targetpace.Warming)
@@ -84,7 +89,7 @@
 			t := targets[i]
 			entry := targetView{
 				ID: t.ID, Service: service, Address: t.Address, FailureDomain: t.FailureDomain, Leaving: t.Draining, SaysLeaving: t.Leaving,
-				WaitMS: waits[t.Hash].Milliseconds(), Summary: s,
+				Evacuated: t.Evacuated, WaitMS: waits[t.Hash].Milliseconds(), Summary: s,
 			}
 			if w, ok := warming[t.Hash]; ok {
 				entry.Pace, entry.PaceReason = w.Pace.String(), w.Why
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -307,6 +307,7 @@
 			f.sendLimits()
 			f.sendWindows()
 			f.sendDepartures()
+			f.sendEvacuations()
 			f.markLost(now)
 		}
 	}
