--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -158,7 +158,7 @@
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load, OthersServe: r.othersServe,
 		NewestConfiguration: r.newestConfiguration, Slots: r.slotSource(), HasPressure: s.HasPressure, Pace: r.pace, ColdLimit: r.coldLimit,
 		EvacuatedFetchTime: time.Duration(evacuatedFetchFraction * float64(s.Bounds.Evacuate)),
-		ResponseMemory: int64(responseMemoryFraction * float64(s.MemoryBytes)),
+		ResponseMemory:     int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
 	r.handler = handler
 	metrics.GetOrCreateGauge(`hickoryrock_answer_memory_bytes`, func() float64 { return float64(handler.AnswerMemory()) })
--- a/internal/policy/eligibility/eligibility_test.go
+++ b/internal/policy/eligibility/eligibility_test.go
@@ -45,8 +45,12 @@
 // not apply to all targets.
 func TestRefusalNamesTheReasonThatEndsFirst(t *testing.T) {
 	const second = time.Second
-	backoff := func(d time.Duration) eligibility.Verdict { return eligibility.Verdict{Reason: eligibility.Backoff, Wait: d} }
-	limited := func(d time.Duration) eligibility.Verdict { return eligibility.Verdict{Reason: eligibility.Limited, Wait: d} }
+	backoff := func(d time.Duration) eligibility.Verdict {
+		return eligibility.Verdict{Reason: eligibility.Backoff, Wait: d}
+	}
+	limited := func(d time.Duration) eligibility.Verdict {
+		return eligibility.Verdict{Reason: eligibility.Limited, Wait: d}
+	}
 	target := func(hash uint64) *state.Target { return &state.Target{Hash: hash} }
 	evacuated := &state.Target{Hash: 9, Evacuated: true}
 	for name, tc := range map[string]struct {
