--- a/internal/policy/slots/estimate.go
+++ b/internal/policy/slots/estimate.go
@@ -11,9 +11,14 @@
 	// capacityTime is the weight, as a time, of the capacity by pace beside the measured
 	// rate of releases.
 	capacityTime = 250 * time.Millisecond
-	// minRateShare is the least part of the release rate that is assumed to be left by more
-	// urgent requests.
+	// minRateShare is the least part of the release rate that is assumed to be left by
+	// requests that go first. It bounds the late requests that are kept in an overload, and
+	// so the part of the grants that goes to overdue ones instead of punctual ones.
 	minRateShare = 0.1
+	// hopelessFactor is the multiple of the time left that the expected wait of a request
+	// must reach for it to be refused after it was queued: the estimate varies with each
+	// burst.
+	hopelessFactor = 2
 	// minRetryAfter and maxRetryAfter bound the wait on which a Retry-After is based.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
@@ -21,38 +26,54 @@
 	noTargetWait = time.Second
 )
 
-// canServe reports whether a request can be served before its deadline at the recent release
-// rate, and how long it would wait.
+// canServe reports whether a new request can be served in time, and how long it is expected
+// to wait. It can be if it will meet its latency objective or, late, will not wait for more
+// than its part of the time until its deadline.
 func (p *Pool) canServe(w *waiter) (time.Duration, bool) {
-	if !slices.ContainsFunc(p.listed, func(t *target) bool {
-		return t.limit() > 0 && !slices.Contains(w.Excluded, t.Hash)
-	}) {
+	rate := p.releaseRate(w.Excluded)
+	if rate <= 0 {
 		return noTargetWait, false
 	}
-	wait := p.expectedWait(w)
-	return wait, !p.now.Add(wait + p.usage.usual(w.Priority, p.now)).After(w.Deadline)
-}
-
-// expectedWait returns the time until a request gets a place.
-func (p *Pool) expectedWait(w *waiter) time.Duration {
-	ahead := 1
+	own := p.rank(w)
+	punctualAhead, allAhead := 1, 1
 	for _, other := range p.waiting {
-		if other != w && p.isServedBefore(other, w) {
-			ahead++
+		r := p.rank(other)
+		if r.compare(&own) < 0 {
+			punctualAhead++
+		}
+		if other.Priority <= w.Priority {
+			allAhead++
 		}
 	}
-	rate := p.releaseRate(w.Excluded)
-	if rate <= 0 {
-		return noTargetWait
-	}
-	left := rate
-	for kind := range kindOf(w.Priority) {
-		left -= p.usage.arrivals[kind].perSecond(p.now, rateHalfLife)
+	wait := waitFor(punctualAhead, rate, p.arrivalRate(kindOf(w.Priority)))
+	if own.class == punctual && p.canBeOnTime(w, wait) {
+		return wait, true
 	}
-	seconds := float64(ahead) / max(left, minRateShare*rate)
+	wait = waitFor(allAhead, rate, p.arrivalRate(maxKinds))
+	return wait, !p.now.Add(wait).After(w.overdueAt) && p.canEnd(w, wait)
+}
+
+// canEnd reports whether a call can end before its deadline after a wait.
+func (p *Pool) canEnd(w *waiter, wait time.Duration) bool {
+	return !p.now.Add(wait + p.usage.usual(w.Priority)).After(w.Deadline)
+}
+
+// waitFor returns the time until n calls are released at a rate a second of which a part is
+// taken by others.
+func waitFor(n int, rate, taken float64) time.Duration {
+	seconds := float64(n) / max(rate-taken, minRateShare*rate)
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
+// arrivalRate returns the recent requests a second of the kinds below a number.
+func (p *Pool) arrivalRate(kinds int) float64 {
+	sum := 0.0
+	for kind := range kinds {
+		sum += p.usage.arrivals[kind].perSecond(p.now, rateHalfLife)
+	}
+	return sum
+}
+
 // releaseRate returns the releases a second of the targets that are not excluded, while all
 // places are taken: as measured, or by the targets' pace if that was not the case lately.
 func (p *Pool) releaseRate(excluded []uint64) float64 {
@@ -77,21 +98,33 @@
 
 // refuseHopeless refuses the waiting requests that can no longer be served.
 func (p *Pool) refuseHopeless() {
-	for _, w := range slices.Clone(p.waiting) {
-		if !p.isHopeless(w) {
+	if len(p.waiting) == 0 {
+		return
+	}
+	type ranked struct {
+		*waiter
+		rank
+	}
+	order := make([]ranked, 0, len(p.waiting))
+	for _, w := range p.waiting {
+		order = append(order, ranked{w, p.rank(w)})
+	}
+	slices.SortFunc(order, func(a, b ranked) int { return a.compare(&b.rank) })
+	ahead := 1
+	for _, w := range order {
+		rate := p.releaseRate(w.Excluded)
+		wait := noTargetWait
+		if rate > 0 {
+			wait = waitFor(ahead, rate, 0)
+		}
+		left := w.Deadline.Sub(p.now) - p.usage.usual(w.waiter.Priority)
+		if rate > 0 && left >= 0 && wait <= hopelessFactor*left {
+			ahead++
 			continue
 		}
 		p.removeWaiting(w.Key)
-		p.reply(p.refuse(w.Key, p.expectedWait(w)))
-	}
-}
-
-func (p *Pool) isHopeless(w *waiter) bool {
-	if p.now.Add(p.usage.usual(w.Priority, p.now)).After(w.Deadline) {
-		return true
+		p.reply(p.refuse(w.Key, wait))
 	}
-	_, ok := p.canServe(w)
-	return !ok && p.now.Sub(w.arrivedAt) > 0
 }
 
 // retryAfter returns the time after which a refused call may be made again: the expected
--- a/internal/policy/slots/pool.go
+++ b/internal/policy/slots/pool.go
@@ -106,12 +106,8 @@
 	if t := p.choose(&r); t != nil {
 		return p.grant(&r, t)
 	}
-	r.Excluded = slices.Clone(r.Excluded)
-	if r.Objective.IsZero() {
-		r.Objective = r.Deadline
-	}
 	p.sequence++
-	w := &waiter{Request: r, arrivedAt: p.now, sequence: p.sequence}
+	w := newWaiter(r, p.sequence, p.now)
 	if wait, ok := p.canServe(w); !ok {
 		return p.refuse(r.Key, wait)
 	}
@@ -119,7 +115,8 @@
 	if len(p.waiting) > p.opts.Capacity {
 		shed := p.toShed()
 		p.removeWaiting(shed.Key)
-		reply := p.refuse(shed.Key, p.expectedWait(shed))
+		wait, _ := p.canServe(shed)
+		reply := p.refuse(shed.Key, wait)
 		if shed == w {
 			return reply
 		}
@@ -263,20 +260,22 @@
 // record uses what the end of a call tells about its target.
 func (p *Pool) record(l *lease, r Result) {
 	t := l.target
-	usual := p.usage.usual(l.priority, p.now)
+	usual := p.usage.usual(l.priority)
+	// A target that refuses or fails quickly has few calls in flight. It must not seem idle.
+	early := l.grantedAt.Add(earlyEndFactor * p.usage.usualLease(l.priority))
 	if r.HasLoad {
 		t.recordLoad(max(r.Running, 0)+max(r.Queued, 0), t.held, p.now)
 	}
 	switch {
 	case r.Refused:
 		t.recordRefusal(l.grantedAt, p.now)
-		t.recordEarlyEnd(l.grantedAt.Add(usual), p.now)
+		t.recordEarlyEnd(early, p.now)
 	case r.Succeeded:
 		t.recordSuccess()
 		t.pace.add(min(r.Took.Seconds()/usual.Seconds(), maxPace), 1, p.now, paceHalfLife)
-		p.usage.recordDuration(l.priority, r.Took, p.now)
+		p.usage.recordDurations(l.priority, r.Took, p.now.Sub(l.grantedAt), p.now)
 	default:
-		t.recordEarlyEnd(l.grantedAt.Add(usual), p.now)
+		t.recordEarlyEnd(early, p.now)
 	}
 }
 
--- a/internal/policy/slots/target.go
+++ b/internal/policy/slots/target.go
@@ -25,6 +25,10 @@
 	// It doubles up to maxRegain with each refusal in that time and no success since.
 	minRegain = 200 * time.Millisecond
 	maxRegain = 1600 * time.Millisecond
+	// earlyEndFactor is the multiple of the usual time for which a call that failed counts in
+	// the choice of a target, so that a target whose calls all fail gets half as many as the
+	// others.
+	earlyEndFactor = 2
 	// maxEarlyEnds bounds the remembered early ends of a target's calls.
 	maxEarlyEnds = 64
 )
@@ -45,9 +49,7 @@
 	reducedTo float64
 	reducedAt time.Time
 	regain    time.Duration
-	// earlyEnds holds, for calls that failed earlier than calls usually end, the time at
-	// which they would have ended. They count in the choice of a target until then, so that
-	// a target that fails quickly does not look idle.
+	// earlyEnds holds the times until which failed calls count in the choice of a target.
 	earlyEnds []time.Time
 }
 
@@ -94,8 +96,9 @@
 
 // slowness returns how long calls recently took at the target relative to the service.
 func (t *target) slowness(now time.Time) float64 {
-	t.pace.decay(now, paceHalfLife)
-	return min(max((t.pace.sum+paceWeight)/(t.pace.weight+paceWeight), minPace), maxPace)
+	pace := t.pace
+	pace.decay(now, paceHalfLife)
+	return min(max((pace.sum+paceWeight)/(pace.weight+paceWeight), minPace), maxPace)
 }
 
 // expectedTime returns the time that a further call is expected to take, relative to others.
--- a/internal/policy/slots/usage.go
+++ b/internal/policy/slots/usage.go
@@ -24,9 +24,11 @@
 type (
 	// usage holds recent statistics of a service.
 	usage struct {
-		durations [maxKinds]average
-		duration  average
-		arrivals  [maxKinds]average
+		// durations and leases are the seconds that calls take at their target, and those for
+		// which they occupy a place, by kind.
+		durations, leases [maxKinds]average
+		duration          average
+		arrivals          [maxKinds]average
 		// busy is the recent time in seconds in which requests waited, releases the number
 		// of releases in it.
 		busy, releases average
@@ -76,26 +78,32 @@
 	return int(a.weight)
 }
 
-func (u *usage) recordDuration(priority int, took time.Duration, now time.Time) {
-	u.durations[kindOf(priority)].add(took.Seconds(), 1, now, durationHalfLife)
+func (u *usage) recordDurations(priority int, took, lease time.Duration, now time.Time) {
+	kind := kindOf(priority)
+	u.durations[kind].add(took.Seconds(), 1, now, durationHalfLife)
 	u.duration.add(took.Seconds(), 1, now, durationHalfLife)
+	u.leases[kind].add(lease.Seconds(), 1, now, durationHalfLife)
 }
 
 // usual returns how long a call of a priority usually takes, above 0.
-func (u *usage) usual(priority int, now time.Time) time.Duration {
-	a := &u.durations[kindOf(priority)]
-	if a.decay(now, durationHalfLife); a.weight >= 1 {
-		return max(time.Duration(a.sum/a.weight*float64(time.Second)), time.Microsecond)
-	}
-	return u.mean()
+func (u *usage) usual(priority int) time.Duration {
+	return u.durations[kindOf(priority)].duration(u.mean())
+}
+
+// usualLease returns how long a call of a priority usually occupies a place, above 0.
+func (u *usage) usualLease(priority int) time.Duration {
+	return u.leases[kindOf(priority)].duration(u.mean())
 }
 
 // mean returns the mean duration of recent calls, above 0.
-func (u *usage) mean() time.Duration {
-	if u.duration.weight == 0 {
-		return unknownDuration
+func (u *usage) mean() time.Duration { return u.duration.duration(unknownDuration) }
+
+// duration returns the mean of an average of seconds, above 0, or a default if it is empty.
+func (a *average) duration(whenEmpty time.Duration) time.Duration {
+	if a.weight == 0 {
+		return whenEmpty
 	}
-	return max(time.Duration(u.duration.sum/u.duration.weight*float64(time.Second)), time.Microsecond)
+	return max(time.Duration(a.sum/a.weight*float64(time.Second)), time.Microsecond)
 }
 
 // recordTime records that requests have waited, or not, from one time to another.
