--- a/internal/policy/slots/order.go
+++ b/internal/policy/slots/order.go
@@ -50,7 +50,7 @@
 
 func newWaiter(r Request, sequence uint64, now time.Time) *waiter {
 	r.Excluded = slices.Clone(r.Excluded)
-	if r.Objective.IsZero() {
+	if r.Objective.IsZero() || r.Objective.After(r.Deadline) {
 		r.Objective = r.Deadline
 	}
 	wait := time.Duration(maxWaitShare * float64(r.Deadline.Sub(now)))
--- a/internal/policy/slots/pool.go
+++ b/internal/policy/slots/pool.go
@@ -33,8 +33,8 @@
 		waiting []*waiter
 		// nextEnd is the earliest end of a lease, or earlier. Valid if there is one.
 		nextEnd time.Time
-		// sequence is the number of requests that have waited.
-		sequence uint64
+		// sequence is the number of requests that have waited, grants that of all grants.
+		sequence, grants uint64
 		// ended holds the granted and cancelled requests that are over.
 		ended   *memory[Key, struct{}]
 		refused *memory[Key, Reply]
@@ -156,7 +156,8 @@
 
 // Expire ends the leases of calls whose deadline has passed and refuses the waiting requests
 // that can no longer be served. It returns these refusals and the replies to requests that
-// have waited.
+// have waited. It must be called every few milliseconds while requests wait: places also become
+// free as knowledge fades.
 func (p *Pool) Expire(now time.Time) []Reply {
 	p.advance(now)
 	p.refuseHopeless()
@@ -180,7 +181,8 @@
 	return Reply{}, false
 }
 
-// advance moves the pool to a time: leases end, and places that have become free are granted.
+// advance moves the pool to a time: leases and requests end at their deadline, and places that
+// have become free are granted.
 func (p *Pool) advance(now time.Time) {
 	if now.After(p.now) {
 		p.usage.recordTime(p.now, now, len(p.waiting) > 0)
@@ -189,9 +191,21 @@
 	p.ended.expire(p.now)
 	p.refused.expire(p.now)
 	p.expireLeases()
+	p.expireWaiting()
 	p.dispatch()
 }
 
+// expireWaiting refuses the waiting requests whose deadline has passed.
+func (p *Pool) expireWaiting() {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
+		isOver := !w.Deadline.After(p.now)
+		if isOver {
+			p.reply(p.refuse(w.Key, minRetryAfter))
+		}
+		return isOver
+	})
+}
+
 func (p *Pool) expireLeases() {
 	if len(p.leases) == 0 || p.now.Before(p.nextEnd) {
 		return
@@ -223,7 +237,7 @@
 }
 
 // choose returns the target with room where a request is expected to take the shortest time,
-// or nil.
+// of several the one that was granted least recently, or nil.
 func (p *Pool) choose(r *Request) *target {
 	if len(p.leases) >= maxLeases {
 		return nil
@@ -234,7 +248,8 @@
 		if !t.hasRoom(p.now) || slices.Contains(r.Excluded, t.Hash) {
 			continue
 		}
-		if expected := t.expectedTime(p.now); best == nil || expected < shortest {
+		expected := t.expectedTime(p.now)
+		if best == nil || expected < shortest || (expected == shortest && t.lastGrant < best.lastGrant) {
 			best, shortest = t, expected
 		}
 	}
@@ -248,7 +263,9 @@
 	}
 	p.leases[r.Key] = l
 	t.held++
-	p.usage.recordGrant(r.Workspace, r.Priority, p.now)
+	p.grants++
+	t.lastGrant = p.grants
+	p.usage.recordGrant(r.Workspace, p.now)
 	return Reply{Key: r.Key, Kind: Granted, Target: t.Hash}
 }
 
@@ -279,8 +296,9 @@
 		t.recordEarlyEnd(early, p.now)
 	case r.Succeeded:
 		t.recordSuccess()
-		t.pace.add(min(r.Took.Seconds()/usual.Seconds(), maxPace), 1, p.now, paceHalfLife)
-		p.usage.recordDurations(l.priority, r.Took, p.now.Sub(l.grantedAt), p.now)
+		took := max(r.Took, 0)
+		t.pace.add(min(took.Seconds()/usual.Seconds(), maxPace), 1, p.now, paceHalfLife)
+		p.usage.recordDurations(l.priority, took, p.now.Sub(l.grantedAt), p.now)
 	default:
 		t.recordEarlyEnd(early, p.now)
 	}
--- a/internal/policy/slots/target.go
+++ b/internal/policy/slots/target.go
@@ -42,6 +42,8 @@
 	// because their release seems to be lost.
 	held, lost int
 	absent     absence
+	// lastGrant is the number of the last grant among all of the pool.
+	lastGrant uint64
 	// others is the number of calls that others had there as of othersAt.
 	others   float64
 	othersAt time.Time
--- a/internal/policy/slots/usage.go
+++ b/internal/policy/slots/usage.go
@@ -1,8 +1,6 @@
 package slots
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// unknownDuration is the duration of calls that is assumed before the first one ends.
@@ -44,7 +42,7 @@
 	u.arrivals[kindOf(priority)].add(0, 1, now, rateHalfLife)
 }
 
-func (u *usage) recordGrant(workspace uint64, _ int, now time.Time) {
+func (u *usage) recordGrant(workspace uint64, now time.Time) {
 	a := u.workspaces[workspace]
 	if a == nil {
 		if len(u.workspaces) >= maxWorkspaces {
