--- a/internal/policy/slots/model_test.go
+++ b/internal/policy/slots/model_test.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	modelTime       = 60 * time.Second
 	modelWorkspaces = 8
 	modelKinds      = 3
 	// targetQueue is the number of calls that a target queues beyond its slots.
@@ -38,6 +37,7 @@
 	load struct {
 		name string
 		site
+		duration time.Duration
 		// burst multiplies the arrivals for 2 s of each 6 s, surge those of workspace 0 in the
 		// second third of the run, overload all.
 		burst, surge, overload float64
@@ -167,7 +167,7 @@
 
 // arrive starts a clump of three calls and plans the next one.
 func (m *model) arrive() {
-	if m.now > modelTime {
+	if m.now > m.duration {
 		return
 	}
 	rate := m.perSecond * max(m.overload, 1) * (1 + 0.3*math.Sin(2*math.Pi*m.now.Seconds()/11))
@@ -176,7 +176,7 @@
 	}
 	weights := 1.0 * modelWorkspaces
 	surge := 1.0
-	if m.surge > 0 && m.now > modelTime/3 && m.now < 2*modelTime/3 {
+	if m.surge > 0 && m.now > m.duration/3 && m.now < 2*m.duration/3 {
 		surge = m.surge
 		weights += surge - 1
 	}
@@ -293,7 +293,7 @@
 	for _, p := range m.pools {
 		m.deliver(p.Expire(m.time()))
 	}
-	if m.now < modelTime || len(m.asked) > 0 {
+	if m.now < m.duration || len(m.asked) > 0 {
 		m.after(expireTick, m.expire)
 	}
 }
