--- a/internal/policy/slots/pool.go
+++ b/internal/policy/slots/pool.go
@@ -9,10 +9,6 @@
 	// maxLeases bounds the leases, also those of targets that have left, whose releases can
 	// be lost.
 	maxLeases = 8192
-	// maxEnded and maxRefused bound the requests that are remembered after their end. A
-	// service of 36 slots and calls of 60 ms ends 6,000 in the usual retention.
-	maxEnded   = 16384
-	maxRefused = 4096
 	// maxReplies bounds the replies that are kept for the next call that returns replies.
 	// A client whose reply is dropped gets it when it repeats its request.
 	maxReplies = 1024
@@ -33,8 +29,8 @@
 		waiting []*waiter
 		// nextEnd is the earliest end of a lease, or earlier. Valid if there is one.
 		nextEnd time.Time
-		// sequence is the number of requests that have waited.
-		sequence uint64
+		// sequence is the number of requests that have waited, grants that of all grants.
+		sequence, grants uint64
 		// ended holds the granted and cancelled requests that are over.
 		ended   *memory[Key, struct{}]
 		refused *memory[Key, Reply]
@@ -50,6 +46,8 @@
 		priority  int
 		grantedAt time.Time
 		deadline  time.Time
+		// isLost is set if the release seems to be lost; the lease occupies no place then.
+		isLost bool
 	}
 )
 
@@ -58,8 +56,8 @@
 	o := newOptions(opts)
 	return &Pool{
 		opts: o, targets: make(map[uint64]*target), leases: make(map[Key]*lease),
-		ended:   newMemory[Key, struct{}](maxEnded, o.Retention),
-		refused: newMemory[Key, Reply](maxRefused, o.Retention),
+		ended:   newMemory[Key, struct{}](o.Remembered),
+		refused: newMemory[Key, Reply](o.Remembered),
 		usage:   newUsage(),
 	}
 }
@@ -106,12 +104,8 @@
 	if t := p.choose(&r); t != nil {
 		return p.grant(&r, t)
 	}
-	r.Excluded = slices.Clone(r.Excluded)
-	if r.Objective.IsZero() {
-		r.Objective = r.Deadline
-	}
 	p.sequence++
-	w := &waiter{Request: r, arrivedAt: p.now, sequence: p.sequence}
+	w := newWaiter(r, p.sequence, p.now)
 	if wait, ok := p.canServe(w); !ok {
 		return p.refuse(r.Key, wait)
 	}
@@ -119,7 +113,8 @@
 	if len(p.waiting) > p.opts.Capacity {
 		shed := p.toShed()
 		p.removeWaiting(shed.Key)
-		reply := p.refuse(shed.Key, p.expectedWait(shed))
+		wait, _ := p.canServe(shed)
+		reply := p.refuse(shed.Key, wait)
 		if shed == w {
 			return reply
 		}
@@ -136,7 +131,7 @@
 	if l := p.leases[k]; l != nil {
 		p.endLease(l)
 	}
-	p.ended.add(k, struct{}{}, p.now)
+	p.ended.add(k, struct{}{})
 	p.dispatch()
 	return p.takeReplies()
 }
@@ -150,14 +145,15 @@
 		p.endLease(l)
 	}
 	p.removeWaiting(k)
-	p.ended.add(k, struct{}{}, p.now)
+	p.ended.add(k, struct{}{})
 	p.dispatch()
 	return p.takeReplies()
 }
 
 // Expire ends the leases of calls whose deadline has passed and refuses the waiting requests
 // that can no longer be served. It returns these refusals and the replies to requests that
-// have waited.
+// have waited. It must be called every few milliseconds while requests wait: places also become
+// free as knowledge fades.
 func (p *Pool) Expire(now time.Time) []Reply {
 	p.advance(now)
 	p.refuseHopeless()
@@ -181,18 +177,29 @@
 	return Reply{}, false
 }
 
-// advance moves the pool to a time: leases end, and places that have become free are granted.
+// advance moves the pool to a time: leases and requests end at their deadline, and places that
+// have become free are granted.
 func (p *Pool) advance(now time.Time) {
 	if now.After(p.now) {
 		p.usage.recordTime(p.now, now, len(p.waiting) > 0)
 		p.now = now
 	}
-	p.ended.expire(p.now)
-	p.refused.expire(p.now)
 	p.expireLeases()
+	p.expireWaiting()
 	p.dispatch()
 }
 
+// expireWaiting refuses the waiting requests whose deadline has passed.
+func (p *Pool) expireWaiting() {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
+		isOver := !w.Deadline.After(p.now)
+		if isOver {
+			p.reply(p.refuse(w.Key, minRetryAfter))
+		}
+		return isOver
+	})
+}
+
 func (p *Pool) expireLeases() {
 	if len(p.leases) == 0 || p.now.Before(p.nextEnd) {
 		return
@@ -201,7 +208,7 @@
 	for k, l := range p.leases {
 		if !l.deadline.After(p.now) {
 			p.endLease(l)
-			p.ended.add(k, struct{}{}, p.now)
+			p.ended.add(k, struct{}{})
 			continue
 		}
 		if first || l.deadline.Before(p.nextEnd) {
@@ -224,7 +231,7 @@
 }
 
 // choose returns the target with room where a request is expected to take the shortest time,
-// or nil.
+// of several the one that was granted least recently, or nil.
 func (p *Pool) choose(r *Request) *target {
 	if len(p.leases) >= maxLeases {
 		return nil
@@ -235,7 +242,8 @@
 		if !t.hasRoom(p.now) || slices.Contains(r.Excluded, t.Hash) {
 			continue
 		}
-		if expected := t.expectedTime(p.now); best == nil || expected < shortest {
+		expected := t.expectedTime(p.now)
+		if best == nil || expected < shortest || (expected == shortest && t.lastGrant < best.lastGrant) {
 			best, shortest = t, expected
 		}
 	}
@@ -249,13 +257,19 @@
 	}
 	p.leases[r.Key] = l
 	t.held++
-	p.usage.recordGrant(r.Workspace, r.Priority, p.now)
+	p.grants++
+	t.lastGrant = p.grants
+	p.usage.recordGrant(r.Workspace, p.now)
 	return Reply{Key: r.Key, Kind: Granted, Target: t.Hash}
 }
 
 // endLease frees the place of a lease.
 func (p *Pool) endLease(l *lease) {
 	delete(p.leases, l.Key)
+	if l.isLost {
+		l.target.lost--
+		return
+	}
 	l.target.held--
 	p.usage.recordRelease(len(p.waiting) > 0, p.now)
 }
@@ -263,26 +277,30 @@
 // record uses what the end of a call tells about its target.
 func (p *Pool) record(l *lease, r Result) {
 	t := l.target
-	usual := p.usage.usual(l.priority, p.now)
-	if r.HasLoad {
-		t.recordLoad(max(r.Running, 0)+max(r.Queued, 0), t.held, p.now)
+	usual := p.usage.usual(l.priority)
+	// A target that refuses or fails quickly has few calls in flight. It must not seem idle.
+	early := l.grantedAt.Add(earlyEndFactor * p.usage.usualLease(l.priority))
+	if r.HasLoad && !l.isLost {
+		t.recordLoad(max(r.Running, 0)+max(r.Queued, 0), p.now)
+		p.freeLost(t)
 	}
 	switch {
 	case r.Refused:
 		t.recordRefusal(l.grantedAt, p.now)
-		t.recordEarlyEnd(l.grantedAt.Add(usual), p.now)
+		t.recordEarlyEnd(early, p.now)
 	case r.Succeeded:
 		t.recordSuccess()
-		t.pace.add(min(r.Took.Seconds()/usual.Seconds(), maxPace), 1, p.now, paceHalfLife)
-		p.usage.recordDuration(l.priority, r.Took, p.now)
+		took := max(r.Took, 0)
+		t.pace.add(min(took.Seconds()/usual.Seconds(), maxPace), p.now, paceHalfLife)
+		p.usage.recordDurations(l.priority, took, p.now.Sub(l.grantedAt), p.now)
 	default:
-		t.recordEarlyEnd(l.grantedAt.Add(usual), p.now)
+		t.recordEarlyEnd(early, p.now)
 	}
 }
 
 func (p *Pool) refuse(k Key, wait time.Duration) Reply {
 	reply := Reply{Key: k, Kind: Refused, RetryAfter: retryAfter(k, wait)}
-	p.refused.add(k, reply, p.now)
+	p.refused.add(k, reply)
 	return reply
 }
 
@@ -303,7 +321,7 @@
 // dropUnused forgets the targets that are neither listed nor have leases.
 func (p *Pool) dropUnused() {
 	for hash, t := range p.targets {
-		if !t.isListed && t.held == 0 {
+		if !t.isListed && t.held == 0 && t.lost == 0 {
 			delete(p.targets, hash)
 		}
 	}
