--- a/internal/peer/slotgrant/acquire.go
+++ b/internal/peer/slotgrant/acquire.go
@@ -109,12 +109,10 @@
 	if !a.ask() {
 		return a.giveUpSilent()
 	}
-	var timeout <-chan time.Time
-	var timer *time.Timer
+	t := &answerTimer{opts: &a.opts}
 	if !a.coordinator.IsSelf {
-		timer = time.NewTimer(a.opts.answerTimeout)
-		defer timer.Stop()
-		timeout = timer.C
+		t.start(a.opts.answerTimeout)
+		defer t.Stop()
 	}
 	isAnswerDue := true
 	for {
@@ -126,20 +124,21 @@
 			if reply, ok := a.finalReply(); ok {
 				return reply, nil
 			}
-			if isAnswerDue && timer != nil {
-				timer.Reset(a.opts.repeatInterval)
+			if isAnswerDue && !a.coordinator.IsSelf {
+				t.start(a.opts.repeatInterval)
 			}
 			isAnswerDue = false
-		case <-timeout:
+		case <-t.expired:
+			if isAnswerDue && t.extend() {
+				continue
+			}
 			if isAnswerDue || !a.ask() {
 				return a.giveUpSilent()
 			}
 			isAnswerDue = true
-			timer.Reset(a.opts.ackTimeout)
+			t.start(a.opts.ackTimeout)
 		case <-ctx.Done():
-			if reply, ok := a.abandon(); ok && reply.Kind == slots.Granted {
-				a.cancelGrant(reply.Serial)
-			}
+			a.discard()
 			return slots.Reply{}, eris.Wrap(ctx.Err(), "wait for a slot")
 		case <-a.closed:
 			return a.giveUp()
@@ -174,6 +173,13 @@
 	return slots.Reply{}, ErrNoCoordinator
 }
 
+// discard cancels the request, and its grant if that has arrived meanwhile.
+func (a *attempt) discard() {
+	if reply, ok := a.abandon(); ok && reply.Kind == slots.Granted {
+		a.cancelGrant(reply.Serial)
+	}
+}
+
 // abandon cancels the request, unless its final reply has arrived, which it returns.
 func (a *attempt) abandon() (slots.Reply, bool) {
 	a.mu.Lock()
--- a/internal/peer/slotgrant/failure_test.go
+++ b/internal/peer/slotgrant/failure_test.go
@@ -86,6 +86,26 @@
 	c.Assert(open(client), qt.Equals, 0)
 }
 
+// A router that has used its share of the CPU is paused for longer than the time limit. It
+// would take coordinators for silent whose answers it has not read yet.
+func TestPauseOfThisProcessIsNotSilence(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	r := newRawRouter(c)
+	client, _ := f.start(c, "127.0.0.1:0", limits)
+	f.setMembers(member(r.address()))
+	calls := 0
+	client.opts.pauseGrace, client.opts.timerNow = patience, func() time.Time {
+		calls++
+		return time.Now().Add(time.Duration(calls) * time.Second) // All timers appear to be late.
+	}
+	grants, _ := acquire(context.Background(), client, f.newRequest())
+	time.Sleep(2 * answerTimeout)
+	r.grantNext(client)
+	client.Release(receive(c, grants), slots.Result{})
+	c.Assert(client.routing.silent, qt.HasLen, 0)
+}
+
 // Every call would lose 25 ms while the first router does not answer, and a router that
 // answers again would remain unused.
 func TestFailoverToSecondRankAndBack(t *testing.T) {
@@ -240,6 +260,33 @@
 	c.Assert(open(client), qt.Equals, 0)
 }
 
+// A grant that arrives in the instant in which a call gives up would be used by nobody; a call
+// that only stops to wait can still use it.
+func TestGrantWhileGivingUp(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	r := newRawRouter(c)
+	client, _ := f.start(c, "127.0.0.1:0")
+	for _, isUsed := range []bool{true, false} {
+		a := client.newAttempt(f.newRequest(), member(r.address()), f.now())
+		reply := slots.Reply{Key: a.request.Key, Kind: slots.Granted, Target: targetA}
+		c.Assert(client.deliver(reply, r.address()), qt.IsTrue)
+		if isUsed {
+			got, err := a.giveUpSilent()
+			c.Assert(err, qt.IsNil)
+			c.Assert(got, qt.Equals, reply)
+			c.Assert(client.routing.silent, qt.HasLen, 0)
+			c.Assert(open(client), qt.Equals, 1)
+			client.Release(Grant{serial: got.Serial}, slots.Result{})
+			c.Assert(r.receive().GetRelease().GetSerial(), qt.Equals, got.Serial)
+			continue
+		}
+		a.discard()
+		c.Assert(r.receive().GetRequest().GetCancel(), qt.IsTrue)
+	}
+	c.Assert(open(client), qt.Equals, 0)
+}
+
 // A repeated grant must not end the lease of a call that is in progress, and one of another
 // target, as from a restarted coordinator, must not take a slot.
 func TestRepeatedGrant(t *testing.T) {
--- a/internal/peer/slotgrant/options.go
+++ b/internal/peer/slotgrant/options.go
@@ -14,6 +14,9 @@
 		answerTimeout, repeatInterval, ackTimeout time.Duration
 		poolOptions                               []slots.Option
 		now                                       func() time.Time
+		// pauseGrace is the constant of that name, and timerNow the time that timers follow.
+		pauseGrace time.Duration
+		timerNow   func() time.Time
 	}
 )
 
@@ -36,7 +39,10 @@
 }
 
 func newOptions(opts []Option) options {
-	o := options{answerTimeout: answerTimeout, repeatInterval: repeatInterval, ackTimeout: ackTimeout, now: time.Now}
+	o := options{
+		answerTimeout: answerTimeout, repeatInterval: repeatInterval, ackTimeout: ackTimeout, now: time.Now,
+		pauseGrace: pauseGrace, timerNow: time.Now,
+	}
 	for _, opt := range opts {
 		opt(&o)
 	}
