--- a/internal/fleet/storewatch/evacuations_test.go
+++ b/internal/fleet/storewatch/evacuations_test.go
@@ -59,8 +59,8 @@
 // newStoreOfTwoDomains returns a store with the targets i-1 in east and i-2 in west.
 func newStoreOfTwoDomains() *platformtest.Store {
 	store := platformtest.NewStore()
-	store.Set(platformtest.KindTargets, "i-1", platformtest.TargetIn(east, "10.0.0.1:80"))
-	store.Set(platformtest.KindTargets, "i-2", platformtest.TargetIn(west, "10.0.0.2:80"))
+	store.Set(platformtest.KindTargets, "i-1", platformtest.TargetIn(east, "10.0.0.1:80", "ready", 0))
+	store.Set(platformtest.KindTargets, "i-2", platformtest.TargetIn(west, "10.0.0.2:80", "ready", 0))
 	return store
 }
 
@@ -125,8 +125,8 @@
 func newUnwatched(t *testing.T) *fixture {
 	f := &fixture{C: qt.New(t), Watcher: storewatch.New(nil, zerolog.Nop(), nil, nil, storewatch.WithEvacuations(evacuationBound))}
 	f.list(eraOne, 50,
-		storewatch.TargetChange{Entry: platformtest.Entry("i-1", platformtest.TargetIn(east, "10.0.0.1:80"))},
-		storewatch.TargetChange{Entry: platformtest.Entry("i-2", platformtest.TargetIn(west, "10.0.0.2:80"))})
+		storewatch.TargetChange{Entry: platformtest.Entry("i-1", platformtest.TargetIn(east, "10.0.0.1:80", "ready", 0))},
+		storewatch.TargetChange{Entry: platformtest.Entry("i-2", platformtest.TargetIn(west, "10.0.0.2:80", "ready", 0))})
 	return f
 }
 
@@ -163,7 +163,7 @@
 	f := watchTwoDomains(t, newStoreOfTwoDomains())
 	f.evacuate(east)
 	f.assertEvacuated(east)
-	f.store.Set(platformtest.KindTargets, "i-3", platformtest.TargetIn(east, "10.0.0.3:80"))
+	f.store.Set(platformtest.KindTargets, "i-3", platformtest.TargetIn(east, "10.0.0.3:80", "ready", 0))
 	f.assertEvacuated(east, east)
 	f.store.Remove(platformtest.KindTargets, "i-1")
 	f.assertEvacuated(east)
--- a/internal/node/edge/evacuations_test.go
+++ b/internal/node/edge/evacuations_test.go
@@ -69,8 +69,8 @@
 	f.Assert(err, qt.IsNil)
 	t.Cleanup(stop)
 	f.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.Configuration(1))
-	f.store.Set(platformtest.KindTargets, "i-1", platformtest.TargetIn("east", f.target.Address()))
-	f.store.Set(platformtest.KindTargets, "i-2", platformtest.TargetIn("west", west.Address()))
+	f.store.Set(platformtest.KindTargets, "i-1", platformtest.TargetIn("east", f.target.Address(), "ready", 0))
+	f.store.Set(platformtest.KindTargets, "i-2", platformtest.TargetIn("west", west.Address(), "ready", 0))
 	f.eventually("the targets, and that no domain is evacuated, are known", func() bool {
 		_, known := f.router.watcher.Evacuations()
 		status, _ := f.call("/a")
--- a/internal/peer/gossip/evacuations_test.go
+++ b/internal/peer/gossip/evacuations_test.go
@@ -31,7 +31,7 @@
 	f.evacuationBound = evacuationBound
 	f.configure(1)
 	for _, domain := range []string{"east", "west"} {
-		f.store.Set(platformtest.KindTargets, "i-"+domain, platformtest.TargetIn(domain, "10.0.0.1:80"))
+		f.store.Set(platformtest.KindTargets, "i-"+domain, platformtest.TargetIn(domain, "10.0.0.1:80", "ready", 0))
 	}
 	var routers []*router
 	for i := range n {
--- a/internal/soak/oracle/oracle.go
+++ b/internal/soak/oracle/oracle.go
@@ -19,6 +19,8 @@
 	CallToDrainingTarget  Invariant = "a draining target received a new call"
 	ConfigurationLate     Invariant = "a configuration was not in force in time"
 	ConfigurationReverted Invariant = "a router reverted to an older configuration"
+	CallToEvacuatedTarget Invariant = "a target of an evacuated failure domain received a call"
+	InterruptedEvacuated  Invariant = "an evacuation interrupted a call in progress"
 	InterruptedByStop     Invariant = "a planned stop interrupted a call"
 	WorkAfterDisconnect   Invariant = "a target kept working for a caller that has disconnected"
 	TooFewServed          Invariant = "too few calls were served without faults"
@@ -76,6 +78,11 @@
 		// latest one ended.
 		activeFaults int
 		lastFaultEnd time.Time
+		// domains holds the failure domains of targets.
+		domains map[string]string
+		// evacuated holds the time since which each evacuated failure domain is, and
+		// evacuatedLast the start of the latest evacuation of each.
+		evacuated, evacuatedLast map[string]time.Time
 	}
 )
 
@@ -86,6 +93,7 @@
 		start: now, lastFaultEnd: now, runs: make(map[string]int), arrivals: make(map[string]int),
 		refused: make(map[string]string), counts: make(map[Invariant]int), outcomes: make(map[string]int),
 		disconnected: make(map[string]time.Time), work: make(map[string]*work),
+		domains: make(map[string]string), evacuated: make(map[string]time.Time), evacuatedLast: make(map[string]time.Time),
 	}
 }
 
@@ -153,7 +161,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[call]++
-	r.work[call] = &work{target: target}
+	r.work[call] = &work{target: target, began: time.Now()}
 	atMostOnce := maxRuns == 1
 	switch {
 	case r.runs[call] > maxRuns && atMostOnce:
--- a/internal/soak/oracle/stops.go
+++ b/internal/soak/oracle/stops.go
@@ -42,9 +42,9 @@
 
 	// work is the latest run of a call at a target; ended is zero while it goes on.
 	work struct {
-		target   string
-		ended    time.Time
-		brokeOff bool
+		target       string
+		began, ended time.Time
+		brokeOff     bool
 	}
 )
 
--- a/internal/soak/scenario/faults.go
+++ b/internal/soak/scenario/faults.go
@@ -136,6 +136,9 @@
 // plannedEvents returns the events that are planned changes.
 func (tb *testbed) plannedEvents() []event {
 	planned := slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
+	if tb.options.Evacuations {
+		planned = append(planned, evacuateDomain, evacuateDomain)
+	}
 	if !tb.options.RealCallers {
 		return planned
 	}
@@ -217,7 +220,7 @@
 			ids = append(ids, id)
 		}
 	}
-	if len(ids) <= targetCount/2 {
+	if tb.countUsable("") <= targetCount/2 {
 		return nil
 	}
 	slices.Sort(ids)
--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -60,6 +60,8 @@
 		Duration time.Duration
 		// StoreReturns lets the store also come back from earlier states.
 		StoreReturns bool
+		// Evacuations lets operators also evacuate failure domains.
+		Evacuations bool
 		// RealCallers lets callers and planned stops do what they do on the users' platform,
 		// with its grace period.
 		RealCallers bool
@@ -109,6 +111,9 @@
 	if o.RealCallers {
 		tb.events = append(slices.Clone(tb.events), pauseDraining, pauseDraining)
 	}
+	if o.Evacuations {
+		tb.events = append(slices.Clone(tb.events), evacuateDomain, evacuateDomains)
+	}
 	for _, r := range tb.routers {
 		tb.waitReady(r)
 	}
--- a/internal/soak/scenario/run_test.go
+++ b/internal/soak/scenario/run_test.go
@@ -42,13 +42,15 @@
 		seed         uint64
 		storeReturns bool
 		realCallers  bool
+		evacuations  bool
 	}{
-		{"the seed of CI", 1, false, false},
-		{"a store that comes back from earlier states", 2, true, false},
-		{"callers and stops as on the users' platform", 3, true, true},
+		{"the seed of CI", 1, false, false, false},
+		{"a store that comes back from earlier states", 2, true, false, false},
+		{"callers and stops as on the users' platform", 3, true, true, false},
+		{"evacuated failure domains", 4, true, false, true},
 		// A resumable stream was abandoned when its target paused, although the retry
 		// budget was exhausted: forward.TestSilentTargetIsAbandonedOnlyForAnother.
-		{"a silent target without budget", 206, false, false},
+		{"a silent target without budget", 206, false, false, false},
 	}
 	for _, run := range runs {
 		t.Run(run.name, func(t *testing.T) {
@@ -58,7 +60,7 @@
 			c := qt.New(t)
 			dir := t.TempDir()
 			report, err := scenario.Run(scenario.Options{
-				Program: program, Dir: dir, Seed: run.seed, StoreReturns: run.storeReturns, RealCallers: run.realCallers, Self: self,
+				Program: program, Dir: dir, Seed: run.seed, StoreReturns: run.storeReturns, RealCallers: run.realCallers, Evacuations: run.evacuations, Self: self,
 				Duration: shortRun, Out: t.Output(),
 			})
 			c.Assert(err, qt.IsNil)
--- a/internal/soak/scenario/testbed.go
+++ b/internal/soak/scenario/testbed.go
@@ -64,6 +64,8 @@
 		// versionTimes holds the time at which the store acknowledged each version of
 		// the configuration; version 1 is at index 0.
 		versionTimes []time.Time
+		// evacuated holds the failure domains that are evacuated.
+		evacuated map[string]bool
 	}
 
 	router struct {
@@ -76,8 +78,10 @@
 		callerProxy *faultproxy.Proxy
 		storeProxy  *faultproxy.Proxy
 
-		grace   time.Duration
-		logLine func(string)
+		grace time.Duration
+		// evacuateTime is the bound on evacuations in the settings, or zero.
+		evacuateTime time.Duration
+		logLine      func(string)
 
 		mu       sync.Mutex
 		revision int
@@ -94,6 +98,8 @@
 		*traffic.Target
 		crash       func()
 		incarnation int
+		// domain is the target's failure domain, or empty in runs without evacuations.
+		domain string
 		// state is the state in the target's entry.
 		state string
 		// reserved targets are about to be stopped; no other event picks them.
@@ -106,7 +112,7 @@
 func newTestbed(o Options, logLine func(string)) (*testbed, func(), error) {
 	tb := &testbed{
 		recorder: oracle.New(), rng: rand.New(rand.NewPCG(o.Seed, 1)), options: o, logLine: logLine, grace: stopGrace,
-		store: platformtest.NewStore(), targets: make(map[string]*target),
+		store: platformtest.NewStore(), targets: make(map[string]*target), evacuated: make(map[string]bool),
 	}
 	if o.RealCallers {
 		tb.grace = realStopGrace
@@ -150,6 +156,9 @@
 		name: name, ip: ip, settingsPath: filepath.Join(dir, name+".json"), grace: tb.grace, logLine: tb.logLine,
 		newestServed: make(map[int]int),
 	}
+	if tb.options.Evacuations {
+		r.evacuateTime = traffic.EvacuateTime
+	}
 	probe, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", r.address())
 	if err != nil {
 		return fmt.Errorf("address of %q, possibly still in use by an earlier run: %w", name, err)
@@ -181,9 +190,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.revision++
-	domain := fmt.Sprintf("domain-%d", int(r.name[len(r.name)-1]-'0')%domainCount)
-	data := platformtest.FleetSettingsWithGrace(r.name, r.ip, domain, ports, r.storeProxy.Address(), r.revision,
-		int(r.grace.Seconds()))
+	domain := domainName(int(r.name[len(r.name)-1]-'0') % domainCount)
+	data := platformtest.FleetSettingsWithEvacuations(r.name, r.ip, domain, ports, r.storeProxy.Address(), r.revision,
+		int(r.grace.Seconds()), int(r.evacuateTime.Milliseconds()))
 	if err := os.WriteFile(r.settingsPath+".new", data, 0o600); err != nil {
 		return fmt.Errorf("settings of %q: %w", r.name, err)
 	}
@@ -214,8 +223,9 @@
 	tb.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration,
 		tb.configuration(len(tb.versionTimes)))
 	for id, t := range tb.targets {
-		tb.store.Set(platformtest.KindTargets, id, platformtest.Target(t.Proxy.Address(), t.state, t.incarnation))
+		tb.store.Set(platformtest.KindTargets, id, t.entry())
 	}
+	tb.rewriteEvacuations()
 	for _, id := range tb.store.Names(platformtest.KindTargets) {
 		if tb.targets[id] == nil {
 			tb.store.Remove(platformtest.KindTargets, id)
@@ -250,8 +260,10 @@
 	if err != nil {
 		return err
 	}
+	domain := tb.targetDomain(id)
+	tb.recorder.RecordDomain(id, domain)
 	tb.mu.Lock()
-	tb.targets[id] = &target{Target: t, crash: crash, incarnation: incarnation}
+	tb.targets[id] = &target{Target: t, crash: crash, incarnation: incarnation, domain: domain}
 	tb.mu.Unlock()
 	tb.registerTarget(id, "ready")
 	return nil
@@ -262,7 +274,7 @@
 	defer tb.mu.Unlock()
 	t := tb.targets[id]
 	t.state = state
-	tb.store.Set(platformtest.KindTargets, id, platformtest.Target(t.Proxy.Address(), state, t.incarnation))
+	tb.store.Set(platformtest.KindTargets, id, t.entry())
 }
 
 // removeTarget removes a target from the store and stops it.
--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -218,6 +218,7 @@
 		c.recorder.RecordOutcome(IgnoredOutcome + "cut by a stop, not run, but not at once")
 	case stopped:
 		c.recorder.RecordOutcome(fmt.Sprintf("%scut by a stop, excused: %s", IgnoredOutcome, excuse))
+	case excuse == oracle.Unexcused && c.recorder.CheckInterrupted(a.id):
 	case ran && excuse != oracle.TargetBrokeOff:
 		c.recorder.RecordOutcome(IgnoredOutcome + "cut without a fault or a stop")
 	}
--- a/internal/soak/traffic/target.go
+++ b/internal/soak/traffic/target.go
@@ -47,6 +47,9 @@
 	// drainDeadline is the time after which a draining target must get no more calls:
 	// 2 s, and a margin of 300 ms for late timers in busy processes.
 	drainDeadline = 2*time.Second + 300*time.Millisecond
+	// EvacuateTime is the time after which no call may reach the targets of an evacuated failure
+	// domain, as in the routers' settings.
+	EvacuateTime = 2500 * time.Millisecond
 	// disconnectDeadline is the time after which a target must have noticed that a
 	// caller has disconnected, with the same margin included.
 	disconnectDeadline = 800 * time.Millisecond
@@ -134,6 +137,9 @@
 		return t.write(c, platformtest.Misdirected(r))
 	}
 	t.checkDrained(forwarded, drainingSince)
+	if forwarded.ExpectedTarget != "" {
+		t.recorder.CheckEvacuated(forwarded.Call, t.ID, EvacuateTime)
+	}
 	t.recorder.RecordArrival(forwarded.Call)
 	fault := t.drawFault()
 	if fault == RefuseNotRun {
