--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -104,16 +104,7 @@
 		return Report{}, err
 	}
 	defer stop()
-	tb.events = events
-	if o.StoreReturns {
-		tb.events = append(slices.Clone(events), storeReturns, storeReturns) // Twice as often as others.
-	}
-	if o.RealCallers {
-		tb.events = append(slices.Clone(tb.events), pauseDraining, pauseDraining)
-	}
-	if o.Evacuations {
-		tb.events = append(slices.Clone(tb.events), evacuateDomain, evacuateDomains)
-	}
+	tb.events = o.faultEvents()
 	for _, r := range tb.routers {
 		tb.waitReady(r)
 	}
@@ -152,6 +143,22 @@
 	return report, nil
 }
 
+// faultEvents returns the events of fault phases. Those that are not in all runs are twice as
+// frequent as others.
+func (o Options) faultEvents() []event {
+	all := slices.Clone(events)
+	if o.StoreReturns {
+		all = append(all, storeReturns, storeReturns)
+	}
+	if o.RealCallers {
+		all = append(all, pauseDraining, pauseDraining)
+	}
+	if o.Evacuations {
+		all = append(all, evacuateDomain, evacuateDomains)
+	}
+	return all
+}
+
 // runFaultPhase starts overlapping events and returns when all have ended.
 func (tb *testbed) runFaultPhase() {
 	duration := minFaultPhase + time.Duration(tb.rng.Int64N(int64(maxFaultPhase-minFaultPhase)))
