--- a/cmd/hickoryrock/main.go
+++ b/cmd/hickoryrock/main.go
@@ -13,12 +13,13 @@
 	"hickoryrock/internal/node/edge"
 	"hickoryrock/internal/node/router"
 	"hickoryrock/internal/operator/command"
+	"hickoryrock/internal/operator/configcommand"
 	"hickoryrock/internal/platform/objects"
 	"hickoryrock/internal/report/daily"
 )
 
 func main() {
-	os.Exit(run(slices.Concat(edge.Commands(), router.Commands(), command.Commands(), client.Commands(), daily.Commands())))
+	os.Exit(run(slices.Concat(edge.Commands(), configcommand.Commands(), router.Commands(), command.Commands(), client.Commands(), daily.Commands())))
 }
 
 // run executes the command that the process's arguments name and returns its exit code.
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -107,7 +107,7 @@
 func usage(w io.Writer, commands []Command) {
 	_, _ = fmt.Fprintln(w, "usage: hickoryrock COMMAND [flags]")
 	for _, c := range commands {
-		_, _ = fmt.Fprintf(w, "  %-14s %s\n", c.Name, c.Summary)
+		_, _ = fmt.Fprintf(w, "  %-19s %s\n", c.Name, c.Summary)
 	}
 }
 
