--- a/internal/policy/targetpace/options.go
+++ b/internal/policy/targetpace/options.go
@@ -18,6 +18,10 @@
 		// LiveRouters returns the routers that share windows. By default these are all known
 		// ones: the share of a router that has ended is unused.
 		LiveRouters Routers
+		// ProportionalShares gives one call in flight to as many of the routers as the window is
+		// a part of its goal. Routers with few and short calls do not use their shares
+		// otherwise. The window is the expected number of calls in flight then, and no bound.
+		ProportionalShares bool
 	}
 )
 
@@ -36,6 +40,11 @@
 	return func(o *Options) { o.LiveRouters = routers }
 }
 
+// WithProportionalShares divides windows that are smaller than the fleet by expected calls.
+func WithProportionalShares() Option {
+	return func(o *Options) { o.ProportionalShares = true }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{OnChange: func(Change) {}, ReportInterval: func() time.Duration { return defaultReportInterval }}
 	for _, opt := range opts {
--- a/internal/policy/targetpace/targetpace.go
+++ b/internal/policy/targetpace/targetpace.go
@@ -257,7 +257,7 @@
 	goal, hasGoal := t.goal(known.service)
 	switch {
 	case w.settlesIn(now) <= 0:
-		t.settle(known, "no-setback", now)
+		t.settle(known, "time", now)
 	case hasGoal && !known.cold.active && w.size() >= goal:
 		t.settle(known, "mean-reached", now)
 	}
--- a/internal/policy/targetpace/window.go
+++ b/internal/policy/targetpace/window.go
@@ -17,6 +17,10 @@
 	maxEpoch = math.MaxUint32 - 1
 	// settleTime is the time without a setback after which a target is settled.
 	settleTime = 5 * time.Second
+	// maxWarmTime is the time after which a target is settled although it has setbacks. What it
+	// refuses and fails is the matter of ejections and waits, which open a new window when they
+	// end; a target that is always slow would otherwise never get a share.
+	maxWarmTime = 10 * time.Second
 	// recoveryTime is the time in which routers notice the same recovery. After it, a recovery
 	// opens a new window if the last one has not changed for inUseTime.
 	recoveryTime = 2 * time.Second
@@ -61,25 +65,40 @@
 	t.advance(known, now)
 }
 
-// RecordSetback records a refusal, a failure or a slow first answer of a target; why names it in
-// kebab case. It halves the window, and has no effect on a settled target.
+// RecordSetback records a refusal or a failure of a target; why names it in kebab case. It halves
+// the window, and has no effect on a settled target.
 func (t *Tracker) RecordSetback(hash uint64, why string, now time.Time) {
 	t.lock(now)
 	defer t.unlock()
-	known := t.targets[hash]
-	if known == nil || !known.window.open {
-		return
+	if known := t.targets[hash]; known != nil && known.window.open {
+		known.window.steadySince = now
+		t.halve(known, 1, why, now)
+	}
+}
+
+// RecordSlow records that the first answer of a target took more than three times the usual time.
+// It halves the window, but not below the initial one, and does not put off the time at which the
+// target is settled: a target that is slow with two calls in flight is not slow because of them.
+func (t *Tracker) RecordSlow(hash uint64, now time.Time) {
+	t.lock(now)
+	defer t.unlock()
+	if known := t.targets[hash]; known != nil && known.window.open && known.window.size() > initialWindow {
+		steadySince := known.window.steadySince
+		t.halve(known, initialWindow, "slow", now)
+		known.window.steadySince = steadySince
 	}
+}
+
+// halve begins an epoch with half of the window, but not less than least. Within the time of a
+// report, routers see setbacks of calls that were sent under the same window; it is halved once
+// for all of them.
+func (t *Tracker) halve(known *target, least int, why string, now time.Time) {
 	w := &known.window
-	// Within the time of a report, routers see setbacks of calls that were sent under the same
-	// window; it is halved once for all of them.
-	isSame := !w.setbackAt.IsZero() && now.Sub(w.setbackAt) < t.opts.ReportInterval()+reportDelay
-	w.steadySince = now
-	if isSame {
+	if !w.setbackAt.IsZero() && now.Sub(w.setbackAt) < t.opts.ReportInterval()+reportDelay {
 		return
 	}
 	from := known.pace()
-	w.begin(w.epoch+1, uint32(w.size()/2), now)
+	w.begin(w.epoch+1, uint32(max(w.size()/2, least)), now)
 	w.setbackAt, w.reportsDue = now, maxReports
 	t.announce(known, from, why, now)
 }
@@ -159,13 +178,19 @@
 	return size
 }
 
-// share returns how many calls this router may have in flight at a target.
+// share returns how many calls this router may have in flight at a target. The shares of all
+// routers add up to the window, except for proportional ones.
 func (t *Tracker) share(known *target) int {
 	size, routers := t.limit(known), len(t.fleet.liveOthers)+1
 	share := size / routers
 	if t.ranks(known).live < size%routers {
 		share++
 	}
+	if share == 0 && t.opts.ProportionalShares {
+		if goal, ok := t.goal(known.service); ok && t.ranks(known).live < routers*size/goal {
+			return 1
+		}
+	}
 	return share
 }
 
@@ -182,7 +207,7 @@
 }
 
 func (w *window) settlesIn(now time.Time) time.Duration {
-	return settleTime - now.Sub(w.steadySince)
+	return min(settleTime-now.Sub(w.steadySince), maxWarmTime-now.Sub(w.openedAt))
 }
 
 // hasRecovered reports whether the window follows from a recovery that is noticed now.
--- a/internal/policy/targetpace/window_test.go
+++ b/internal/policy/targetpace/window_test.go
@@ -12,8 +12,8 @@
 
 // recovered returns the tracker of the only router, with a target that has just recovered in a
 // service with a high mean.
-func recovered(mean float64, opts ...targetpace.Option) *targetpace.Tracker {
-	tr := newTracker(1, 0, mean, opts...)
+func recovered(mean float64) *targetpace.Tracker {
+	tr := newTracker(1, 0, mean)
 	tr.Recovered(target, service, "ejection", after(joined))
 	return tr
 }
@@ -77,6 +77,29 @@
 		assertWindow(c, tr, joined+7900*time.Millisecond, 1)
 		assertNoWindow(c, tr, joined+8*time.Second)
 	})
+	// Guards against a target that is slow, or refuses calls, for long and never gets a share.
+	t.Run("is settled after 10 s in any case", func(t *testing.T) {
+		c := qt.New(t)
+		tr := recovered(40)
+		for at := joined; at < joined+9900*time.Millisecond; at += 100 * time.Millisecond {
+			tr.RecordSetback(target, "refused", after(at))
+		}
+		assertWindow(c, tr, joined+9900*time.Millisecond, 1)
+		assertNoWindow(c, tr, joined+10*time.Second)
+	})
+	// Guards against first answers of a target with cold caches that keep it at one call.
+	t.Run("a slow answer halves it down to two and does not put it off", func(t *testing.T) {
+		c := qt.New(t)
+		tr := recovered(40)
+		tr.RecordSlow(target, after(joined))
+		assertWindow(c, tr, joined, 2)
+		succeed(tr, 8, joined)
+		for i, want := range []int{5, 2, 2} {
+			tr.RecordSlow(target, after(joined+time.Duration(i+1)*time.Second))
+			assertWindow(c, tr, joined+time.Duration(i+1)*time.Second, want)
+		}
+		assertNoWindow(c, tr, joined+5*time.Second)
+	})
 	t.Run("has no goal while the mean is not known", func(t *testing.T) {
 		tr := recovered(-1)
 		succeed(tr, 98, joined)
@@ -172,6 +195,20 @@
 	}
 }
 
+// Guards against a fleet with few calls a router that leaves a window unused.
+func TestProportionalShares(t *testing.T) {
+	for _, size := range []int{2, 4, 5, 8, 9} {
+		total := 0
+		for i := range 80 {
+			tr := newTracker(80, i, 8, targetpace.WithProportionalShares())
+			tr.Recovered(target, service, "ejection", after(joined))
+			succeed(tr, size-2, joined)
+			total += fill(tr, joined)
+		}
+		qt.Assert(t, total, qt.Equals, 8*size, qt.Commentf("window %d of 10", size))
+	}
+}
+
 // Guards against a killed router whose share of a small window blocks the target.
 func TestShareOfAKilledRouterIsTakenOver(t *testing.T) {
 	c := qt.New(t)
