--- /dev/null
+++ b/internal/policy/targetpace/model_test.go
@@ -0,0 +1,432 @@
+package targetpace_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hickoryrock/internal/policy/targetpace"
+)
+
+const (
+	modelStep = time.Millisecond
+	// modelWarmUp is the number of calls after which the recovered target works at its usual
+	// pace.
+	modelWarmUp = 40
+	modelTime   = 12 * time.Second
+	// servedWindow is the time over which the rate of the target is measured.
+	servedWindow = 500 * time.Millisecond
+)
+
+var (
+	plainService  = modelService{"plain", 3, 6, 24, 30 * time.Millisecond, 150 * time.Millisecond, 192, 8}
+	engineService = modelService{"engines", 10, 64, 64, 500 * time.Millisecond, 1500 * time.Millisecond, 600, 3}
+)
+
+type (
+	// modelService is a service one of whose targets returns at zero.
+	modelService struct {
+		name                  string
+		targets, slots, queue int
+		// usual is the usual time of a call; one that takes longer than objective is late.
+		usual, objective time.Duration
+		// demand is in calls a second.
+		demand float64
+		// coldFactor is how much longer the first calls take after the return.
+		coldFactor float64
+	}
+
+	// way decides how many calls the routers send to the target.
+	way interface {
+		// begin reports whether a router may send a call now, and counts it if so.
+		begin(router int, now time.Duration) bool
+		// end records an answer: took is zero if it was refused.
+		end(router int, took, now time.Duration)
+		// report exchanges what the routers know.
+		report(now time.Duration)
+	}
+
+	modelCall struct {
+		router  int
+		sentAt  time.Duration
+		endsAt  time.Duration
+		running bool
+	}
+
+	model struct {
+		modelService
+		routers int
+		rand    *rand.Rand
+		way     way
+		// prefers is set if a router sends to the target whenever it may.
+		prefers bool
+		calls   []*modelCall
+		// servedTotal counts the answers.
+		servedTotal int
+		served      []time.Duration
+		// inFlight holds the calls at the target by time, as routers learn them late.
+		inFlight []int
+	}
+
+	// modelResult is a row of the table.
+	modelResult struct {
+		toShare time.Duration
+		// overshoot is the largest number of calls at the target until then, in means.
+		overshoot float64
+		// peak is the largest number of calls while the window applies at all routers.
+		peak          int
+		late, refused int
+		sent          int
+	}
+)
+
+func (m *model) mean() float64 { return m.demand / float64(m.targets) * m.usual.Seconds() }
+
+func (m *model) interval() time.Duration { return reportInterval(m.routers) }
+
+func reportInterval(routers int) time.Duration {
+	return 100 * time.Millisecond * time.Duration(1+routers/60)
+}
+
+// run plays the model and returns its measures.
+func (m *model) run() modelResult {
+	r := modelResult{toShare: modelTime}
+	fair := m.demand / float64(m.targets) * servedWindow.Seconds()
+	for now := time.Duration(0); now < modelTime; now += modelStep {
+		m.finish(now, &r)
+		for range poisson(m.rand, m.demand*modelStep.Seconds()) {
+			m.arrive(m.rand.IntN(m.routers), now, &r)
+		}
+		m.inFlight = append(m.inFlight, len(m.calls))
+		if r.toShare == modelTime {
+			r.overshoot = max(r.overshoot, float64(len(m.calls))/m.mean())
+		}
+		if w, ok := m.way.(*shared); ok && len(m.calls) > r.peak && !w.isSettled(now) {
+			r.peak = len(m.calls)
+		}
+		m.way.report(now)
+		for len(m.served) > 0 && m.served[0] < now-servedWindow {
+			m.served = m.served[1:]
+		}
+		if r.toShare == modelTime && float64(len(m.served)) >= 0.9*fair {
+			r.toShare = now
+		}
+	}
+	return r
+}
+
+// arrive sends a call of a router to the target, or to another one.
+func (m *model) arrive(router int, now time.Duration, r *modelResult) {
+	isChosen := (m.prefers && m.isLimited(router, now)) || m.chooses(router, now)
+	if !isChosen || !m.way.begin(router, now) {
+		return
+	}
+	r.sent++
+	if len(m.calls) >= m.slots+m.queue {
+		r.refused++
+		m.way.end(router, 0, now)
+		return
+	}
+	m.calls = append(m.calls, &modelCall{router: router, sentAt: now})
+	m.serve(now)
+}
+
+// isLimited reports whether a shared window applies at a router.
+func (m *model) isLimited(router int, now time.Duration) bool {
+	w, ok := m.way.(*shared)
+	if !ok {
+		return false
+	}
+	_, limited := w.tracker(router).Window(target, after(now))
+	return limited
+}
+
+// chooses takes the less loaded of two random targets, by loads that are as old as a report.
+func (m *model) chooses(router int, now time.Duration) bool {
+	if m.rand.Float64() > 2/float64(m.targets) {
+		return false
+	}
+	age := 50*time.Millisecond + (now+time.Duration(router)*7*time.Millisecond)%m.interval()
+	if m.rand.Float64() < lossRate {
+		age += m.interval()
+	}
+	seen := 0
+	if at := int((now - age) / modelStep); at >= 0 {
+		seen = m.inFlight[at]
+	}
+	return seen < poisson(m.rand, m.mean())
+}
+
+// serve starts waiting calls on free slots. Calls take longer until the target is warm.
+func (m *model) serve(now time.Duration) {
+	for _, c := range m.calls[:min(len(m.calls), m.slots)] {
+		if !c.running {
+			factor := 1 + (m.coldFactor-1)*max(1-float64(m.servedTotal)/modelWarmUp, 0)
+			c.running, c.endsAt = true, now+time.Duration(float64(m.usual)*factor*(0.5+m.rand.Float64()))
+		}
+	}
+}
+
+func (m *model) finish(now time.Duration, r *modelResult) {
+	m.calls = slices.DeleteFunc(m.calls, func(c *modelCall) bool {
+		if !c.running || c.endsAt > now {
+			return false
+		}
+		m.servedTotal++
+		m.served = append(m.served, now)
+		took := now - c.sentAt
+		if took > m.objective {
+			r.late++
+		}
+		m.way.end(c.router, took, now)
+		return true
+	})
+	m.serve(now)
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	n, limit := 0, math.Exp(-mean)
+	for p := r.Float64(); p > limit; p *= r.Float64() {
+		n++
+	}
+	return n
+}
+
+const lossRate = 0.1
+
+type (
+	// ramp lets a share of the calls through that grows to 1 in 5 s.
+	ramp struct{ rand *rand.Rand }
+
+	// localWindows holds a window for each router, which only knows its own calls.
+	localWindows struct {
+		flying []int
+		limits []float64
+		// next returns the limit after an answer.
+		next func(limit float64, took time.Duration) float64
+	}
+
+	// shared is what targetpace does: one window for the fleet.
+	shared struct {
+		rand  *rand.Rand
+		usual time.Duration
+		// slowIsSetback is set if a slow answer counts like a refusal.
+		slowIsSetback bool
+		// exact is set if one coordinator decides for all routers.
+		exact bool
+		// settled is set when the window does not apply at one of the routers any more.
+		settled    bool
+		trackers   []*targetpace.Tracker
+		deliveries []windowDelivery
+	}
+
+	windowDelivery struct {
+		at      time.Duration
+		to      int
+		from    uint64
+		reports []targetpace.Report
+	}
+)
+
+func (w ramp) begin(_ int, now time.Duration) bool {
+	return w.rand.Float64() < now.Seconds()/5
+}
+func (w ramp) end(int, time.Duration, time.Duration) {}
+func (w ramp) report(time.Duration)                  {}
+
+func newLocalWindows(routers int, next func(float64, time.Duration) float64) *localWindows {
+	w := &localWindows{flying: make([]int, routers), limits: make([]float64, routers), next: next}
+	for i := range w.limits {
+		w.limits[i] = 1
+	}
+	return w
+}
+
+func (w *localWindows) begin(router int, _ time.Duration) bool {
+	if float64(w.flying[router]) >= math.Floor(w.limits[router]) {
+		return false
+	}
+	w.flying[router]++
+	return true
+}
+
+func (w *localWindows) end(router int, took, _ time.Duration) {
+	w.flying[router]--
+	w.limits[router] = max(w.next(w.limits[router], took), 1)
+}
+func (w *localWindows) report(time.Duration) {}
+
+// newIncrease returns windows with additive increase and multiplicative decrease.
+func newIncrease(routers int, usual time.Duration) *localWindows {
+	return newLocalWindows(routers, func(limit float64, took time.Duration) float64 {
+		if took == 0 || took > 3*usual {
+			return limit / 2
+		}
+		return limit + 1/limit
+	})
+}
+
+// newGradient returns windows that follow the ratio of the usual time to the measured one.
+func newGradient(routers int, usual time.Duration) *localWindows {
+	return newLocalWindows(routers, func(limit float64, took time.Duration) float64 {
+		if took == 0 {
+			return limit / 2
+		}
+		gradient := min(max(1.5*usual.Seconds()/took.Seconds(), 0.5), 1)
+		return 0.8*limit + 0.2*(limit*gradient+math.Sqrt(limit))
+	})
+}
+
+func newShared(m *model, slowIsSetback, exact bool, opts ...targetpace.Option) *shared {
+	w := &shared{rand: m.rand, usual: m.usual, slowIsSetback: slowIsSetback, exact: exact}
+	usable := []uint64{target}
+	for i := range m.targets - 1 {
+		usable = append(usable, uint64(100+i))
+	}
+	for i := range m.routers {
+		if exact && i > 0 {
+			break
+		}
+		routers := among(m.routers, i)
+		if exact {
+			routers = among(1, 0)
+		}
+		tr := targetpace.NewTracker(routers, append(opts, targetpace.WithReportInterval(m.interval))...)
+		tr.SetMean(service, usable, m.mean(), start)
+		tr.Recovered(target, service, "ejection", start)
+		w.trackers = append(w.trackers, tr)
+	}
+	return w
+}
+
+func (w *shared) tracker(router int) *targetpace.Tracker {
+	if w.exact {
+		return w.trackers[0]
+	}
+	return w.trackers[router]
+}
+
+func (w *shared) isSettled(now time.Duration) bool {
+	for _, tr := range w.trackers {
+		if w.settled {
+			break
+		}
+		_, limited := tr.Window(target, after(now))
+		w.settled = !limited
+	}
+	return w.settled
+}
+
+func (w *shared) begin(router int, now time.Duration) bool {
+	return w.tracker(router).TryBegin(target, after(now))
+}
+
+func (w *shared) end(router int, took, now time.Duration) {
+	tr := w.tracker(router)
+	tr.End(target, after(now))
+	switch {
+	case took == 0:
+		tr.RecordSetback(target, "refused", after(now))
+	case took > 3*w.usual && w.slowIsSetback:
+		tr.RecordSetback(target, "slow", after(now))
+	case took > 3*w.usual:
+		tr.RecordSlow(target, after(now))
+	default:
+		tr.RecordSuccess(target, after(now))
+	}
+}
+
+func (w *shared) report(now time.Duration) {
+	w.deliveries = slices.DeleteFunc(w.deliveries, func(d windowDelivery) bool {
+		if d.at <= now {
+			w.trackers[d.to].Merge(d.from, d.reports, after(now))
+		}
+		return d.at <= now
+	})
+	if w.exact {
+		return
+	}
+	interval := reportInterval(len(w.trackers))
+	for i, tr := range w.trackers {
+		if now%interval != time.Duration(i)*modelStep%interval {
+			continue
+		}
+		reports := tr.TakeReport(after(now))
+		for to := range w.trackers {
+			if len(reports) > 0 && to != i && w.rand.Float64() >= lossRate {
+				at := now + 2*modelStep + time.Duration(w.rand.Int64N(int64(50*time.Millisecond)))
+				w.deliveries = append(w.deliveries, windowDelivery{at, to, uint64(i), reports})
+			}
+		}
+	}
+}
+
+// playModel plays a way over some seeds and returns the means of the measures, and the largest
+// overshoot.
+func playModel(s modelService, routers, seeds int, prefers bool, newWay func(*model) way) modelResult {
+	var sum modelResult
+	for seed := range seeds {
+		m := &model{modelService: s, routers: routers, rand: rand.New(rand.NewPCG(uint64(seed), 3)), prefers: prefers}
+		m.way = newWay(m)
+		r := m.run()
+		sum.toShare += r.toShare / time.Duration(seeds)
+		sum.overshoot = max(sum.overshoot, r.overshoot)
+		sum.peak = max(sum.peak, r.peak)
+		sum.late, sum.refused, sum.sent = sum.late+r.late, sum.refused+r.refused, sum.sent+r.sent
+	}
+	return sum
+}
+
+// Compares ways to give a recovered target its share, and prints a table. Guards against shares
+// that let more calls through than the window of the fleet; and against proportional ones that are
+// slower than a fixed ramp where calls are short, or with which more calls are late, or at the
+// target at once, than without a slow start.
+func TestWaysCompared(t *testing.T) {
+	seeds := 2
+	if testing.Verbose() {
+		seeds = 5
+	}
+	t.Logf("%-8s %7s  %-21s %9s %9s %5s %6s %8s %6s", "service", "routers", "way", "to-90%-s", "overshoot", "peak", "late", "refused", "sent")
+	for _, s := range []modelService{plainService, engineService} {
+		for _, routers := range []int{6, 79, 295} {
+			play := func(name string, prefers bool, newWay func(*model) way) modelResult {
+				r := playModel(s, routers, seeds, prefers, newWay)
+				t.Logf("%-8s %7d  %-21s %9.2f %9.1f %5d %6d %8d %6d", s.name, routers, name, r.toShare.Seconds(), r.overshoot, r.peak, r.late, r.refused, r.sent)
+				return r
+			}
+			none := play("none", false, func(m *model) way {
+				return newLocalWindows(m.routers, func(float64, time.Duration) float64 { return 1e9 })
+			})
+			fixed := play("fixed-ramp", false, func(m *model) way { return ramp{m.rand} })
+			_ = play("increase-decrease", false, func(m *model) way { return newIncrease(m.routers, m.usual) })
+			_ = play("latency-gradient", false, func(m *model) way { return newGradient(m.routers, m.usual) })
+			_ = play("share-slow-is-setback", false, func(m *model) way { return newShared(m, true, false) })
+			share := play("share", false, func(m *model) way { return newShared(m, false, false) })
+			preferred := play("share-preferred", true, func(m *model) way { return newShared(m, false, false) })
+			proportional := play("proportional-share", false, func(m *model) way {
+				return newShared(m, false, false, targetpace.WithProportionalShares())
+			})
+			exact := play("window-at-coordinator", true, func(m *model) way { return newShared(m, false, true) })
+			t.Run(fmt.Sprintf("%s/%d-routers", s.name, routers), func(t *testing.T) {
+				c := qt.New(t)
+				for _, r := range []modelResult{share, preferred, proportional, exact} {
+					c.Assert(r.toShare < modelTime, qt.IsTrue)
+				}
+				goal := int(math.Ceil((&model{modelService: s}).mean())) + 2
+				for _, r := range []modelResult{share, preferred, exact} {
+					c.Assert(r.peak <= goal, qt.IsTrue, qt.Commentf("%d calls, %d allowed", r.peak, goal))
+				}
+				c.Assert(proportional.overshoot <= none.overshoot, qt.IsTrue)
+				c.Assert(proportional.late+proportional.refused <= none.late+none.refused, qt.IsTrue)
+				if s.name == plainService.name {
+					c.Assert(proportional.toShare <= fixed.toShare, qt.IsTrue)
+				}
+			})
+		}
+	}
+}
