--- a/internal/peer/gossip/windows_test.go
+++ b/internal/peer/gossip/windows_test.go
@@ -1,10 +1,15 @@
 package gossip_test
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "hickoryrock/api/peer/v1"
 )
 
 // Routers must learn the windows that others have opened and the successes that they have seen,
@@ -47,3 +52,25 @@
 	_, others = a.KnownRouters()
 	f.Assert(others, qt.HasLen, 2)
 }
+
+// Guards against reports of many windows that do not fit into a datagram and are lost.
+func TestWindowsFitIntoADatagram(t *testing.T) {
+	f := newFixture(t)
+	r := f.start("a", f.storeAddress)
+	now := time.Now()
+	r.pace.SetMean("s", nil, 1, now)
+	for i := range uint64(100) {
+		r.pace.Recovered(math.MaxUint64-i, "s", "evacuation", now)
+	}
+	name := strings.Repeat("n", 64)
+	b := &peerv1.Beacon{
+		Router: name, CallerAddress: "255.255.255.255:65535", PeerAddress: "255.255.255.255:65535", FailureDomain: name,
+		Incarnation: math.MaxUint64, ConfigurationVersion: math.MaxInt64, TargetsRevision: math.MaxUint64, StoreEra: math.MaxUint64,
+		TargetsDigest: math.MaxUint64, TargetsListed: math.MaxUint64, Sender: math.MaxUint32, Number: math.MaxUint32, StoreAgeMs: math.MaxUint32,
+	}
+	for _, w := range r.pace.TakeReport(now) {
+		b.Windows = append(b.Windows, &peerv1.TargetWindow{Target: w.Target, Epoch: math.MaxUint32, Level: math.MaxUint32, Successes: math.MaxUint32})
+	}
+	f.Assert(b.Windows, qt.HasLen, 30)
+	f.Assert(proto.Size(b) <= 1400, qt.IsTrue, qt.Commentf("%d bytes", proto.Size(b)))
+}
