--- a/internal/policy/targetpace/targetpace.go
+++ b/internal/policy/targetpace/targetpace.go
@@ -110,12 +110,12 @@
 }
 
 // Observe records what an entry or an answer says of a target. The window of a target that has
-// just started opens only if SetMean has named its service before.
+// just started opens when it is observed after SetMean has named its service.
 func (t *Tracker) Observe(hash uint64, service string, s State, now time.Time) {
 	t.lock(now)
 	defer t.unlock()
 	known := t.targets[hash]
-	isNew := known == nil && s.hasStarted(now) && now.Sub(s.Started) < settleTime
+	isNew := (known == nil || known.window.epoch == 0) && s.hasStarted(now) && now.Sub(s.Started) < settleTime
 	if known == nil {
 		if !isNew && !s.coldEnd(now).After(now) {
 			return
--- a/internal/policy/targetpace/window_test.go
+++ b/internal/policy/targetpace/window_test.go
@@ -136,6 +136,21 @@
 		tr.Observe(target, service, targetpace.State{Started: after(joined - time.Second)}, after(joined+5*time.Second))
 		assertNoWindow(c, tr, joined+5*time.Second)
 	})
+	// Guards against a window that never opens because the target was observed too early.
+	t.Run("opens when its service is named after the first observation", func(t *testing.T) {
+		c := qt.New(t)
+		tr := targetpace.NewTracker(among(1, 0))
+		s := targetpace.State{Started: after(joined)}
+		tr.Observe(target, service, s, after(joined))
+		tr.SetMean(service, append([]uint64{target}, settled...), 4, after(joined))
+		assertNoWindow(c, tr, joined)
+		tr.Observe(target, service, s, after(joined+time.Second))
+		assertWindow(c, tr, joined+time.Second, 2)
+		tr.Observe(target, service, s, after(joined+2*time.Second))
+		succeed(tr, 4, joined+2*time.Second)
+		tr.Observe(target, service, s, after(joined+3*time.Second))
+		assertNoWindow(c, tr, joined+3*time.Second)
+	})
 	// Guards against a target that gets its full share the moment it turns warm.
 	t.Run("is not settled by the mean while the target is cold", func(t *testing.T) {
 		c := qt.New(t)
