--- a/internal/policy/targetpace/targetpace.go
+++ b/internal/policy/targetpace/targetpace.go
@@ -178,6 +178,20 @@
 	t.begin(hash, now)
 }
 
+// TryBeginCold is TryBegin without the window, for calls whose number is bounded elsewhere.
+func (t *Tracker) TryBeginCold(hash uint64, now time.Time) bool {
+	t.lock(now)
+	defer t.unlock()
+	if known := t.targets[hash]; known != nil {
+		t.advance(known, now)
+		if _, ok := t.coldWait(known, now); !ok {
+			return false
+		}
+	}
+	t.begin(hash, now)
+	return true
+}
+
 // End counts a call that has begun as ended.
 func (t *Tracker) End(hash uint64, now time.Time) {
 	t.lock(now)
--- a/internal/policy/targetpace/targetpace_test.go
+++ b/internal/policy/targetpace/targetpace_test.go
@@ -198,6 +198,17 @@
 		c.Assert(ok, qt.IsFalse)
 		c.Assert(tr.TryBegin(target, after(joined+wait)), qt.IsTrue)
 	})
+	// Guards against calls with a granted slot that pass the bound because their window is
+	// kept elsewhere.
+	t.Run("a call with a slot is counted when the bound allows it", func(t *testing.T) {
+		tr := newTracker(6, 0, 4)
+		tr.Observe(target, service, stated(3*time.Second), after(joined))
+		tr.Begin(target, after(joined-time.Second)) // Fills the share of the window.
+		c := qt.New(t)
+		c.Assert(tr.TryBegin(target, after(joined)), qt.IsFalse)
+		c.Assert(tr.TryBeginCold(target, after(joined)), qt.IsTrue)
+		c.Assert(tr.TryBeginCold(target, after(joined)), qt.IsFalse)
+	})
 	// Guards against a call that had to be sent and does not count.
 	t.Run("a call that was not allowed counts", func(t *testing.T) {
 		tr := targetpace.NewTracker(among(6, 0))
