--- a/internal/policy/targetpace/targetpace.go
+++ b/internal/policy/targetpace/targetpace.go
@@ -110,12 +110,12 @@
 }
 
 // Observe records what an entry or an answer says of a target. The window of a target that has
-// just started opens only if SetMean has named its service before.
+// just started opens when it is observed after SetMean has named its service.
 func (t *Tracker) Observe(hash uint64, service string, s State, now time.Time) {
 	t.lock(now)
 	defer t.unlock()
 	known := t.targets[hash]
-	isNew := known == nil && s.hasStarted(now) && now.Sub(s.Started) < settleTime
+	isNew := (known == nil || known.window.epoch == 0) && s.hasStarted(now) && now.Sub(s.Started) < settleTime
 	if known == nil {
 		if !isNew && !s.coldEnd(now).After(now) {
 			return
@@ -190,6 +190,20 @@
 	t.begin(hash, now)
 }
 
+// TryBeginCold is TryBegin without the window, for calls whose number is bounded elsewhere.
+func (t *Tracker) TryBeginCold(hash uint64, now time.Time) bool {
+	t.lock(now)
+	defer t.unlock()
+	if known := t.targets[hash]; known != nil {
+		t.advance(known, now)
+		if _, ok := t.coldWait(known, now); !ok {
+			return false
+		}
+	}
+	t.begin(hash, now)
+	return true
+}
+
 // End counts a call that has begun as ended.
 func (t *Tracker) End(hash uint64, now time.Time) {
 	t.lock(now)
@@ -269,7 +283,7 @@
 	goal, hasGoal := t.goal(known.service)
 	switch {
 	case w.settlesIn(now) <= 0:
-		t.settle(known, "no-setback", now)
+		t.settle(known, "time", now)
 	case hasGoal && !known.cold.active && w.size() >= goal:
 		t.settle(known, "mean-reached", now)
 	}
--- a/internal/policy/targetpace/window_test.go
+++ b/internal/policy/targetpace/window_test.go
@@ -12,8 +12,8 @@
 
 // recovered returns the tracker of the only router, with a target that has just recovered in a
 // service with a high mean.
-func recovered(mean float64, opts ...targetpace.Option) *targetpace.Tracker {
-	tr := newTracker(1, 0, mean, opts...)
+func recovered(mean float64) *targetpace.Tracker {
+	tr := newTracker(1, 0, mean)
 	tr.Recovered(target, service, "ejection", after(joined))
 	return tr
 }
@@ -77,6 +77,29 @@
 		assertWindow(c, tr, joined+7900*time.Millisecond, 1)
 		assertNoWindow(c, tr, joined+8*time.Second)
 	})
+	// Guards against a target that is slow, or refuses calls, for long and never gets a share.
+	t.Run("is settled after 10 s in any case", func(t *testing.T) {
+		c := qt.New(t)
+		tr := recovered(40)
+		for at := joined; at < joined+9900*time.Millisecond; at += 100 * time.Millisecond {
+			tr.RecordSetback(target, "refused", after(at))
+		}
+		assertWindow(c, tr, joined+9900*time.Millisecond, 1)
+		assertNoWindow(c, tr, joined+10*time.Second)
+	})
+	// Guards against first answers of a target with cold caches that keep it at one call.
+	t.Run("a slow answer halves it down to two and does not put it off", func(t *testing.T) {
+		c := qt.New(t)
+		tr := recovered(40)
+		tr.RecordSlow(target, after(joined))
+		assertWindow(c, tr, joined, 2)
+		succeed(tr, 8, joined)
+		for i, want := range []int{5, 2, 2} {
+			tr.RecordSlow(target, after(joined+time.Duration(i+1)*time.Second))
+			assertWindow(c, tr, joined+time.Duration(i+1)*time.Second, want)
+		}
+		assertNoWindow(c, tr, joined+5*time.Second)
+	})
 	t.Run("has no goal while the mean is not known", func(t *testing.T) {
 		tr := recovered(-1)
 		succeed(tr, 98, joined)
@@ -113,6 +136,21 @@
 		tr.Observe(target, service, targetpace.State{Started: after(joined - time.Second)}, after(joined+5*time.Second))
 		assertNoWindow(c, tr, joined+5*time.Second)
 	})
+	// Guards against a window that never opens because the target was observed too early.
+	t.Run("opens when its service is named after the first observation", func(t *testing.T) {
+		c := qt.New(t)
+		tr := targetpace.NewTracker(among(1, 0))
+		s := targetpace.State{Started: after(joined)}
+		tr.Observe(target, service, s, after(joined))
+		tr.SetMean(service, append([]uint64{target}, settled...), 4, after(joined))
+		assertNoWindow(c, tr, joined)
+		tr.Observe(target, service, s, after(joined+time.Second))
+		assertWindow(c, tr, joined+time.Second, 2)
+		tr.Observe(target, service, s, after(joined+2*time.Second))
+		succeed(tr, 4, joined+2*time.Second)
+		tr.Observe(target, service, s, after(joined+3*time.Second))
+		assertNoWindow(c, tr, joined+3*time.Second)
+	})
 	// Guards against a target that gets its full share the moment it turns warm.
 	t.Run("is not settled by the mean while the target is cold", func(t *testing.T) {
 		c := qt.New(t)
@@ -172,6 +210,20 @@
 	}
 }
 
+// Guards against a fleet with few calls a router that leaves a window unused.
+func TestProportionalShares(t *testing.T) {
+	for _, size := range []int{2, 4, 5, 8, 9} {
+		total := 0
+		for i := range 80 {
+			tr := newTracker(80, i, 8, targetpace.WithProportionalShares())
+			tr.Recovered(target, service, "ejection", after(joined))
+			succeed(tr, size-2, joined)
+			total += fill(tr, joined)
+		}
+		qt.Assert(t, total, qt.Equals, 8*size, qt.Commentf("window %d of 10", size))
+	}
+}
+
 // Guards against a killed router whose share of a small window blocks the target.
 func TestShareOfAKilledRouterIsTakenOver(t *testing.T) {
 	c := qt.New(t)
@@ -240,8 +292,9 @@
 		succeed(b, 4, joined)
 		a.RecordSetback(target, "refused", after(joined))
 		b.RecordSetback(target, "refused", after(joined))
-		a.Merge(2, b.TakeReport(after(joined)), after(joined))
-		b.Merge(1, a.TakeReport(after(joined)), after(joined))
+		fromA, fromB := a.TakeReport(after(joined)), b.TakeReport(after(joined))
+		a.Merge(2, fromB, after(joined))
+		b.Merge(1, fromA, after(joined))
 		assertWindow(c, a, joined, 3)
 		assertWindow(c, b, joined, 3)
 	})
