--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -115,7 +115,8 @@
 		targetlimits.WithReportInterval(func() time.Duration { return r.fleet.ReportInterval() }))
 	r.pace = targetpace.NewTracker(func() (uint64, []uint64) { return r.fleet.KnownRouters() },
 		targetpace.WithLiveRouters(func() (uint64, []uint64) { return r.fleet.LiveRouters() }),
-		targetpace.WithReportInterval(func() time.Duration { return r.fleet.ReportInterval() }), targetpace.WithOnChange(r.logPace))
+		targetpace.WithReportInterval(func() time.Duration { return r.fleet.ReportInterval() }), targetpace.WithOnChange(r.logPace),
+		targetpace.WithProportionalShares())
 	metrics.GetOrCreateGauge(`hickoryrock_warming_targets`, func() float64 { return float64(len(r.pace.Warming(time.Now()))) })
 	r.targetBackoff = targetbackoff.NewTracker(targetbackoff.WithOnWait(r.logTargetWait))
 	metrics.GetOrCreateGauge(`hickoryrock_quarantined_parts`, r.countQuarantined)
