--- a/internal/peer/slotgrant/bounds_test.go
+++ b/internal/peer/slotgrant/bounds_test.go
@@ -1,6 +1,7 @@
 package slotgrant
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
@@ -66,6 +67,14 @@
 		r.sendBytes(coordinator.Address(), data)
 		sent++
 	}
+	// A message that is followed by more unknown fields than fit into a datagram.
+	large, err := proto.Marshal(newWireRequest(2))
+	c.Assert(err, qt.IsNil)
+	if len(large)%2 == 1 { // Else its first maxDatagramBytes bytes were malformed too.
+		large = append(large, 15<<3, 0x80, 0)
+	}
+	r.sendBytes(coordinator.Address(), append(large, bytes.Repeat([]byte{15 << 3, 0}, maxDatagramBytes/2)...))
+	sent++
 	r.send(coordinator.Address(), newWireRequest(1))
 	c.Assert(r.receive().GetReply().GetTarget(), qt.Equals, uint64(targetA))
 	// No other test of the package runs at the same time.
@@ -131,8 +140,8 @@
 	for i := range 1000 {
 		k.request(fmt.Sprintf("s%d", i), newRequest(uint64(i+1), now), netip.AddrPort{}, now)
 	}
-	c.Assert(k.pools, qt.HasLen, maxPools)
-	c.Assert(k.assignments, qt.HasLen, maxPools)
+	c.Assert(len(k.pools), qt.Equals, maxPools)
+	c.Assert(len(k.assignments), qt.Equals, maxPools)
 	for i := range 2 * maxAssignments {
 		r := newRequest(uint64(i+1), now)
 		r.Process = 2
@@ -143,12 +152,27 @@
 
 	// After their deadlines nothing is left but the pools, and those are dropped when idle.
 	k.tick(now.Add(2 * time.Second))
-	c.Assert(k.assignments, qt.HasLen, 0)
-	c.Assert(k.pools, qt.HasLen, maxPools)
+	c.Assert(len(k.assignments), qt.Equals, 0)
+	c.Assert(len(k.pools), qt.Equals, maxPools)
 	k.tick(now.Add(idlePoolTime - time.Millisecond))
-	c.Assert(k.pools, qt.HasLen, maxPools)
+	c.Assert(len(k.pools), qt.Equals, maxPools)
 	k.tick(now.Add(idlePoolTime))
-	c.Assert(k.pools, qt.HasLen, 0)
+	c.Assert(len(k.pools), qt.Equals, 0)
+}
+
+// Services with many slots would take more memory together than one of them may.
+func TestAssignmentsOfAllServicesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	k, _ := newTestCoordinator(c, func(string) []slots.Target {
+		return []slots.Target{{Hash: targetA, Slots: 2 * maxAssignments, IsEligible: true}}
+	})
+	for i := range 2 * maxAssignments {
+		k.request(fmt.Sprintf("s%d", i%8), newRequest(uint64(i+1), now), netip.AddrPort{}, now)
+	}
+	c.Assert(len(k.assignments), qt.Equals, maxAssignments)
+	c.Assert(k.request("s1", newRequest(2, now), netip.AddrPort{}, now), qt.IsTrue) // A repeated one.
+	c.Assert(len(k.assignments), qt.Equals, maxAssignments)
 }
 
 // A service that nobody offers must take no memory.
@@ -190,6 +214,36 @@
 	c.Assert(last.Target, qt.Equals, uint64(targetA+1))
 }
 
+// A coordinator whose list of targets has become empty would refuse the calls of routers that
+// have a better one.
+func TestNoReplyWithoutTargets(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	targets := oneTarget(service)
+	k, replies := newTestCoordinator(c, func(string) []slots.Target { return targets })
+	c.Assert(k.request(service, newRequest(1, now), netip.AddrPort{}, now), qt.IsTrue)
+	targets = nil
+	c.Assert(k.request(service, newRequest(2, now), netip.AddrPort{}, now.Add(refreshInterval)), qt.IsFalse)
+	c.Assert(*replies, qt.HasLen, 1)
+}
+
+// A request of this router is not repeated, so that it would wait for a lease that has ended
+// until another request arrives.
+func TestOwnRequestIsGrantedWhenLeaseEnds(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	client, _ := f.start(c, "127.0.0.1:0")
+	f.setMembers(self(client.Address()))
+	mustAcquire(c, client, f.newRequest())
+	r := f.newRequest()
+	r.Deadline = r.Deadline.Add(patience)
+	grants, _ := acquire(context.Background(), client, r)
+	waitUntil(c, "request not received", func() bool { return assigned(client) == 2 })
+	time.Sleep(3 * tickInterval) // The timer has expired before.
+	f.advance(patience + time.Second)
+	receive(c, grants)
+}
+
 // A request that the pool refuses while it waits would be repeated until its deadline.
 func TestWaitingRequestIsRefused(t *testing.T) {
 	c := qt.New(t)
@@ -203,7 +257,7 @@
 	last := (*replies)[len(*replies)-1]
 	c.Assert(last.Kind, qt.Equals, slots.Refused)
 	c.Assert(last.Serial, qt.Equals, uint64(2))
-	c.Assert(k.assignments, qt.HasLen, 1)
+	c.Assert(len(k.assignments), qt.Equals, 1)
 }
 
 // A slow router would delay the calls of all others, and routers that chose differently would
--- a/internal/peer/slotgrant/failure_test.go
+++ b/internal/peer/slotgrant/failure_test.go
@@ -14,7 +14,6 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
-	peerv1 "hickoryrock/api/peer/v1"
 	"hickoryrock/internal/policy/slots"
 )
 
@@ -50,7 +49,7 @@
 
 // grantNext grants the next request of a client; it skips what the client has sent for
 // requests that it has given up.
-func (r *rawRouter) grantNext(client *Client) *peerv1.SlotRequest {
+func (r *rawRouter) grantNext(client *Client) {
 	r.c.Helper()
 	for {
 		request := r.receive().GetRequest()
@@ -59,7 +58,7 @@
 		client.mu.Unlock()
 		if request != nil && isPending {
 			r.send(client.Address(), newGrant(request.GetProcess(), request.GetSerial()))
-			return request
+			return
 		}
 	}
 }
@@ -296,7 +295,13 @@
 	client, _ := f.start(c, "127.0.0.1:0")
 	f.setMembers(member(r.address()))
 	grants, _ := acquire(context.Background(), client, f.newRequest())
-	request := r.grantNext(client)
+	// A grant for the request of this number of an earlier process is not that of this one.
+	waitUntil(c, "nothing requested", func() bool { return open(client) == 1 })
+	r.send(client.Address(), newGrant(client.process+1, 1))
+	request := r.receive().GetRequest()
+	c.Assert(r.receive().GetRequest().GetProcess(), qt.Equals, client.process+1)
+	c.Assert(grants, qt.HasLen, 0)
+	r.send(client.Address(), newGrant(request.GetProcess(), request.GetSerial()))
 	grant := receive(c, grants)
 	r.send(client.Address(), newGrant(request.GetProcess(), request.GetSerial()))
 	other := newGrant(request.GetProcess(), request.GetSerial())
@@ -359,10 +364,12 @@
 	c := qt.New(t)
 	f := newFleet()
 	coordinator, _ := f.start(c, "127.0.0.1:0")
-	client, stop := f.start(c, "127.0.0.1:0", WithTimeouts(patience, patience, patience))
+	client, stop := f.start(c, "127.0.0.1:0", WithTimeouts(patience, 10*patience, patience))
 	f.setMembers(member(coordinator.Address()))
 	mustAcquire(c, client, f.newRequest())
-	_, errs := acquire(context.Background(), client, f.newRequest())
+	r := f.newRequest()
+	r.Deadline = r.Deadline.Add(10 * patience)
+	_, errs := acquire(context.Background(), client, r)
 	waitUntil(c, "request not received", func() bool { return assigned(coordinator) == 2 })
 	stop()
 	stop()
--- a/internal/peer/slotgrant/proxy_test.go
+++ b/internal/peer/slotgrant/proxy_test.go
@@ -200,3 +200,20 @@
 	c.Assert(r.receive().GetReply().GetTarget(), qt.Equals, uint64(0))
 	c.Assert(assigned(coordinator), qt.Equals, 0)
 }
+
+// A router that asks again from another address would wait for a grant that is sent to its old
+// one.
+func TestReplyGoesToLatestAddress(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	coordinator, _ := f.start(c, "127.0.0.1:0")
+	old, latest := newRawRouter(c), newRawRouter(c)
+	old.send(coordinator.Address(), newWireRequest(1))
+	c.Assert(old.receive().GetReply().GetTarget(), qt.Equals, uint64(targetA))
+	for _, r := range []*rawRouter{old, latest} {
+		r.send(coordinator.Address(), newWireRequest(2))
+		c.Assert(r.receive().GetReply().GetWaiting(), qt.IsTrue)
+	}
+	old.send(coordinator.Address(), newReleaseMessage(slots.Key{Process: 1, Serial: 1}, service, slots.Result{}))
+	c.Assert(latest.receive().GetReply().GetTarget(), qt.Equals, uint64(targetA))
+}
