--- a/internal/policy/slots/target.go
+++ b/internal/policy/slots/target.go
@@ -25,6 +25,10 @@
 	// It doubles up to maxRegain with each refusal in that time and no success since.
 	minRegain = 200 * time.Millisecond
 	maxRegain = 1600 * time.Millisecond
+	// earlyEndFactor is the multiple of the usual time for which a call that failed counts in
+	// the choice of a target, so that a target whose calls all fail gets half as many as the
+	// others.
+	earlyEndFactor = 2
 	// maxEarlyEnds bounds the remembered early ends of a target's calls.
 	maxEarlyEnds = 64
 )
@@ -34,8 +38,12 @@
 	Target
 	// isListed is set while the service has the target.
 	isListed bool
-	// held is the number of leases.
-	held int
+	// held is the number of leases that occupy a place, lost that of those that do not,
+	// because their release seems to be lost.
+	held, lost int
+	absent     absence
+	// lastGrant is the number of the last grant among all of the pool.
+	lastGrant uint64
 	// others is the number of calls that others had there as of othersAt.
 	others   float64
 	othersAt time.Time
@@ -45,9 +53,7 @@
 	reducedTo float64
 	reducedAt time.Time
 	regain    time.Duration
-	// earlyEnds holds, for calls that failed earlier than calls usually end, the time at
-	// which they would have ended. They count in the choice of a target until then, so that
-	// a target that fails quickly does not look idle.
+	// earlyEnds holds the times until which failed calls count in the choice of a target.
 	earlyEnds []time.Time
 }
 
@@ -94,8 +100,9 @@
 
 // slowness returns how long calls recently took at the target relative to the service.
 func (t *target) slowness(now time.Time) float64 {
-	t.pace.decay(now, paceHalfLife)
-	return min(max((t.pace.sum+paceWeight)/(t.pace.weight+paceWeight), minPace), maxPace)
+	pace := t.pace
+	pace.decay(now, paceHalfLife)
+	return min(max((pace.sum+paceWeight)/(pace.weight+paceWeight), minPace), maxPace)
 }
 
 // expectedTime returns the time that a further call is expected to take, relative to others.
@@ -136,8 +143,10 @@
 	}
 }
 
-// recordLoad derives the calls of others from the calls that the target stated; own is the
-// number of calls that it has from this pool.
-func (t *target) recordLoad(stated, own int, now time.Time) {
-	t.others, t.othersAt = float64(max(stated-own, 0)), now
+// recordLoad derives the calls of others from the calls that the target stated in the answer
+// of one that it still holds.
+func (t *target) recordLoad(stated int, now time.Time) {
+	t.others, t.othersAt = float64(max(stated-t.held, 0)), now
+	// The stated calls need not include the answered one.
+	t.absent.record(t.held-1-stated, now)
 }
