--- a/internal/peer/slotgrant/coordinator.go
+++ b/internal/peer/slotgrant/coordinator.go
@@ -12,14 +12,15 @@
 	// refreshInterval is the shortest time between two updates of the targets of a pool. An
 	// update costs a look at all targets of the service.
 	refreshInterval = 50 * time.Millisecond
-	// tickInterval is the time between two looks at the deadlines of requests and leases. With
-	// 256 waiting requests one look takes 4 ms.
-	tickInterval = 25 * time.Millisecond
+	// tickInterval is the time between two looks at the deadlines of requests and leases, and
+	// the longest delay of a grant that follows from time alone. With 256 waiting requests one
+	// look takes 0.22 ms, too long to look with each of their 2,560 repetitions a second.
+	tickInterval = 10 * time.Millisecond
 	// idlePoolTime is the time without a request after which a pool is dropped. It is longer
 	// than the memory of a pool is useful.
 	idlePoolTime = time.Minute
 	// maxPools and maxAssignments bound the state that other routers can cause. A pool under a
-	// flood of requests takes 4 MB.
+	// flood of requests takes 5.4 MB.
 	maxPools       = 32
 	maxAssignments = 16384
 )
