--- a/internal/peer/slotgrant/bounds_test.go
+++ b/internal/peer/slotgrant/bounds_test.go
@@ -236,11 +236,11 @@
 	f.setMembers(self(client.Address()))
 	mustAcquire(c, client, f.newRequest())
 	r := f.newRequest()
-	r.Deadline = r.Deadline.Add(patience)
+	r.Deadline = r.Deadline.Add(testTimeout)
 	grants, _ := acquire(context.Background(), client, r)
 	waitUntil(c, "request not received", func() bool { return assigned(client) == 2 })
 	time.Sleep(3 * tickInterval) // The timer has expired before.
-	f.advance(patience + time.Second)
+	f.advance(testTimeout + time.Second)
 	receive(c, grants)
 }
 
@@ -319,7 +319,7 @@
 	client, _ := f.start(c, "127.0.0.1:0")
 	f.setMembers(self(client.Address()))
 	mustAcquire(c, client, f.newRequest())
-	f.advance(patience + 2*heldGrace)
+	f.advance(testTimeout + 2*heldGrace)
 	grant := mustAcquire(c, client, f.newRequest())
 	c.Assert(open(client), qt.Equals, 1)
 	client.Release(grant, slots.Result{})
--- a/internal/peer/slotgrant/failure_test.go
+++ b/internal/peer/slotgrant/failure_test.go
@@ -17,8 +17,8 @@
 	"hickoryrock/internal/policy/slots"
 )
 
-// limits are the stated time limits.
-var limits = WithTimeouts(answerTimeout, repeatInterval, ackTimeout)
+// statedTimeouts are the stated time limits.
+var statedTimeouts = WithTimeouts(answerTimeout, repeatInterval, ackTimeout)
 
 // ranked returns two raw routers, the one with the higher rank for the service first.
 func ranked(c *qt.C) (first, second *rawRouter) {
@@ -68,7 +68,7 @@
 	c := qt.New(t)
 	f := newFleet()
 	r := newRawRouter(c)
-	client, _ := f.start(c, "127.0.0.1:0", limits)
+	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts)
 	f.setMembers(member(r.address()))
 
 	start := time.Now()
@@ -77,7 +77,7 @@
 	c.Assert(took >= answerTimeout, qt.IsTrue, qt.Commentf("%s", took))
 	// A slow machine may delay a timer, but not by as much as a repetition or the deadline
 	// would take.
-	c.Assert(took < patience/2, qt.IsTrue, qt.Commentf("%s", took))
+	c.Assert(took < testTimeout/2, qt.IsTrue, qt.Commentf("%s", took))
 	request, cancel := r.receive().GetRequest(), r.receive().GetRequest()
 	c.Assert(request.GetCancel(), qt.IsFalse)
 	c.Assert(cancel.GetCancel(), qt.IsTrue)
@@ -91,10 +91,10 @@
 	c := qt.New(t)
 	f := newFleet()
 	r := newRawRouter(c)
-	client, _ := f.start(c, "127.0.0.1:0", limits)
+	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts)
 	f.setMembers(member(r.address()))
 	calls := 0
-	client.opts.pauseGrace, client.opts.timerNow = patience, func() time.Time {
+	client.opts.pauseGrace, client.opts.timerNow = testTimeout, func() time.Time {
 		calls++
 		return time.Now().Add(time.Duration(calls) * time.Second) // All timers appear to be late.
 	}
@@ -113,7 +113,7 @@
 	first, second := ranked(c)
 	// The clock of the failover is the test's, so that the second of failover does not end early.
 	start, skew := time.Now(), atomic.Int64{}
-	client, _ := f.start(c, "127.0.0.1:0", limits, WithClock(func() time.Time { return start.Add(time.Duration(skew.Load())) }))
+	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts, WithClock(func() time.Time { return start.Add(time.Duration(skew.Load())) }))
 	f.setMembers(member(first.address()), member(second.address()))
 
 	for range maxSilences {
@@ -137,7 +137,7 @@
 
 	// An answer makes it the coordinator again, and two silences are needed from then on.
 	skew.Store(int64(2 * avoidTime))
-	client.opts.answerTimeout = patience
+	client.opts.answerTimeout = testTimeout
 	answered(c, f, client, first)
 	client.routing.recordSilence(first.address(), client.opts.now())
 	m, ok = client.routing.choose(f.list(), service, client.opts.now())
@@ -182,7 +182,7 @@
 	c := qt.New(t)
 	f := newFleet()
 	coordinator, stop := f.start(c, "127.0.0.1:0")
-	client, _ := f.start(c, "127.0.0.1:0", WithTimeouts(patience, repeatInterval, ackTimeout))
+	client, _ := f.start(c, "127.0.0.1:0", WithTimeouts(testTimeout, repeatInterval, ackTimeout))
 	f.setMembers(member(coordinator.Address()))
 	mustAcquire(c, client, f.newRequest())
 	_, errs := acquire(context.Background(), client, f.newRequest())
@@ -240,7 +240,7 @@
 	c := qt.New(t)
 	f := newFleet()
 	r := newRawRouter(c)
-	client, _ := f.start(c, "127.0.0.1:0", limits)
+	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts)
 	f.setMembers(member(r.address()))
 	silentAcquire(c, f, client)
 	request := r.receive().GetRequest()
@@ -364,11 +364,11 @@
 	c := qt.New(t)
 	f := newFleet()
 	coordinator, _ := f.start(c, "127.0.0.1:0")
-	client, stop := f.start(c, "127.0.0.1:0", WithTimeouts(patience, 10*patience, patience))
+	client, stop := f.start(c, "127.0.0.1:0", WithTimeouts(testTimeout, 10*testTimeout, testTimeout))
 	f.setMembers(member(coordinator.Address()))
 	mustAcquire(c, client, f.newRequest())
 	r := f.newRequest()
-	r.Deadline = r.Deadline.Add(10 * patience)
+	r.Deadline = r.Deadline.Add(10 * testTimeout)
 	_, errs := acquire(context.Background(), client, r)
 	waitUntil(c, "request not received", func() bool { return assigned(coordinator) == 2 })
 	stop()
@@ -384,7 +384,7 @@
 	c := qt.New(t)
 	f := newFleet()
 	coordinator, _ := f.start(c, "127.0.0.1:0")
-	client, _ := f.start(c, "127.0.0.1:0", limits)
+	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts)
 	r := f.newRequest()
 	r.Service = "other"
 	for _, m := range []Member{member(coordinator.Address()), self(client.Address())} {
--- a/internal/peer/slotgrant/fixture_test.go
+++ b/internal/peer/slotgrant/fixture_test.go
@@ -17,14 +17,14 @@
 
 const (
 	service = "thumbnails"
-	// patience bounds the wait for a condition that is expected to hold; it is only reached
+	// testTimeout bounds the wait for a condition that is expected to hold; it is only reached
 	// when a test fails.
-	patience = 20 * time.Second
-	targetA  = 7
+	testTimeout = 20 * time.Second
+	targetA     = 7
 )
 
-// patient gives a slow machine time to answer, and repeats waiting requests often.
-var patient = WithTimeouts(patience, 10*time.Millisecond, patience)
+// longTimeouts gives a slow machine time to answer, and repeats waiting requests often.
+var longTimeouts = WithTimeouts(testTimeout, 10*time.Millisecond, testTimeout)
 
 type (
 	// testFleet holds what the routers of a test know.
@@ -50,7 +50,7 @@
 // start starts a router that does not belong to the members.
 func (f *testFleet) start(c *qt.C, address string, opts ...Option) (*Client, func()) {
 	c.Helper()
-	client, stop, err := New(address, f.list, f.targetsOf, zerolog.Nop(), append([]Option{patient, WithClock(f.now)}, opts...)...)
+	client, stop, err := New(address, f.list, f.targetsOf, zerolog.Nop(), append([]Option{longTimeouts, WithClock(f.now)}, opts...)...)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(stop)
 	return client, stop
@@ -90,7 +90,7 @@
 }
 
 func (f *testFleet) newRequest() Request {
-	return Request{Service: service, Workspace: "w", Deadline: f.now().Add(patience)}
+	return Request{Service: service, Workspace: "w", Deadline: f.now().Add(testTimeout)}
 }
 
 // member returns a member with a rank of its own.
@@ -132,7 +132,7 @@
 // receive returns the next message.
 func (r *rawRouter) receive() *peerv1.SlotMessage {
 	r.c.Helper()
-	r.c.Assert(r.conn.SetReadDeadline(time.Now().Add(patience)), qt.IsNil)
+	r.c.Assert(r.conn.SetReadDeadline(time.Now().Add(testTimeout)), qt.IsNil)
 	buffer := make([]byte, 2*maxDatagramBytes)
 	n, _, err := r.conn.ReadFromUDPAddrPort(buffer)
 	r.c.Assert(err, qt.IsNil)
@@ -168,7 +168,7 @@
 	select {
 	case v := <-values:
 		return v
-	case <-time.After(patience):
+	case <-time.After(testTimeout):
 		c.Fatal("nothing received")
 		panic("unreachable")
 	}
@@ -176,7 +176,7 @@
 
 func waitUntil(c *qt.C, what string, condition func() bool) {
 	c.Helper()
-	for end := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			c.Fatal(what)
 		}
@@ -205,6 +205,6 @@
 func newWireRequest(serial uint64) *peerv1.SlotMessage {
 	now := time.Now()
 	return newRequestMessage(service, slots.Request{
-		Key: slots.Key{Process: 1, Serial: serial}, Objective: now.Add(patience), Deadline: now.Add(patience),
+		Key: slots.Key{Process: 1, Serial: serial}, Objective: now.Add(testTimeout), Deadline: now.Add(testTimeout),
 	}, now)
 }
--- a/internal/peer/slotgrant/proxy_test.go
+++ b/internal/peer/slotgrant/proxy_test.go
@@ -101,10 +101,10 @@
 	first := mustAcquire(c, client, f.newRequest())
 	client.Release(first, slots.Result{Succeeded: true})
 	r := f.newRequest()
-	r.Deadline = r.Deadline.Add(patience)
+	r.Deadline = r.Deadline.Add(testTimeout)
 	second, _ := acquire(context.Background(), client, r)
 	waitUntil(c, "request not received", func() bool { return assigned(coordinator) == 2 })
-	f.advance(patience + time.Second)
+	f.advance(testTimeout + time.Second)
 	receive(c, second)
 	waitUntil(c, "lease not forgotten", func() bool { return assigned(coordinator) == 1 })
 }
