--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 KNOWN_RED := $(shell sed -n "s/^\(Test[A-Za-z0-9]*\):.*/\1/p" KNOWN-RED.txt 2>/dev/null | paste -sd"|")
 
-.PHONY: build test lint format generate fuzz soak demo regress bench bench-policy bench-capacity
+.PHONY: build test lint format generate fuzz soak demo regress bench bench-policy bench-slots bench-capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -31,6 +31,13 @@
 	go test ./internal/policy/trace -run '^$$' -bench Policy -benchtime 1x -timeout 1200s
 	go test ./internal/policy/placement ./internal/policy/permits -run '^$$' -bench . -benchmem
 
+# Compares the slots of plain services with the choice of a random target: who is served, refused
+# and late in each recorded load, and what a call costs its coordinator, for docs/design/0020.
+bench-slots: export GOMAXPROCS = 2
+bench-slots:
+	go test ./internal/policy/slots -run '^$$' -bench Loads -benchtime 1x -timeout 600s
+	go test ./internal/policy/slots -run '^$$' -bench Call
+
 # Runs the property-based and fuzz tests for ten minutes with random seeds.
 fuzz:
 	./scripts/fuzz.sh 600
