--- a/internal/fleet/storewatch/evacuationwatch.go
+++ b/internal/fleet/storewatch/evacuationwatch.go
@@ -54,6 +54,9 @@
 		page, isList, err := w.read(ctx, &w.evacuationWatch, p.revision, c)
 		if err != nil {
 			_ = objects.Sleep(ctx, w.handleFailure(&w.evacuationWatch, &p.position, err))
+			if c == listCached {
+				p.listDue = list // The store may refuse cached lists alone.
+			}
 			continue
 		}
 		w.recordSuccess(&w.evacuationWatch)
--- a/internal/fleet/storewatch/evacuationwatch_test.go
+++ b/internal/fleet/storewatch/evacuationwatch_test.go
@@ -150,6 +150,19 @@
 		f.evacuate(west)
 		f.assertEvacuated(west)
 	})
+	t.Run("refused cached lists", func(t *testing.T) {
+		store := newStoreOfTwoDomains()
+		f := newFixtureWithHandler(t, func() bool { return true }, store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Has("serializable") && strings.HasSuffix(r.URL.Path, platformtest.KindEvacuations) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			store.ServeHTTP(w, r)
+		}), storewatch.WithEvacuations(evacuationBound))
+		f.awaitSet()
+		f.evacuate(east)
+		f.assertEvacuated(east)
+	})
 	t.Run("a compacted history", func(t *testing.T) {
 		f := watchTwoDomains(t, newStoreOfTwoDomains())
 		f.store.Fail(http.StatusServiceUnavailable)
--- a/internal/soak/scenario/pause_test.go
+++ b/internal/soak/scenario/pause_test.go
@@ -21,8 +21,12 @@
 	"hickoryrock/platform/platformtest"
 )
 
-// pauseIP is a loopback address that no soak run uses.
-const pauseIP = "127.77.0.1"
+const (
+	// pauseIP is a loopback address that no soak run uses.
+	pauseIP = "127.77.0.1"
+	// pausedEvacuateMS is the time after which no call may reach an evacuated failure domain.
+	pausedEvacuateMS = 2000
+)
 
 var pausePorts = platformtest.Ports{Callers: 18327, Ready: 18320, Lookup: 18324, Peers: 17440}
 
@@ -61,6 +65,38 @@
 	c.Assert(len(current.Requests()), qt.Equals, 1)
 }
 
+// Guards against a router that was paused and sends calls to a failure domain that was evacuated
+// during the pause.
+func TestPausedRouterUsesNoEvacuatedTarget(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds and runs the program")
+	}
+	c := qt.New(t)
+	dir := t.TempDir()
+	program := buildRouter(c, dir)
+	store := platformtest.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	target := startTarget(c)
+	store.Set(platformtest.KindTargets, "i-1", platformtest.TargetIn("east", target.Address(), "ready", 1))
+	store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.KeyConfiguration(1, "key"))
+	router := startRouter(c, program, dir, strings.TrimPrefix(server.URL, "http://"))
+	awaitServing(c)
+	served := len(target.Requests())
+
+	c.Assert(router.Pause(), qt.IsNil)
+	store.Set(platformtest.KindEvacuations, "east", "{}")
+	status := make(chan int, 1)
+	go func() { status <- sendCall(c, "key") }()
+	time.Sleep(pausedEvacuateMS*time.Millisecond + 500*time.Millisecond)
+	router.Signal(syscall.SIGCONT)
+	c.Assert(<-status, qt.Equals, 503)
+	c.Assert(sendCall(c, "key"), qt.Equals, 503)
+	c.Assert(target.Requests(), qt.HasLen, served)
+	store.Remove(platformtest.KindEvacuations, "east")
+	awaitServing(c)
+}
+
 // buildRouter builds the program in dir and returns its path.
 func buildRouter(c *qt.C, dir string) string {
 	c.Helper()
@@ -90,7 +126,7 @@
 
 func startRouter(c *qt.C, program, dir, store string) *process.Process {
 	settings := filepath.Join(dir, "boot.json")
-	data := platformtest.FleetSettings("edge-p", pauseIP, "a", pausePorts, store, 1)
+	data := platformtest.FleetSettingsWithEvacuations("edge-p", pauseIP, "a", pausePorts, store, 1, 6, pausedEvacuateMS)
 	c.Assert(os.WriteFile(settings, data, 0o600), qt.IsNil)
 	router := process.New("edge-p", dir, program, "edge", "-settings", settings)
 	c.Cleanup(func() {
