--- a/internal/policy/slots/estimate.go
+++ b/internal/policy/slots/estimate.go
@@ -11,6 +11,10 @@
 	// capacityTime is the weight, as a time, of the capacity by pace beside the measured
 	// rate of releases.
 	capacityTime = 250 * time.Millisecond
+	// minMeasuredShare is the least part of the capacity by pace that the measured rate may be.
+	// Calls that routers send without a grant, as after the loss of all, occupy the places for
+	// some hundred milliseconds, and hardly any lease ends meanwhile.
+	minMeasuredShare = 0.5
 	// minRateShare is the least part of the release rate that is assumed to be left by
 	// requests that go first. It bounds the late requests that are kept in an overload, and
 	// so the part of the grants that goes to overdue ones instead of punctual ones.
@@ -98,7 +102,7 @@
 	u.busy.decay(p.now, rateHalfLife)
 	u.releases.decay(p.now, rateHalfLife)
 	rate := (u.releases.sum + all*capacityTime.Seconds()) / (u.busy.sum + capacityTime.Seconds())
-	return rate * usable / all
+	return max(rate, minMeasuredShare*all) * usable / all
 }
 
 // refuseHopeless refuses the waiting requests that can no longer be served.
@@ -144,6 +148,16 @@
 	return wait, wait <= hopelessFactor*left
 }
 
+// workTime returns the duration of a call without the time for which it waited at its target,
+// which is estimated from the calls that waited there when it ended.
+func (r Result) workTime(slots int) time.Duration {
+	took := max(r.Took, 0)
+	if !r.HasLoad || r.Queued <= 0 || slots <= 0 {
+		return took
+	}
+	return time.Duration(float64(took) * float64(slots) / float64(slots+r.Queued))
+}
+
 // retryAfter returns the time after which a refused call may be made again: the expected
 // wait, and up to the same again by the request's key, so that retries are spread.
 func retryAfter(k Key, wait time.Duration) time.Duration {
--- a/internal/policy/slots/pool.go
+++ b/internal/policy/slots/pool.go
@@ -299,7 +299,7 @@
 		t.recordEarlyEnd(early, p.now)
 	case r.Succeeded:
 		t.recordSuccess()
-		took := max(r.Took, 0)
+		took := r.workTime(t.Slots)
 		if usual, ok := p.usage.known(l.priority); ok {
 			t.pace.add(min(took.Seconds()/usual.Seconds(), maxPace), p.now, paceHalfLife)
 		}
