--- a/internal/fleet/forward/warmup.go
+++ b/internal/fleet/forward/warmup.go
@@ -14,29 +14,47 @@
 // started or recovered says that it has too much to do.
 const slowAnswerFactor = 3
 
+const (
+	// minExclusion is the shortest time without calls after which a target has little in flight,
+	// so that all routers would find it idle. The failure rate of a target that fails a part of
+	// its calls crosses its bound many times a second.
+	minExclusion = time.Second
+	// maxExcluded bounds the targets that are remembered.
+	maxExcluded = 4096
+)
+
 // recoveries knows which targets get no calls for a reason that ends by itself, so that they are
 // not flooded when it ends. It is safe for concurrent use.
-type recoveries struct {
-	mu sync.Mutex
-	// excluded holds the reasons by target.
-	excluded map[uint64]string
-}
+type (
+	recoveries struct {
+		mu       sync.Mutex
+		excluded map[uint64]exclusion
+	}
+
+	// exclusion is why a target gets no calls, and since when.
+	exclusion struct {
+		reason string
+		since  time.Time
+	}
+)
 
 // update records why a target gets no calls, or "" if it does, and returns the reason that has
-// ended, or "".
-func (r *recoveries) update(target uint64, reason string) (ended string) {
+// ended after minExclusion or more, or "".
+func (r *recoveries) update(target uint64, reason string, now time.Time) (ended string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.excluded[target]
+	before, ok := r.excluded[target]
 	switch {
-	case reason != "":
-		if r.excluded == nil || len(r.excluded) > maxUsualRoutes {
-			r.excluded = make(map[uint64]string)
+	case reason != "" && !ok:
+		if r.excluded == nil || len(r.excluded) > maxExcluded {
+			r.excluded = make(map[uint64]exclusion)
 		}
-		r.excluded[target] = reason
-	case before != "":
+		r.excluded[target] = exclusion{reason, now}
+	case reason == "" && ok:
 		delete(r.excluded, target)
-		return before
+		if now.Sub(before.since) >= minExclusion {
+			return before.reason
+		}
 	}
 	return ""
 }
@@ -135,7 +153,7 @@
 			usable = append(usable, t.Hash)
 			calls += summaries[i].Calls
 		}
-		if ended := h.recoveries.update(t.Hash, reason); ended != "" {
+		if ended := h.recoveries.update(t.Hash, reason, now); ended != "" {
 			h.Pace.Recovered(t.Hash, service, ended, now)
 		}
 	}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -378,7 +378,12 @@
 	return targetpace.Limit{PerSecond: s.ColdRate, Overshoot: b.ColdOvershoot, Slack: b.ColdSlack}
 }
 
+// logPace logs the changes that this router has decided. Those that others report are logged
+// there: in a fleet of a hundred routers they are most.
 func (r *Router) logPace(c targetpace.Change) {
+	if c.IsReported {
+		return
+	}
 	r.log.Info().Str("target", r.watcher.View().Targets.Name(c.Target)).Str("service", c.Service).Stringer("from", c.From).
 		Stringer("to", c.To).Str("why", c.Why).Msg("target pace changed")
 }
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -22,11 +22,17 @@
 	b := f.newBeacon()
 	b.HasLoads, b.Loads = true, encodeLoads(f.tracker.Loads(time.Now()))
 	b.Homes = encodeHoldings(f.cacheIndex.TakeRefreshes(maxRefreshes))
+	if hasRoomForWindows(b) {
+		b.Windows = f.takeWindows()
+	}
 	hasIdentity := f.nextHasIdentity()
 	if hasIdentity {
 		f.setIdentity(b)
 	}
 	f.broadcast(b)
+	if !hasRoomForWindows(b) {
+		f.sendWindows()
+	}
 	return hasIdentity
 }
 
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -305,7 +305,6 @@
 			regular.Reset(f.interval())
 			f.sendQuarantine(f.sendRegular())
 			f.sendLimits()
-			f.sendWindows()
 			f.sendDepartures()
 			f.sendEvacuations()
 			f.markLost(now)
--- a/internal/peer/gossip/windows.go
+++ b/internal/peer/gossip/windows.go
@@ -10,17 +10,29 @@
 // listedTime is how long a router that was listed counts as known without a beacon.
 const listedTime = 10 * time.Second
 
-// sendWindows tells all peers the windows of new and recovered targets, if they have changed.
+// maxLoadsBesideWindows is the number of loads beside which maxReported windows fit into a
+// datagram of 1,400 bytes.
+const maxLoadsBesideWindows = 15
+
+// hasRoomForWindows reports whether the datagram of a regular beacon has room for windows.
+func hasRoomForWindows(b *peerv1.Beacon) bool { return len(b.GetLoads()) <= maxLoadsBesideWindows }
+
+// sendWindows tells all peers the windows of new and recovered targets that have changed, in a
+// beacon of its own.
 func (f *Fleet) sendWindows() {
-	reports := f.opts.Pace.TakeReport(time.Now())
-	if len(reports) == 0 {
-		return
+	if windows := f.takeWindows(); len(windows) > 0 {
+		b := f.newBeacon()
+		b.Windows = windows
+		f.broadcast(b)
 	}
-	b := f.newBeacon()
-	for _, r := range reports {
-		b.Windows = append(b.Windows, &peerv1.TargetWindow{Target: r.Target, Epoch: r.Epoch, Level: r.Level, Successes: r.Successes})
+}
+
+func (f *Fleet) takeWindows() []*peerv1.TargetWindow {
+	var windows []*peerv1.TargetWindow
+	for _, r := range f.opts.Pace.TakeReport(time.Now()) {
+		windows = append(windows, &peerv1.TargetWindow{Target: r.Target, Epoch: r.Epoch, Level: r.Level, Successes: r.Successes})
 	}
-	f.broadcast(b)
+	return windows
 }
 
 // mergeWindows takes over the windows that another router knows.
--- a/internal/policy/targetpace/concurrent_test.go
+++ b/internal/policy/targetpace/concurrent_test.go
@@ -18,6 +18,7 @@
 	var mu sync.Mutex
 	begun := 0
 	for i := range 8 {
+		other := uint64(1000 + i)
 		group.Go(func() {
 			for n := range 200 {
 				at := after(joined + time.Duration(n)*time.Millisecond)
@@ -26,9 +27,9 @@
 					begun++
 					mu.Unlock()
 				}
-				tr.Merge(uint64(i), tr.TakeReport(at), at)
-				tr.RecordSetback(uint64(i), "refused", at)
-				tr.Observe(uint64(i), service, stated(time.Second), at)
+				tr.Merge(other, tr.TakeReport(at), at)
+				tr.RecordSetback(other, "refused", at)
+				tr.Observe(other, service, stated(time.Second), at)
 				_ = tr.Warming(at)
 			}
 		})
--- a/internal/policy/targetpace/targetpace.go
+++ b/internal/policy/targetpace/targetpace.go
@@ -53,6 +53,8 @@
 		From, To Pace
 		// Why is the reason in kebab case.
 		Why string
+		// IsReported is set if another router has decided on the window that changes.
+		IsReported bool
 	}
 
 	// Tracker holds the targets that are not settled and this router's shares of them. It is
@@ -340,7 +342,7 @@
 	if to == from {
 		return
 	}
-	t.changes = append(t.changes, Change{Target: known.hash, Service: known.service, From: from, To: to, Why: why})
+	t.changes = append(t.changes, Change{Target: known.hash, Service: known.service, From: from, To: to, Why: why, IsReported: known.window.isReported})
 	known.why, known.changedAt = why, now
 }
 
--- a/internal/policy/targetpace/window.go
+++ b/internal/policy/targetpace/window.go
@@ -34,7 +34,9 @@
 // window is the fleet's window of calls in flight at a target: the level of an epoch and the
 // successful answers in it. The counts are a grow-only counter, merged by maximum.
 type window struct {
-	open         bool
+	open bool
+	// isReported is set if another router has begun the epoch.
+	isReported   bool
 	epoch, level uint32
 	// own counts this process's successes; peers holds those of others by process, peerSum
 	// is their sum.
@@ -197,7 +199,7 @@
 // begin starts an epoch. After the last one only the level changes.
 func (w *window) begin(epoch, level uint32, now time.Time) {
 	w.epoch, w.level = min(epoch, maxEpoch), min(max(level, 1), maxWindow)
-	w.own, w.peers, w.peerSum = 0, nil, 0
+	w.own, w.peers, w.peerSum, w.isReported = 0, nil, 0, false
 	w.steadySince, w.changedAt, w.reportsDue = now, now, 0
 }
 
@@ -228,7 +230,7 @@
 			w.open, w.openedAt = true, now
 		}
 		w.begin(r.Epoch, level, now)
-		w.setbackAt = now
+		w.setbackAt, w.isReported = now, true
 		w.count(process, r.Successes)
 		return true
 	}
