--- a/internal/policy/slots/model_test.go
+++ b/internal/policy/slots/model_test.go
@@ -134,7 +134,7 @@
 func (o *outcome) workspace(w int) tally { return o.sum(0, modelKinds, w, w+1) }
 
 // play runs a load with pools, or with the choice of a random target if usePool is false.
-func play(l load, usePool bool, opts ...slots.Option) *outcome {
+func play(l load, usePool bool) *outcome {
 	m := &model{load: l, arrivals: rand.New(rand.NewPCG(20261206, 1)), rng: rand.New(rand.NewPCG(20261206, 2)), asked: make(map[slots.Key]func(slots.Reply))}
 	var set []slots.Target
 	for i := range l.targets {
@@ -147,7 +147,7 @@
 	}
 	if usePool {
 		for range max(l.coordinators, 1) {
-			p := slots.NewPool(opts...)
+			p := slots.NewPool()
 			p.SetTargets(set, m.time())
 			m.pools = append(m.pools, p)
 		}
--- a/internal/policy/slots/target.go
+++ b/internal/policy/slots/target.go
@@ -25,9 +25,9 @@
 	// It doubles up to maxRegain with each refusal in that time and no success since.
 	minRegain = 200 * time.Millisecond
 	maxRegain = 1600 * time.Millisecond
-	// earlyEndFactor is the multiple of the usual time for which a call that failed counts in
-	// the choice of a target, so that a target whose calls all fail gets half as many as the
-	// others.
+	// earlyEndFactor is the multiple of the usual time for which a call that failed or was
+	// refused counts in the choice of a target. With 1, a target whose calls all fail at once
+	// gets as many as the others.
 	earlyEndFactor = 2
 	// maxEarlyEnds bounds the remembered early ends of a target's calls.
 	maxEarlyEnds = 64
