--- a/internal/policy/slots/estimate.go
+++ b/internal/policy/slots/estimate.go
@@ -115,9 +115,13 @@
 		order = append(order, ranked{w, p.rank(w)})
 	}
 	slices.SortFunc(order, func(a, b ranked) int { return a.compare(&b.rank) })
-	ahead := 1
+	ahead, common, arrivals := 1, p.releaseRate(nil), p.arrivalRate(maxKinds)
 	for _, w := range order {
-		wait, ok := p.canStillServe(w.waiter, w.class, ahead)
+		rate := common
+		if len(w.Excluded) > 0 {
+			rate = p.releaseRate(w.Excluded)
+		}
+		wait, ok := p.canStillServe(w.waiter, w.class, ahead, rate, arrivals)
 		if ok {
 			ahead++
 			continue
@@ -128,14 +132,13 @@
 }
 
 // canStillServe reports whether a waiting request with a place in the order can be served in
-// time, and how long it is expected to wait.
-func (p *Pool) canStillServe(w *waiter, c class, place int) (time.Duration, bool) {
-	rate := p.releaseRate(w.Excluded)
+// time at rates of releases and arrivals a second, and how long it is expected to wait.
+func (p *Pool) canStillServe(w *waiter, c class, place int, rate, arrivals float64) (time.Duration, bool) {
 	if rate <= 0 {
 		return noTargetWait, false
 	}
 	if c == late {
-		if wait := waitFor(place, rate, p.arrivalRate(maxKinds)); p.now.Add(wait).After(w.overdueAt) {
+		if wait := waitFor(place, rate, arrivals); p.now.Add(wait).After(w.overdueAt) {
 			return wait, false
 		}
 	}
