--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -84,7 +84,7 @@
 
 func (f *Fleet) setIdentity(b *peerv1.Beacon) {
 	b.Router, b.CallerAddress, b.PeerAddress = f.self.Router, f.self.CallerAddress, f.self.PeerAddress
-	b.FailureDomain, b.ProcessorMilli = f.self.FailureDomain, uint32(min(f.self.CPUShare, maxCPUShare)*1000)
+	b.FailureDomain, b.ProcessorMilli = f.self.FailureDomain, processorMilli(f.self.CPUShare)
 	b.Evacuations = f.encodeEvacuations()
 }
 
--- a/internal/peer/gossip/peers.go
+++ b/internal/peer/gossip/peers.go
@@ -99,19 +99,28 @@
 	defer f.mu.Unlock()
 	identities = make([]Identity, 0, len(f.peers)+1)
 	if includesSelf = local.Serving && !f.leaving; includesSelf {
-		identities = append(identities, f.self)
+		self := f.self
+		// As the others know it, so that all routers compare the same numbers.
+		self.CPUShare = cpuShare(processorMilli(self.CPUShare))
+		identities = append(identities, self)
 	}
 	for _, p := range f.peers {
 		if p.servesCallers() {
 			identities = append(identities, Identity{
 				Router: p.beacon.GetRouter(), PeerAddress: p.beacon.GetPeerAddress(), FailureDomain: p.beacon.GetFailureDomain(),
-				Incarnation: p.beacon.GetIncarnation(), CPUShare: float64(p.beacon.GetProcessorMilli()) / 1000,
+				Incarnation: p.beacon.GetIncarnation(), CPUShare: cpuShare(p.beacon.GetProcessorMilli()),
 			})
 		}
 	}
 	return identities, includesSelf
 }
 
+// processorMilli returns a CPU share as beacons carry it.
+func processorMilli(share float64) uint32 { return uint32(min(share, maxCPUShare) * 1000) }
+
+// cpuShare returns the CPU share that a beacon carries.
+func cpuShare(milli uint32) float64 { return float64(milli) / 1000 }
+
 // CallerAddresses returns up to limit addresses of routers that serve callers,
 // those in the given failure domain first.
 func (f *Fleet) CallerAddresses(failureDomain string, limit int) []string {
