--- a/internal/node/edge/slots.go
+++ b/internal/node/edge/slots.go
@@ -31,8 +31,13 @@
 	}
 	address := net.JoinHostPort(r.settings.IP, strconv.Itoa(int(port)))
 	client, closeClient, err := slotgrant.New(address, r.slotMembers, r.slotTargets, r.log)
-	if err != nil {
+	switch {
+	case err != nil && r.settings.HasPressure:
 		return err
+	case err != nil:
+		// Not fatal where it may never be needed: calls can be served without slots.
+		r.log.Error().Err(err).Msg("failed to listen for the exchange of slots")
+		return nil
 	}
 	r.slots = client
 	r.cleanups = append(r.cleanups, closeClient)
