--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -42,9 +43,6 @@
 	c.tried[target.Hash] = true
 	c.sentTo = append(c.sentTo, target.ID)
 	c.progress.Attempts++
-	if c.h.Pace != nil {
-		c.h.Pace.Begin(target.Hash, time.Now())
-	}
 	tracked := c.h.TargetHealth.Begin(target.Hash, c.placement.PrefillTokens, time.Now())
 	defer tracked.End()
 	overdue := time.AfterFunc(overdueAfter(c.route.LatencyObjective, c.placement), func() { tracked.Overdue(time.Now()) })
@@ -143,21 +141,28 @@
 			FailureDomain: t.FailureDomain, SameDomain: t.FailureDomain == c.h.FailureDomain,
 		}
 	}
-	choice := c.h.CacheIndex.Choose(affinity.Request{
+	request := affinity.Request{
 		Parts: c.parts, Seed: xxhash.Sum64String(c.headers.ID), Factor: c.h.LoadFactor,
 		Fetch: c.view.Configuration.Services[c.service].CacheTransfer, StaleCounts: c.hasStaleCounts(),
-	}, candidates, now)
-	if choice.Index < 0 {
-		return nil
 	}
-	c.placement = choice
-	c.h.Limits.Take(targets[choice.Index].Hash, now)
-	c.cacheSource = nil
-	if choice.Source >= 0 {
-		c.cacheSource = targets[choice.Source]
-		c.h.Limits.Take(c.cacheSource.Hash, now)
+	for {
+		choice := c.h.CacheIndex.Choose(request, candidates, now)
+		if choice.Index < 0 {
+			return nil
+		}
+		if taken := c.beginPaces(targets, choice, now); taken >= 0 {
+			candidates[taken].Exhausted = true // Another call has used its pace meanwhile.
+			continue
+		}
+		c.placement = choice
+		c.h.Limits.Take(targets[choice.Index].Hash, now)
+		c.cacheSource = nil
+		if choice.Source >= 0 {
+			c.cacheSource = targets[choice.Source]
+			c.h.Limits.Take(c.cacheSource.Hash, now)
+		}
+		return targets[choice.Index]
 	}
-	return targets[choice.Index]
 }
 
 // maySupplyCache reports whether requests may reach a target, at least fetches by other targets from
@@ -174,7 +179,8 @@
 // response for the decision that follows.
 func (c *call) relay(target *state.Target, tracked *targetstats.Call, response *http1client.Response) attemptEnd {
 	headers := platform.DecodeResponseHeaders(response.Head.Status, response.Head.Fields)
-	if headers.HasLoad {
+	// An answer with 421 is from another server, whose load says nothing of this service.
+	if headers.HasLoad && response.Head.Status != http.StatusMisdirectedRequest {
 		c.load, c.hasLoad = headers.Load, true
 		if headers.Load.Pace > 0 {
 			c.h.uneven.add(c.service)
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -122,6 +122,7 @@
 		recoveries       recoveries
 		// observedTargets holds the last *state.Target by hash of which Pace has been told.
 		observedTargets sync.Map
+		coldRates       atomic.Pointer[coldRates]
 		answerMemory    *answermemory.Budget
 		usual           usualTimes
 		callTimes       callTimes
@@ -181,6 +182,10 @@
 		// waited for grants.
 		slot     slotgrant.Grant
 		slotWait time.Duration
+		// slotCoordinator is the address of the router that has granted the last slot, or "".
+		slotCoordinator string
+		// paced holds the targets of the attempt in progress whose pace counts it.
+		paced []uint64
 		// cacheSource is the target from whose cache the selected target fetches, or nil.
 		cacheSource *state.Target
 		status      int
@@ -324,7 +329,7 @@
 func (c *call) takeRetry() bool {
 	switch c.reason {
 	case eligibility.None.String(), eligibility.Limited.String(), eligibility.Backoff.String(),
-		eligibility.Warming.String(), eligibility.Evacuated.String(), reasonNoSlot:
+		eligibility.Warming.String(), eligibility.Evacuated.String(), reasonNoSlot, reasonStopping:
 		return false
 	case http1client.ReasonRefused, http1client.ReasonNoConnection:
 		return true
--- a/internal/fleet/forward/pace.go
+++ b/internal/fleet/forward/pace.go
@@ -95,7 +95,7 @@
 	if ratio, ok := c.h.usual.ratio(c.route.Name, took); ok {
 		c.h.TargetHealth.RecordPace(target.Hash, ratio, now)
 		if c.h.Pace != nil && ratio >= slowAnswerFactor {
-			c.h.Pace.RecordSetback(target.Hash, "slow", now)
+			c.h.Pace.RecordSlow(target.Hash, now)
 		}
 	}
 }
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -47,7 +47,7 @@
 		line = line.Int("target-running", c.load.Running).Int("target-waiting", c.load.Waiting)
 	}
 	if c.slotWait > 0 {
-		line = line.Dur("slot-wait-ms", c.slotWait)
+		line = line.Dur("slot-wait-ms", c.slotWait).Str("coordinator", c.slotCoordinator)
 	}
 	if c.quarantined.Crashes > 0 {
 		line = line.Str("quarantined", quarantine.PartName(c.quarantined.Part)).Int("crashes", c.quarantined.Crashes).
--- a/internal/fleet/forward/shutdown.go
+++ b/internal/fleet/forward/shutdown.go
@@ -122,16 +122,23 @@
 // refuseIfLate is refuseIfStopping for a call that was taken, perhaps before the stop began, but
 // has been executed by no target yet. The others go on.
 func (c *call) refuseIfLate() bool {
+	if !c.isLate() {
+		return false
+	}
+	c.rejectStopping()
+	return true
+}
+
+// isLate reports whether a call that has been executed by no target yet may last longer than the
+// router.
+func (c *call) isLate() bool {
 	s := c.shutdown()
 	if s == nil || c.progress.PossibleExecutions > 0 {
 		return false
 	}
 	c.expected = c.h.callTimes.expected(c.route.Name)
-	if now := time.Now(); s.endsInTime(now, c.deadline.Sub(now), c.expected) {
-		return false
-	}
-	c.rejectStopping()
-	return true
+	now := time.Now()
+	return !s.endsInTime(now, c.deadline.Sub(now), c.expected)
 }
 
 // rejectStopping responds to a call that a stopping router refuses. The caller is asked to return
--- a/internal/fleet/forward/slots.go
+++ b/internal/fleet/forward/slots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,11 +13,17 @@
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/eligibility"
 	"hickoryrock/internal/policy/slots"
+	"hickoryrock/internal/policy/targetpace"
 )
 
 const (
 	// reasonNoSlot is the reason of calls that no target could run before their deadline.
 	reasonNoSlot = "no-slot"
+	// maxGrants bounds the grants that one attempt may turn down. Each costs a round trip.
+	maxGrants = 3
+	// maxSlotExclusions bounds the targets that a request excludes, so that it fits into a
+	// datagram. The coordinator knows itself which targets are draining or evacuated.
+	maxSlotExclusions = 32
 	// placementSlot means that the coordinator of the service has granted a slot at the target.
 	placementSlot affinity.Reason = "slot"
 )
@@ -30,6 +37,8 @@
 		Acquire(ctx context.Context, r slotgrant.Request) (slotgrant.Grant, error)
 		// Release ends a grant; the zero Grant has no effect.
 		Release(g slotgrant.Grant, result slots.Result)
+		// Cancel ends a grant that has not been used.
+		Cancel(g slotgrant.Grant)
 	}
 
 	// unevenServices holds the services whose targets have stated how long work takes on their
@@ -62,37 +71,96 @@
 // acquireSlot waits for a slot and returns its target. If it returns nil and true, the call is
 // not sent; with nil and false, this router chooses a target without a slot.
 func (c *call) acquireSlot(ctx context.Context) (target *state.Target, isDecided bool) {
-	excluded := make([]uint64, 0, len(c.tried))
-	for hash := range c.tried {
-		excluded = append(excluded, hash)
-	}
-	started := time.Now()
-	grant, err := c.h.Slots.Acquire(ctx, slotgrant.Request{
-		Service: c.service, Workspace: c.workspace.Name, Priority: c.priority(),
-		Objective: c.start.Add(c.route.LatencyObjective), Deadline: c.deadline, Excluded: excluded,
-	})
-	c.slotWait += time.Since(started)
-	var refusal *slotgrant.Refusal
-	switch {
-	case err == nil:
+	var rejected []uint64
+	for range maxGrants {
+		excluded, ok := c.slotExclusions(time.Now())
+		if !ok {
+			return nil, false
+		}
+		request := slotgrant.Request{
+			Service: c.service, Workspace: c.workspace.Name, Priority: c.priority(), Deadline: c.deadline,
+			Excluded: slices.Concat(rejected, excluded),
+		}
+		if c.route.LatencyObjective > 0 {
+			request.Objective = c.start.Add(c.route.LatencyObjective)
+		}
+		started := time.Now()
+		grant, err := c.h.Slots.Acquire(ctx, request)
+		c.slotWait += time.Since(started)
+		if err != nil {
+			return nil, c.isEndedBy(ctx, err)
+		}
+		// The router may have been paused, or been told to stop, while the call waited.
+		c.h.awaitFreshView(ctx)
+		if reason := c.lateReason(); reason != "" {
+			c.h.Slots.Cancel(grant)
+			c.reason = reason
+			return nil, true
+		}
 		if target := c.grantedTarget(grant); target != nil {
-			c.slot = grant
+			c.slot, c.slotCoordinator = grant, grant.Coordinator
 			return target, true
 		}
 		// The coordinator has another view of the target than this router.
-		c.h.Slots.Release(grant, slots.Result{})
-		return nil, false
+		c.h.Slots.Cancel(grant)
+		rejected = append(rejected, grant.Target)
+	}
+	return nil, false
+}
+
+// isEndedBy reports whether the call is not sent because of an error of Acquire, and sets the
+// reason.
+func (c *call) isEndedBy(ctx context.Context, err error) bool {
+	var refusal *slotgrant.Refusal
+	switch {
 	case errors.As(err, &refusal):
 		c.reason, c.retryAfter = reasonNoSlot, refusal.RetryAfter
-		return nil, true
-	case ctx.Err() != nil:
+	case errors.Is(context.Cause(ctx), ingress.ErrStopped):
+		c.reason = reasonStopped
+	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		// The deadline of the request may end before that of ctx, which is the same.
 		c.reason = reasonNoSlot
-		if errors.Is(context.Cause(ctx), ingress.ErrStopped) {
-			c.reason = reasonStopped
+	default:
+		return false
+	}
+	return true
+}
+
+// lateReason returns why a call that has waited for a slot is not sent any more, or "".
+func (c *call) lateReason() string {
+	switch {
+	case time.Until(c.deadline) < minAttemptTime:
+		return reasonNoSlot
+	case c.isLate():
+		return reasonStopping
+	}
+	return ""
+}
+
+// slotExclusions returns the targets that must not be granted to the call: those that it was sent
+// to, and those that this router may not send to. It returns false if no other is left, or if the
+// slots of one are not known, so that the coordinator can't grant any.
+func (c *call) slotExclusions(now time.Time) (excluded []uint64, ok bool) {
+	c.targets = c.h.View().Targets
+	targets := c.targets.ByService[c.service]
+	if c.h.HasWindows(c.service) {
+		c.h.updatePace(c.service, targets, c.h.TargetHealth.Summaries(state.Hashes(targets), now), now)
+	}
+	for hash := range c.tried {
+		excluded = append(excluded, hash)
+	}
+	for _, t := range targets {
+		switch {
+		case t.Slots <= 0:
+			return nil, false
+		case c.tried[t.Hash]:
+		case c.h.grantEligibility.Check(t, now).Reason == eligibility.Eligible:
+			ok = true
+		case len(excluded) < maxSlotExclusions:
+			excluded = append(excluded, t.Hash)
 		}
-		return nil, true
 	}
-	return nil, false
+	return excluded, ok
 }
 
 // grantedTarget returns the target of a grant if the call may be sent there.
@@ -100,12 +168,16 @@
 	now := time.Now()
 	c.targets = c.h.View().Targets
 	for _, t := range c.targets.ByService[c.service] {
+		if t.Hash != grant.Target {
+			continue
+		}
 		isEligible := c.h.grantEligibility.Check(t, now).Reason == eligibility.Eligible
-		if t.Hash == grant.Target && !c.tried[t.Hash] && isEligible {
-			c.placement, c.cacheSource = affinity.Choice{Index: -1, Source: -1, Reason: placementSlot}, nil
-			c.h.Limits.Take(t.Hash, now)
-			return t
+		if c.tried[t.Hash] || !isEligible || !c.beginPace(t, now, (*targetpace.Tracker).TryBeginCold) {
+			return nil
 		}
+		c.placement, c.cacheSource = affinity.Choice{Index: -1, Source: -1, Reason: placementSlot}, nil
+		c.h.Limits.Take(t.Hash, now)
+		return t
 	}
 	return nil
 }
--- a/internal/fleet/forward/warmup.go
+++ b/internal/fleet/forward/warmup.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/eligibility"
 	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
@@ -14,12 +16,28 @@
 // started or recovered says that it has too much to do.
 const slowAnswerFactor = 3
 
-// recoveries knows which targets get no calls for a reason that ends by itself, so that they are
-// not flooded when it ends. It is safe for concurrent use.
-type recoveries struct {
-	mu sync.Mutex
-	// excluded holds the reasons by target.
-	excluded map[uint64]string
+type (
+	// recoveries knows which targets get no calls for a reason that ends by itself, so that they
+	// are not flooded when it ends. It is safe for concurrent use.
+	recoveries struct {
+		mu sync.Mutex
+		// excluded holds the reasons by target.
+		excluded map[uint64]string
+	}
+
+	// coldRates says whether a service of a configuration has a bound on the calls to its cold
+	// targets.
+	coldRates struct {
+		configuration *state.Configuration
+		any           bool
+	}
+)
+
+// prune forgets targets that are no longer listed.
+func (r *recoveries) prune(listed map[uint64]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.excluded, func(target uint64, _ string) bool { return !listed[target] })
 }
 
 // update records why a target gets no calls, or "" if it does, and returns the reason that has
@@ -54,10 +72,10 @@
 func (h *Handler) checkPace(
 	t *state.Target, now time.Time, allows func(*targetpace.Tracker, uint64, time.Time) (time.Duration, bool),
 ) eligibility.Verdict {
-	limit, coldTime := h.coldLimit(t.Service)
-	if limit.PerSecond <= 0 && !h.HasWindows(t.Service) {
+	if !h.isPaced(t.Service) {
 		return eligibility.Verdict{}
 	}
+	limit, coldTime := h.coldLimit(t.Service)
 	h.observeEntry(t, limit, coldTime, now)
 	if wait, ok := allows(h.Pace, t.Hash, now); !ok {
 		return eligibility.Verdict{Reason: eligibility.Warming, Wait: wait}
@@ -69,13 +87,75 @@
 // cold after their start.
 func (h *Handler) coldLimit(service string) (targetpace.Limit, time.Duration) {
 	c := h.View().Configuration
-	if c == nil {
+	if c == nil || !h.hasColdRates(c) {
 		return targetpace.Limit{}, 0
 	}
 	s := c.Services[service]
 	return h.ColdLimit(s), s.ColdTime
 }
 
+// hasColdRates reports whether a service has a bound on the calls to its cold targets. It is asked
+// for each target of each call, so it is found out once for each configuration.
+func (h *Handler) hasColdRates(c *state.Configuration) bool {
+	if known := h.coldRates.Load(); known != nil && known.configuration == c {
+		return known.any
+	}
+	rates := &coldRates{configuration: c}
+	for _, s := range c.Services {
+		rates.any = rates.any || s.ColdRate > 0
+	}
+	h.coldRates.Store(rates)
+	return rates.any
+}
+
+// isPaced reports whether the calls to targets of a service may be bounded.
+func (h *Handler) isPaced(service string) bool {
+	if h.Pace == nil {
+		return false
+	}
+	if h.HasWindows(service) {
+		return true
+	}
+	limit, _ := h.coldLimit(service)
+	return limit.PerSecond > 0
+}
+
+// beginPace counts a request to a target against its pace until endPace, and reports whether try,
+// such as TryBegin, permits it.
+func (c *call) beginPace(t *state.Target, now time.Time, try func(*targetpace.Tracker, uint64, time.Time) bool) bool {
+	if !c.h.isPaced(t.Service) {
+		return true
+	}
+	if !try(c.h.Pace, t.Hash, now) {
+		return false
+	}
+	c.paced = append(c.paced, t.Hash)
+	return true
+}
+
+// beginPaces counts the requests of a choice against the pace of its target and of the target
+// from whose cache that one fetches. It returns -1, or the index of a target that may not be
+// sent a request.
+func (c *call) beginPaces(targets []*state.Target, choice affinity.Choice, now time.Time) int {
+	for _, i := range []int{choice.Source, choice.Index} {
+		if i >= 0 && !c.beginPace(targets[i], now, (*targetpace.Tracker).TryBegin) {
+			c.endPace(now)
+			return i
+		}
+	}
+	return -1
+}
+
+// endPace ends what beginPace has counted, and reports whether there was anything.
+func (c *call) endPace(now time.Time) bool {
+	isPaced := len(c.paced) > 0
+	for _, hash := range c.paced {
+		c.h.Pace.End(hash, now)
+	}
+	c.paced = c.paced[:0]
+	return isPaced
+}
+
 // observeEntry records what the entry of a target says of its start, once for each view.
 func (h *Handler) observeEntry(t *state.Target, limit targetpace.Limit, coldTime time.Duration, now time.Time) {
 	if known, ok := h.observedTargets.Load(t.Hash); ok && known == t {
@@ -104,6 +184,7 @@
 		}
 		return true
 	})
+	h.recoveries.prune(listed)
 }
 
 // HasWindows reports whether targets of a service that have started or recovered get their load
@@ -145,10 +226,9 @@
 // recordPaceOfEnd records what the end of an attempt says about how much its target bears.
 // Failures at the target are no sign of load: some calls fail wherever they run.
 func (c *call) recordPaceOfEnd(target *state.Target, end attemptEnd, now time.Time) {
-	if c.h.Pace == nil {
+	if !c.endPace(now) {
 		return
 	}
-	c.h.Pace.End(target.Hash, now)
 	switch {
 	case end.blame == blameReplaced, end.blame == blameNone, end.outcome == FailedAtTarget:
 	case end.blame == blameSuccess:
--- a/internal/peer/slotgrant/acquire.go
+++ b/internal/peer/slotgrant/acquire.go
@@ -219,6 +219,10 @@
 	c.sendMessage(h.coordinator, newReleaseMessage(key, h.service, result))
 }
 
+// Cancel ends the lease of a grant that has not been used. Unlike Release it says nothing of the
+// target.
+func (c *Client) Cancel(g Grant) { c.cancelGrant(g.serial) }
+
 // cancelGrant ends the lease of a grant that has not been used.
 func (c *Client) cancelGrant(serial uint64) {
 	if h, ok := c.takeHeld(serial); ok {
