--- a/internal/soak/scenario/faults.go
+++ b/internal/soak/scenario/faults.go
@@ -137,7 +137,7 @@
 func (tb *testbed) plannedEvents() []event {
 	planned := slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
 	if tb.options.Evacuations {
-		planned = append(planned, evacuateDomain, evacuateDomain)
+		planned = append(planned, evacuateDomain)
 	}
 	if !tb.options.RealCallers {
 		return planned
--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -181,6 +181,9 @@
 	if tb.options.RealCallers {
 		tb.startStep(tb.drawStep(stopEvents[:1]), &running)
 	}
+	if tb.options.Evacuations {
+		tb.startStep(tb.drawStep([]event{evacuateDomain}), &running)
+	}
 	for range plannedEventCount {
 		tb.startStep(tb.drawStep(tb.plannedEvents()), &running)
 	}
