--- a/internal/peer/gossip/datagram_fuzz_test.go
+++ b/internal/peer/gossip/datagram_fuzz_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -38,13 +39,14 @@
 		Crashes:     []*peerv1.TargetCrash{{Target: 1, AgeMs: 1 << 31, Parts: []uint64{1}}},
 		Answers:     []*peerv1.PartAnswer{{Part: 1, AgeMs: 1}},
 		Quarantined: []*peerv1.QuarantinedPart{{Part: 1, Crashes: 1 << 31}},
+		Evacuations: &peerv1.Evacuations{Era: 1 << 63, Revision: 1 << 63, Domains: []string{"", "a", "a", strings.Repeat("b", 200)}},
 	})
 	f.Add([]byte{kindBatch, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1, 0})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if len(data) == 0 {
 			return
 		}
-		watcher := storewatch.New(nil, zerolog.Nop(), nil, nil)
+		watcher := storewatch.New(nil, zerolog.Nop(), nil, nil, storewatch.WithEvacuations(time.Second))
 		fleet, stop, err := New(Identity{Router: "a", PeerAddress: "127.0.0.1:0", FailureDomain: "a"}, func() State { return State{} },
 			targetstats.NewTracker(func(targetstats.Change) {}), affinity.NewCacheIndex(), watcher, zerolog.Nop(),
 			WithQuarantine(quarantine.NewTracker()))
