--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -180,12 +180,7 @@
 		w.recordState(old.target, c.target, !full || c.revision > w.eraBase)
 		delete(w.expiring, c.name)
 		changed = changed || !bytes.Equal(old.raw, c.raw)
-		if c.target != nil {
-			c.target.ReceivedAt = now
-			if old.target != nil && bytes.Equal(old.raw, c.raw) {
-				c.target.ReceivedAt = old.target.ReceivedAt
-			}
-		}
+		c.setReceivedAt(old, now)
 		w.entries[c.name] = entry{raw: c.raw, target: c.target}
 	}
 	if full {
@@ -207,6 +202,18 @@
 	}
 }
 
+// setReceivedAt sets the time at which the changed entry of a target was received, which is that of
+// the old entry if it says the same.
+func (c entryChange) setReceivedAt(old entry, now time.Time) {
+	switch {
+	case c.target == nil:
+	case old.target != nil && bytes.Equal(old.raw, c.raw):
+		c.target.ReceivedAt = old.target.ReceivedAt
+	default:
+		c.target.ReceivedAt = now
+	}
+}
+
 // supersedes reports whether a known incarnation is later than the one that the store lists
 // under its name: the listed one left before the store came back. w.mu must be held.
 func (w *Watcher) supersedes(known, listed *state.Target) bool {
