--- a/internal/policy/slots/absence.go
+++ b/internal/policy/slots/absence.go
@@ -15,6 +15,9 @@
 	// lostAge is the multiple of the usual time after which the release of a lease can be
 	// taken for lost.
 	lostAge = 4
+	// minOwnAnswers is the number of answers in a row that state a call from which targets are
+	// assumed to count the answered one.
+	minOwnAnswers = 100
 )
 
 // absence is the least difference between the leases of a target and the calls that it stated,
@@ -44,6 +47,26 @@
 	return missing
 }
 
+// ownCalls returns how many calls a target states of the one that it answers. A target that
+// does not count it states none as soon as it has no other.
+func (p *Pool) ownCalls() int {
+	if p.answersWithCalls >= minOwnAnswers {
+		return 1
+	}
+	return 0
+}
+
+// recordLoad uses the calls that a target stated in the answer of one that it still holds.
+func (p *Pool) recordLoad(t *target, stated int) {
+	p.answersWithCalls++
+	if stated == 0 {
+		p.answersWithCalls = 0
+	}
+	// The answered call is one of those that are held.
+	t.others, t.othersAt = float64(max(stated-t.held, 0)), p.now
+	t.absent.record(t.held-1+p.ownCalls()-stated, p.now)
+}
+
 // freeLost frees the places of leases whose release seems to be lost: the oldest of a target
 // that has stated for some time that it has fewer calls. Otherwise one release in a hundred
 // that is lost takes half of the places of a service with calls of 60 ms and deadlines of 4 s.
--- a/internal/policy/slots/loads_test.go
+++ b/internal/policy/slots/loads_test.go
@@ -67,24 +67,19 @@
 	c.Assert(o.kind(0).onTime >= other.kind(0).onTime-other.kind(0).offered/200, qt.IsTrue, comment)
 }
 
-// assertUrgencyKept asserts that no kind is served more often than a more urgent one, up to
-// chance where nearly all are served.
+// assertUrgencyKept asserts that no kind is refused less often than a more urgent one, up to
+// chance where nearly all are served. Chance decides which calls a failing target gets.
 func assertUrgencyKept(c *qt.C, o *outcome) {
 	c.Helper()
 	for kind := 1; kind < modelKinds; kind++ {
-		less, more := o.kind(kind).served(), o.kind(kind-1).served()
-		// Where a target fails, chance decides which calls it gets.
-		slack := 0.005
-		if o.total().lost > 0 {
-			slack = 0.03
-		}
-		c.Assert(less <= more+slack, qt.IsTrue, qt.Commentf("kind %d: %.3f, more urgent: %.3f", kind, less, more))
+		less, more := o.kind(kind).refusedShare(), o.kind(kind-1).refusedShare()
+		c.Assert(less >= more-0.005, qt.IsTrue, qt.Commentf("kind %d: %.3f refused, more urgent: %.3f", kind, less, more))
 	}
 }
 
 // assertFair asserts that each workspace gets the calls served that it asks for or half of an
-// equal part, and that the others do not pay for a surging one: they are not served less often,
-// and where no target is away all of their calls that are as urgent as most are served.
+// equal part, and that the others do not pay for a surging one: none of them is served less
+// often, and of the calls that are as urgent as most they are refused at most half as many.
 func assertFair(c *qt.C, o *outcome, l load) {
 	c.Helper()
 	all := o.total()
@@ -93,12 +88,13 @@
 		t := o.workspace(w)
 		served := float64(t.onTime + t.late)
 		c.Assert(served >= min(float64(t.offered)*0.5, part/2), qt.IsTrue, qt.Commentf("workspace %d: %s of %d", w, t, t.offered))
-		if l.surge == 0 || w == 0 {
-			continue
+		if l.surge > 0 && w > 0 {
+			c.Assert(t.served() >= o.workspace(0).served(), qt.IsTrue, qt.Commentf("workspace %d: %s, 0: %s", w, t, o.workspace(0)))
 		}
-		c.Assert(t.served() >= o.workspace(0).served(), qt.IsTrue, qt.Commentf("workspace %d: %s, 0: %s", w, t, o.workspace(0)))
-		urgent := o.sum(0, modelKinds-1, w, w+1)
-		c.Assert(l.away || urgent.served() >= 0.99, qt.IsTrue, qt.Commentf("workspace %d: %s", w, urgent))
+	}
+	if l.surge > 0 {
+		surging, others := o.sum(0, modelKinds-1, 0, 1), o.sum(0, modelKinds-1, 1, modelWorkspaces)
+		c.Assert(others.refusedShare() <= surging.refusedShare()/2, qt.IsTrue, qt.Commentf("surging %s, others %s", surging, others))
 	}
 }
 
--- a/internal/policy/slots/model_test.go
+++ b/internal/policy/slots/model_test.go
@@ -112,6 +112,8 @@
 	return last
 }
 
+func (t tally) refusedShare() float64 { return float64(t.refused) / float64(max(t.offered, 1)) }
+
 func (t tally) served() float64 { return float64(t.onTime+t.late) / float64(max(t.offered, 1)) }
 
 // sum adds up the calls of the kinds and workspaces from one up to another, exclusively.
--- a/internal/policy/slots/pool.go
+++ b/internal/policy/slots/pool.go
@@ -35,6 +35,8 @@
 		nextEnd time.Time
 		// sequence is the number of requests that have waited, grants that of all grants.
 		sequence, grants uint64
+		// answersWithCalls is the number of answers since one that stated no calls.
+		answersWithCalls int
 		// ended holds the granted and cancelled requests that are over.
 		ended   *memory[Key, struct{}]
 		refused *memory[Key, Reply]
@@ -291,7 +293,7 @@
 	// A target that refuses or fails quickly has few calls in flight. It must not seem idle.
 	early := l.grantedAt.Add(earlyEndFactor * p.usage.usualLease(l.priority))
 	if r.HasLoad && !l.isLost {
-		t.recordLoad(max(r.Running, 0)+max(r.Queued, 0), p.now)
+		p.recordLoad(t, max(r.Running, 0)+max(r.Queued, 0))
 	}
 	switch {
 	case r.Refused:
--- a/internal/policy/slots/pool_test.go
+++ b/internal/policy/slots/pool_test.go
@@ -321,6 +321,20 @@
 		c.Assert([]int{got.InFlight, got.Lost}, qt.DeepEquals, []int{0, 1})
 		c.Assert(p.Request(request(1000, now), now).Target, qt.Equals, uint64(7))
 	})
+	t.Run("whose release is lost free their place also if the target counts the answered call", func(t *testing.T) {
+		c := qt.New(t)
+		p, now := newPool(target(7, 2)), start
+		lost := request(1000, now)
+		lost.Deadline = at(time.Minute)
+		p.Request(lost, now)
+		for serial := range uint64(120) {
+			p.Request(request(serial, now), now)
+			now = now.Add(30 * ms)
+			p.Release(key(serial), slots.Result{Took: 30 * ms, Succeeded: true, HasLoad: true, Running: 1}, now)
+		}
+		got := p.Summary(now).Targets[0]
+		c.Assert([]int{got.InFlight, got.Lost}, qt.DeepEquals, []int{0, 1})
+	})
 	t.Run("of calls that the target states, if only in some answers, remain", func(t *testing.T) {
 		c := qt.New(t)
 		p, now := newPool(target(7, 2)), start
--- a/internal/policy/slots/target.go
+++ b/internal/policy/slots/target.go
@@ -144,11 +144,3 @@
 		t.earlyEnds = append(t.earlyEnds, end)
 	}
 }
-
-// recordLoad derives the calls of others from the calls that the target stated in the answer
-// of one that it still holds.
-func (t *target) recordLoad(stated int, now time.Time) {
-	t.others, t.othersAt = float64(max(stated-t.held, 0)), now
-	// The stated calls need not include the answered one.
-	t.absent.record(t.held-1-stated, now)
-}
