--- a/internal/peer/gossip/fixture_test.go
+++ b/internal/peer/gossip/fixture_test.go
@@ -59,6 +59,8 @@
 	// evacuationBound is the time within which evacuations must be in force; zero means that
 	// there are none.
 	evacuationBound time.Duration
+	// cpuShare is the CPU share of the routers that are started.
+	cpuShare float64
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -94,7 +96,7 @@
 		storewatch.WithEvacuations(f.evacuationBound))
 	fleet, closeFleet, err := gossip.New(gossip.Identity{
 		Router: name, CallerAddress: "callers-of-" + name, PeerAddress: address, FailureDomain: failureDomain,
-		Incarnation: uint64(time.Now().UnixMicro()),
+		Incarnation: uint64(time.Now().UnixMicro()), CPUShare: f.cpuShare,
 	}, r.localState, r.tracker, r.cacheIndex, r.watcher, zerolog.Nop(), gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.limits),
 		gossip.WithPace(r.pace))
 	f.Assert(err, qt.IsNil)
