--- a/internal/fleet/storewatch/evacuations.go
+++ b/internal/fleet/storewatch/evacuations.go
@@ -9,9 +9,13 @@
 	"hickoryrock/platform"
 )
 
-// MaxEvacuatedDomains bounds the failure domains that are evacuated at a time, so that they fit
-// into a beacon.
-const MaxEvacuatedDomains = 32
+const (
+	// MaxEvacuatedDomains bounds the failure domains that other routers are told of, so that they
+	// fit into a beacon.
+	MaxEvacuatedDomains = 32
+	// maxEvacuationEntries bounds those that this router reads from the store.
+	maxEvacuationEntries = 4096
+)
 
 type (
 	// Evacuations is the set of the failure domains that operators have evacuated, as of a
@@ -43,6 +47,18 @@
 	return names
 }
 
+// NamesForPeers returns the names that other routers are told, MaxEvacuatedDomains at most: failure
+// domains of listed targets come first, so that entries with other names never displace them.
+func (e Evacuations) NamesForPeers(targets *state.Targets) []string {
+	names := e.Names()
+	if len(names) <= MaxEvacuatedDomains {
+		return names
+	}
+	counts := targetsByDomain(targets)
+	slices.SortStableFunc(names, func(a, b string) int { return -cmp.Compare(min(counts[a], 1), min(counts[b], 1)) })
+	return names[:MaxEvacuatedDomains]
+}
+
 // find returns the evacuation of a failure domain, or false.
 func (e *Evacuations) find(domain string) (Evacuation, bool) {
 	if e == nil {
@@ -163,7 +179,7 @@
 	if old == nil || old.provisional {
 		since = time.Time{}
 	}
-	for _, name := range w.selectDomains(old, domains) {
+	for _, name := range w.normalizeDomains(domains) {
 		e, ok := old.find(name)
 		if !ok {
 			e = Evacuation{Domain: name, Since: since}
@@ -181,34 +197,17 @@
 	}
 }
 
-// selectDomains returns the valid names, sorted and without repetitions, and MaxEvacuatedDomains
-// of them at most. Failure domains of targets come first, so that entries with other names never
-// displace them, and then those that were evacuated before. w.mu must be held.
-func (w *Watcher) selectDomains(old *Evacuations, domains []string) []string {
+// normalizeDomains returns the valid names, sorted and without repetitions, and
+// maxEvacuationEntries of them at most. w.mu must be held.
+func (w *Watcher) normalizeDomains(domains []string) []string {
 	domains = slices.DeleteFunc(slices.Clone(domains), func(d string) bool { return d == "" || len(d) > platform.MaxDomainBytes })
 	slices.Sort(domains)
 	domains = slices.Compact(domains)
-	if len(domains) <= MaxEvacuatedDomains {
-		return domains
-	}
-	if len(domains) != w.evacuationsFound {
+	if len(domains) > MaxEvacuatedDomains && len(domains) != w.evacuationsFound {
 		w.evacuationsFound = len(domains)
 		w.log.Warn().Int("domains", len(domains)).Int("limit", MaxEvacuatedDomains).Msg("too many evacuated failure domains")
 	}
-	targets := w.targetsByDomain()
-	rank := func(domain string) int {
-		if targets[domain] > 0 {
-			return 0
-		}
-		if _, ok := old.find(domain); ok {
-			return 1
-		}
-		return 2
-	}
-	slices.SortStableFunc(domains, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	domains = domains[:MaxEvacuatedDomains]
-	slices.Sort(domains)
-	return domains
+	return domains[:min(len(domains), maxEvacuationEntries)]
 }
 
 // logEvacuations logs the differences between two sets and reports whether there are any. w.mu
@@ -217,7 +216,7 @@
 	var targets map[string]int
 	log := func(domain, message string) {
 		if targets == nil {
-			targets = w.targetsByDomain()
+			targets = targetsByDomain(w.View().Targets)
 		}
 		w.log.Info().Str("domain", domain).Stringer("revision", set.Revision).Str("from", from).
 			Int("targets", targets[domain]).Msg(message)
@@ -238,9 +237,9 @@
 }
 
 // targetsByDomain returns the number of listed targets of each failure domain.
-func (w *Watcher) targetsByDomain() map[string]int {
+func targetsByDomain(targets *state.Targets) map[string]int {
 	counts := make(map[string]int)
-	for _, list := range w.View().Targets.ByService {
+	for _, list := range targets.ByService {
 		for _, t := range list {
 			counts[t.FailureDomain]++
 		}
--- a/internal/peer/gossip/evacuations.go
+++ b/internal/peer/gossip/evacuations.go
@@ -23,7 +23,7 @@
 	if !ok {
 		return nil
 	}
-	return &peerv1.Evacuations{Era: e.Revision.Era, Revision: e.Revision.Number, Domains: e.Names()}
+	return &peerv1.Evacuations{Era: e.Revision.Era, Revision: e.Revision.Number, Domains: e.NamesForPeers(f.watcher.View().Targets)}
 }
 
 // mergeEvacuations takes over which failure domains another router knows to be evacuated.
