--- a/internal/policy/targetpace/routers.go
+++ b/internal/policy/targetpace/routers.go
@@ -33,8 +33,9 @@
 	fleet struct {
 		known, live Routers
 		self        uint64
-		// lastSeen holds the other routers of the last routerMemory.
-		lastSeen map[uint64]time.Time
+		// lastSeen holds when the other routers of the last routerMemory were last heard or
+		// listed, as the time since startedAt.
+		lastSeen map[uint64]time.Duration
 		// liveOthers holds the others that share windows.
 		liveOthers []uint64
 		version    uint64
@@ -52,7 +53,7 @@
 )
 
 func newFleet(known, live Routers) fleet {
-	return fleet{known: known, live: live, lastSeen: make(map[uint64]time.Time)}
+	return fleet{known: known, live: live, lastSeen: make(map[uint64]time.Duration)}
 }
 
 // refresh brings the lists of routers up to date.
@@ -66,17 +67,17 @@
 	f.version++
 	var others []uint64
 	f.self, others = f.known()
-	before := len(f.lastSeen)
+	before, age := len(f.lastSeen), now.Sub(f.startedAt)
 	for _, o := range others {
 		if _, ok := f.lastSeen[o]; o != f.self && (ok || len(f.lastSeen) < maxRouters) {
-			f.lastSeen[o] = now
+			f.lastSeen[o] = age
 		}
 	}
 	if len(f.lastSeen) > before {
 		f.grownAt = now
 	}
 	for o, at := range f.lastSeen {
-		if now.Sub(at) > routerMemory {
+		if age-at > routerMemory {
 			delete(f.lastSeen, o)
 		}
 	}
