--- a/internal/policy/slots/pool.go
+++ b/internal/policy/slots/pool.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"hickoryrock/internal/policy/rendezvous"
 )
 
 const (
@@ -237,8 +239,9 @@
 	}
 }
 
-// choose returns the target with room where a request is expected to take the shortest time,
-// of nearly equal ones the one that was granted least recently, or nil.
+// choose returns the target with room where a request is expected to take the shortest time, of
+// nearly equal ones the one that was granted least recently, or nil. Those that were never granted
+// are chosen by the request's key: after the loss of all routers there are many new pools.
 func (p *Pool) choose(r *Request) *target {
 	if len(p.leases) >= maxLeases {
 		return nil
@@ -252,12 +255,14 @@
 		}
 	}
 	var best *target
+	var bestRank uint64
 	for _, t := range p.listed {
 		if t.expected > shortest*nearlyEqual || math.IsInf(t.expected, 1) {
 			continue
 		}
-		if best == nil || t.lastGrant < best.lastGrant {
-			best = t
+		rank := rendezvous.Rank(r.Process^r.Serial, t.Hash)
+		if best == nil || t.lastGrant < best.lastGrant || (t.lastGrant == best.lastGrant && rank > bestRank) {
+			best, bestRank = t, rank
 		}
 	}
 	return best
--- a/internal/policy/slots/recovery_test.go
+++ b/internal/policy/slots/recovery_test.go
@@ -59,3 +59,26 @@
 	}
 	qt.Assert(t, refused, qt.Equals, 0)
 }
+
+// Guards against the first calls of all routers at one target: after the loss of all, each router
+// coordinates for itself until it hears of the others, and all know the targets in the same order.
+func TestNewPoolsSpreadTheirFirstGrants(t *testing.T) {
+	const routers, targets = 125, 6
+	now := time.Unix(1000, 0)
+	granted := make(map[uint64]int)
+	for process := uint64(1); process <= routers; process++ {
+		pool := slots.NewPool()
+		var list []slots.Target
+		for hash := uint64(1); hash <= targets; hash++ {
+			list = append(list, slots.Target{Hash: hash * 0x9e3779b97f4a7c15, Slots: 6, IsEligible: true})
+		}
+		pool.SetTargets(list, now)
+		reply := pool.Request(slots.Request{Key: slots.Key{Process: process * 0xc2b2ae3d27d4eb4f, Serial: 1}, Deadline: now.Add(time.Second)}, now)
+		qt.Assert(t, reply.Kind, qt.Equals, slots.Granted)
+		granted[reply.Target]++
+	}
+	for target, n := range granted {
+		// A target runs 6 calls and queues 24.
+		qt.Assert(t, n <= 30, qt.IsTrue, qt.Commentf("%d calls at target %x", n, target))
+	}
+}
