--- a/internal/policy/answermemory/answermemory.go
+++ b/internal/policy/answermemory/answermemory.go
@@ -1,5 +1,6 @@
 // Package answermemory bounds the memory that the unfinished answers of all targets occupy in a
-// router. At the bound, answers of the target that occupies the most are ended first.
+// router. At the bound, answers whose callers read slowly are ended first, the largest of them
+// before the others, and then answers of the target that occupies the most.
 package answermemory
 
 import (
@@ -29,6 +30,8 @@
 		// not been released.
 		used, ending int64
 		byTarget     map[uint64]*holdings
+		// slow holds the answers whose callers read slowly, without those that are ended.
+		slow map[*Answer]struct{}
 		// released is closed and replaced when an answer gives memory back.
 		released chan struct{}
 	}
@@ -36,6 +39,8 @@
 	// Ended describes an answer that was ended because the memory was used up.
 	Ended struct {
 		Target uint64
+		// SlowCaller is set if it was ended because its caller reads slowly.
+		SlowCaller bool
 		// Bytes is what the answer occupied, TargetBytes what all answers of its target did, and
 		// UsedBytes what all answers did.
 		Bytes, TargetBytes, UsedBytes int64
@@ -46,13 +51,16 @@
 		budget *Budget
 		target uint64
 		end    func()
-		// bytes and ended are guarded by the budget's lock.
+		// free is what the answer may occupy without a share of the bound, in bytes.
+		free int
+		// bytes, slow and ended are guarded by the budget's lock.
 		bytes int64
+		slow  bool
 		ended bool
 	}
 
 	// holdings is what the answers of one target occupy beyond FreeBytes, without those that are
-	// ended.
+	// ended or whose callers read slowly.
 	holdings struct {
 		bytes   int64
 		answers []*Answer
@@ -62,7 +70,10 @@
 // New returns a budget of limit bytes. onEnd is called for each answer that is ended, with the
 // budget's lock held.
 func New(limit int64, onEnd func(Ended)) *Budget {
-	return &Budget{limit: limit, onEnd: onEnd, byTarget: make(map[uint64]*holdings), released: make(chan struct{})}
+	return &Budget{
+		limit: limit, onEnd: onEnd, byTarget: make(map[uint64]*holdings), slow: make(map[*Answer]struct{}),
+		released: make(chan struct{}),
+	}
 }
 
 // Used returns what all answers occupy beyond FreeBytes each, in bytes.
@@ -73,9 +84,15 @@
 }
 
 // Begin returns the memory of an answer of a target. If end is called, the answer must be ended:
-// its memory is needed for answers of other targets. end is called with the budget's lock held.
+// its memory is needed for others. end is called with the budget's lock held.
 func (b *Budget) Begin(target uint64, end func()) *Answer {
-	return &Answer{budget: b, target: target, end: end}
+	return &Answer{budget: b, target: target, end: end, free: FreeBytes}
+}
+
+// BeginBacklog returns the memory of the part of a target's answer that a slow caller has yet to
+// take. No part of it is free, since all callers may read slowly at once. end is as for Begin.
+func (b *Budget) BeginBacklog(target uint64, end func()) *Answer {
+	return &Answer{budget: b, target: target, end: end, slow: true}
 }
 
 // Hold changes what the answer occupies to a number of bytes. It waits for a bounded time until
@@ -85,17 +102,66 @@
 	if a == nil {
 		return true
 	}
-	need := int64(0)
-	if bytes > FreeBytes {
-		need = (int64(bytes-FreeBytes) + stepBytes - 1) / stepBytes * stepBytes
+	return a.resize(func() int64 { return steps(bytes-a.free) - a.bytes })
+}
+
+// Add is Hold for a number of bytes besides those that the answer occupies. Unlike Hold, it may be
+// used while another goroutine calls Remove.
+func (a *Answer) Add(bytes int) bool {
+	return a.resize(func() int64 { return steps(bytes) })
+}
+
+// Remove gives a part of the memory back that Add has returned.
+func (a *Answer) Remove(bytes int) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	less := min(steps(bytes), a.bytes)
+	if a.ended {
+		a.bytes -= less
+		a.budget.ending -= less
+		a.budget.used -= less
+	} else {
+		a.budget.set(a, a.bytes-less)
+	}
+	a.budget.announceRelease()
+}
+
+// SetSlow changes whether the answer's caller reads slowly.
+func (a *Answer) SetSlow(slow bool) {
+	if a == nil {
+		return
 	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.ended || a.slow == slow {
+		return
+	}
+	b.unlist(a)
+	bytes := a.bytes
+	a.bytes, a.slow = 0, slow
+	b.list(a, bytes)
+	a.bytes = bytes
+}
+
+// steps returns a number of bytes rounded up to whole steps.
+func steps(bytes int) int64 {
+	if bytes <= 0 {
+		return 0
+	}
+	return (int64(bytes) + stepBytes - 1) / stepBytes * stepBytes
+}
+
+// resize changes what the answer occupies by the number of bytes that more returns with the lock
+// held. It returns false if the answer must be ended.
+func (a *Answer) resize(moreBytes func() int64) bool {
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for deadline := time.Now().Add(maxWait); !a.ended; b.awaitRelease(time.Until(deadline)) {
-		more := need - a.bytes
+		more := moreBytes()
 		if more <= 0 || b.used+more <= b.limit {
-			b.set(a, need)
+			b.set(a, a.bytes+more)
 			return true
 		}
 		if !b.makeRoom(a, more) || !time.Now().Before(deadline) {
@@ -106,10 +172,19 @@
 	return false
 }
 
-// makeRoom ends answers of the targets that occupy the most until there will be room for more bytes
-// of an answer. It returns false if its own target is among them. The lock must be held.
+// makeRoom ends answers until there will be room for more bytes of an answer: first those whose
+// callers read slowly, then those of the targets that occupy the most. It returns false if the answer
+// itself is to be ended. The lock must be held.
 func (b *Budget) makeRoom(a *Answer, more int64) bool {
 	for b.used-b.ending+more > b.limit {
+		if len(b.slow) > 0 || a.slow {
+			slowest := b.largestSlow(a, more)
+			if slowest == a {
+				return false
+			}
+			b.endAnswer(slowest)
+			continue
+		}
 		largest := b.largest(a.target, more)
 		if largest == a.target {
 			return false
@@ -119,6 +194,23 @@
 	return true
 }
 
+// largestSlow returns the answer to end first among those whose callers read slowly: the largest,
+// so that few are ended. The one that asks for more bytes counts with them if it is slow. The lock
+// must be held.
+func (b *Budget) largestSlow(asking *Answer, more int64) *Answer {
+	var largest *Answer
+	most := int64(-1)
+	if asking.slow {
+		largest, most = asking, asking.bytes+more
+	}
+	for a := range b.slow {
+		if a.bytes > most {
+			largest, most = a, a.bytes
+		}
+	}
+	return largest
+}
+
 // awaitRelease waits until an answer has given memory back, for a bounded time. The lock must be
 // held; it is not while it waits.
 func (b *Budget) awaitRelease(limit time.Duration) {
@@ -148,12 +240,17 @@
 			b.unlist(a)
 		}
 		b.used -= a.bytes
-		close(b.released)
-		b.released = make(chan struct{})
+		b.announceRelease()
 	}
 	a.bytes, a.ended = 0, true
 }
 
+// announceRelease wakes the answers that wait for memory. The lock must be held.
+func (b *Budget) announceRelease() {
+	close(b.released)
+	b.released = make(chan struct{})
+}
+
 // largest returns the target whose answers would occupy the most if those of asking occupied more.
 // The lock must be held.
 func (b *Budget) largest(asking uint64, more int64) uint64 {
@@ -179,7 +276,7 @@
 	if h := b.byTarget[a.target]; h != nil {
 		targetBytes = h.bytes
 	}
-	b.onEnd(Ended{Target: a.target, Bytes: a.bytes, TargetBytes: targetBytes, UsedBytes: b.used})
+	b.onEnd(Ended{Target: a.target, SlowCaller: a.slow, Bytes: a.bytes, TargetBytes: targetBytes, UsedBytes: b.used})
 	b.unlist(a)
 	b.ending += a.bytes
 	a.ended = true
@@ -197,8 +294,16 @@
 	a.bytes = bytes
 }
 
-// list enters among the answers of a target what one of them will occupy. The lock must be held.
+// list enters what an answer will occupy, among the answers of its target or those of slow callers.
+// The lock must be held.
 func (b *Budget) list(a *Answer, bytes int64) {
+	if bytes == 0 {
+		return
+	}
+	if a.slow {
+		b.slow[a] = struct{}{}
+		return
+	}
 	h := b.byTarget[a.target]
 	if h == nil {
 		h = new(holdings)
@@ -210,8 +315,12 @@
 	h.bytes += bytes - a.bytes
 }
 
-// unlist removes an answer from those of its target. The lock must be held.
+// unlist removes an answer from those that may be ended. The lock must be held.
 func (b *Budget) unlist(a *Answer) {
+	delete(b.slow, a)
+	if a.slow {
+		return
+	}
 	h := b.byTarget[a.target]
 	if h == nil || a.bytes == 0 {
 		return
--- a/internal/policy/answermemory/answermemory_test.go
+++ b/internal/policy/answermemory/answermemory_test.go
@@ -100,3 +100,85 @@
 		f.Assert(f.ended, qt.HasLen, 0)
 	})
 }
+
+// Guards against slow callers that use up the memory at the cost of callers that keep up (issue 44).
+func TestAnswersOfSlowCallersAreEndedFirst(t *testing.T) {
+	const step = 8 << 10
+	t.Run("before those of the target that occupies the most", func(t *testing.T) {
+		f := newFixture(t)
+		keepsUp, slow := f.begin(faulty), f.beginBacklog(sound)
+		f.Assert(keepsUp.Hold(large), qt.IsTrue)
+		f.Assert(slow.Add(step), qt.IsTrue)
+		f.Assert(f.begin(faulty).Hold(large+2*step), qt.IsTrue)
+		f.assertEnded(sound, 1)
+		f.Assert(keepsUp.Hold(large), qt.IsTrue)
+	})
+	t.Run("the largest before the others", func(t *testing.T) {
+		f := newFixture(t)
+		small, largest, middle := f.beginBacklog(sound), f.beginBacklog(otherFaulty), f.beginBacklog(faulty)
+		f.Assert(small.Add(step) && largest.Add(6*step) && middle.Add(2*step), qt.IsTrue)
+		f.Assert(f.begin(sound).Hold(large), qt.IsTrue)
+		f.assertEnded(otherFaulty, 1)
+		f.Assert(small.Add(step) && middle.Add(step), qt.IsTrue)
+	})
+	t.Run("as many as are needed", func(t *testing.T) {
+		f := newFixture(t)
+		first, second := f.beginBacklog(faulty), f.beginBacklog(faulty)
+		f.Assert(first.Add(5*step) && second.Add(6*step), qt.IsTrue)
+		f.Assert(f.begin(sound).Hold(limit), qt.IsTrue)
+		f.assertEnded(faulty, 2)
+	})
+	t.Run("but not for another one that is larger", func(t *testing.T) {
+		f := newFixture(t)
+		small, largest := f.beginBacklog(sound), f.beginBacklog(faulty)
+		f.Assert(small.Add(4*step) && largest.Add(6*step), qt.IsTrue)
+		f.Assert(largest.Add(4*step), qt.IsFalse)
+		f.assertEnded(faulty, 1)
+		f.Assert(small.Add(step), qt.IsTrue)
+	})
+	t.Run("and none that keeps up for one of them", func(t *testing.T) {
+		f := newFixture(t)
+		keepsUp := f.begin(faulty)
+		f.Assert(keepsUp.Hold(limit), qt.IsTrue)
+		f.Assert(f.beginBacklog(sound).Add(2*step), qt.IsFalse)
+		f.assertEnded(sound, 1)
+		f.Assert(keepsUp.Hold(limit), qt.IsTrue)
+	})
+	t.Run("also one that becomes slow, and not one that has caught up", func(t *testing.T) {
+		f := newFixture(t)
+		slow, caughtUp := f.begin(sound), f.begin(otherFaulty)
+		f.Assert(slow.Hold(large) && caughtUp.Hold(large), qt.IsTrue)
+		slow.SetSlow(true)
+		caughtUp.SetSlow(true)
+		caughtUp.SetSlow(false)
+		f.Assert(f.begin(faulty).Hold(large), qt.IsTrue)
+		f.assertEnded(sound, 1)
+	})
+	t.Run("and what their callers take is free for others", func(t *testing.T) {
+		f := newFixture(t)
+		slow := f.beginBacklog(sound)
+		for range 100 {
+			f.Assert(slow.Add(11*step), qt.IsTrue)
+			slow.Remove(11 * step)
+		}
+		f.Assert(f.budget.Used(), qt.Equals, int64(0))
+		f.Assert(slow.Add(step), qt.IsTrue)
+		slow.Release()
+		f.Assert(f.budget.Used(), qt.Equals, int64(0))
+		f.Assert(f.ended, qt.HasLen, 0)
+	})
+}
+
+// Guards against many backlogs whose free parts together exceed the memory.
+func TestNoPartOfBacklogIsFree(t *testing.T) {
+	f := newFixture(t)
+	f.Assert(f.beginBacklog(sound).Add(1), qt.IsTrue)
+	f.Assert(f.budget.Used() > 0, qt.IsTrue)
+}
+
+// beginBacklog is begin for the backlog of a slow caller.
+func (f *fixture) beginBacklog(target uint64) *answermemory.Answer {
+	var a *answermemory.Answer
+	a = f.budget.BeginBacklog(target, func() { time.AfterFunc(releaseDelay, func() { a.Release() }) })
+	return a
+}
