--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -88,6 +88,8 @@
 		net.Conn
 		server *Server
 		reader *bufio.Reader
+		// sock is nil until the first response is written.
+		sock *socket
 
 		// mu guards idle and calls, the write deadline, and the read deadline while idle is true.
 		mu sync.Mutex
@@ -95,6 +97,9 @@
 		idle bool
 		// calls is the number of calls so far.
 		calls int
+		// abandoned is set when the response must not be written further, which is the last one of
+		// the connection. It is guarded by mu.
+		abandoned bool
 		// lingers is set when the caller may still have to receive the end of a response.
 		lingers bool
 	}
@@ -129,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.limitWrite()
+		c.limitWrite(writeTimeout)
 	}
 }
 
@@ -240,8 +245,9 @@
 	defer s.bodyMemory.Release(reserved)
 	ctx, stop := s.watchDisconnect(c)
 	s.handler.ServeCall(ctx, response, req, body)
+	response.Flush(ctx)
 	stop()
-	c.lingers = response.state == complete && !response.writeFailed
+	c.lingers = response.state == complete && !response.writeFailed.Load()
 	return response.reusable() && ctx.Err() == nil
 }
 
@@ -296,7 +302,7 @@
 		return nil, 0, errBodyMemory
 	}
 	if req.ExpectContinue {
-		c.limitWrite() // The deadline of an earlier response may have passed.
+		c.limitWrite(writeTimeout) // The deadline of an earlier response may have passed.
 		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, initial, eris.Wrap(err, "send 100 Continue")
 		}
--- a/internal/caller/ingress/response.go
+++ b/internal/caller/ingress/response.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// writeTimeout bounds each write to a caller that does not read, stopWriteTimeout the
+	// writeTimeout bounds the time in which a caller takes nothing, stopWriteTimeout the
 	// writes that are in progress or begin when the server has stopped.
 	writeTimeout     = 5 * time.Second
 	stopWriteTimeout = 50 * time.Millisecond
@@ -47,21 +47,27 @@
 )
 
 type (
-	// ResponseWriter writes the response to one call. It must not be used concurrently. It
+	// ResponseWriter writes the response to one call. It must not be used concurrently but for the
+	// methods that say so. It
 	// writes one response at most: an operation out of order is logged and counted, nothing of
 	// it reaches the caller, and the connection is not used again. A response that is not
 	// complete by then is aborted.
 	ResponseWriter struct {
-		conn        *conn
-		log         *zerolog.Logger
-		method      string
-		sequence    int
-		closeAfter  bool
-		draining    *atomic.Bool
-		state       responseState
-		misused     bool
-		writeFailed bool
+		conn       *conn
+		log        *zerolog.Logger
+		method     string
+		sequence   int
+		closeAfter bool
+		draining   *atomic.Bool
+		state      responseState
+		misused    bool
+		// chunked is set when the response is written in parts, which are kept for a slow caller.
+		chunked     bool
+		writeFailed atomic.Bool
 		buf         []byte
+		// slowCaller is nil if writes wait for the caller, backlog if it has always kept up.
+		slowCaller SlowCaller
+		backlog    *backlog
 	}
 
 	responseState uint8
@@ -91,6 +97,7 @@
 	if !w.advance(notStarted, inChunks) {
 		return
 	}
+	w.chunked = true
 	w.buf = http1.AppendResponse(w.buf[:0], status, reason, fields, http1.Chunked, w.closeAfter)
 }
 
@@ -111,15 +118,19 @@
 	w.buf = w.buf[:0]
 }
 
-// writeParts writes several parts at once without copying them.
+// writeParts writes several parts at once without copying them, unless the caller is slow.
 func (w *ResponseWriter) writeParts(parts ...[]byte) {
-	if w.writeFailed {
+	if w.writeFailed.Load() {
 		return
 	}
-	w.conn.limitWrite()
+	if w.slowCaller != nil {
+		w.writeOrKeep(parts)
+		return
+	}
+	w.conn.limitWrite(writeTimeout)
 	buffers := net.Buffers(parts)
 	if _, err := buffers.WriteTo(w.conn.Conn); err != nil {
-		w.writeFailed = true
+		w.writeFailed.Store(true)
 	}
 }
 
@@ -161,41 +172,33 @@
 
 // Abort resets the connection, so that the caller sees an incomplete response.
 func (w *ResponseWriter) Abort() {
-	w.writeFailed = true
+	w.writeFailed.Store(true)
 	if tcp, ok := w.conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = w.conn.Close() // The error does not matter: the caller sees a reset.
 }
 
-// Interrupt lets the write in progress fail, if there is one. It may be used concurrently.
-func (w *ResponseWriter) Interrupt() { _ = w.conn.SetWriteDeadline(time.Unix(1, 0)) }
-
 // WriteFailed reports whether a write to the caller failed or the response was aborted.
-func (w *ResponseWriter) WriteFailed() bool { return w.writeFailed }
+func (w *ResponseWriter) WriteFailed() bool { return w.writeFailed.Load() }
 
-func (w *ResponseWriter) write(b []byte) {
-	if w.writeFailed {
-		return
-	}
-	w.conn.limitWrite()
-	if _, err := w.conn.Write(b); err != nil {
-		w.writeFailed = true
-	}
-}
+func (w *ResponseWriter) write(b []byte) { w.writeParts(b) }
 
-// limitWrite sets the write deadline of the next write, or of the one in progress.
-func (c *conn) limitWrite() {
+// limitWrite sets the write deadline of the next write, or of the one in progress, which is earlier
+// than timeout if the server has stopped, and past if the response was abandoned.
+func (c *conn) limitWrite(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	timeout := writeTimeout
+	if c.abandoned {
+		return
+	}
 	if c.server.stopped.Err() != nil {
-		timeout = stopWriteTimeout
+		timeout = min(timeout, stopWriteTimeout)
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(timeout))
 }
 
 // reusable reports whether the connection may be kept open for another call.
 func (w *ResponseWriter) reusable() bool {
-	return w.state == complete && !w.writeFailed && !w.closeAfter
+	return w.state == complete && !w.writeFailed.Load() && !w.closeAfter
 }
--- /dev/null
+++ b/internal/caller/ingress/socket.go
@@ -0,0 +1,91 @@
+package ingress
+
+import (
+	"errors"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// socket gives access to the connection's file descriptor.
+type socket struct {
+	raw syscall.RawConn
+	// write makes one call of writev with parts. It is created once, so that a write allocates
+	// nothing.
+	write   func(fd uintptr) bool
+	parts   [][]byte
+	written int
+	err     error
+}
+
+// socket returns the access to the connection's file descriptor, or nil if it has none.
+func (c *conn) socket() *socket {
+	if c.sock != nil {
+		return c.sock
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	s := &socket{raw: raw}
+	s.write = func(fd uintptr) bool {
+		for {
+			s.written, s.err = unix.Writev(int(fd), s.parts)
+			if !errors.Is(s.err, unix.EINTR) {
+				return true
+			}
+		}
+	}
+	c.sock = s
+	return s
+}
+
+// writeNow writes what the kernel takes of parts without waiting, and returns the rest. An error is
+// left to the write of the rest. It needs no write deadline, whose timer costs more than the write.
+func (c *conn) writeNow(parts [][]byte) [][]byte {
+	s := c.socket()
+	if s == nil {
+		return parts
+	}
+	s.parts, s.written, s.err = parts, 0, nil
+	err := s.raw.Write(s.write)
+	s.parts = nil
+	if err != nil || s.err != nil {
+		return parts
+	}
+	return skip(parts, s.written)
+}
+
+// skip returns parts without their first n bytes.
+func skip(parts [][]byte, n int) [][]byte {
+	for len(parts) > 0 && n >= len(parts[0]) {
+		n -= len(parts[0])
+		parts = parts[1:]
+	}
+	if n > 0 {
+		parts[0] = parts[0][n:]
+	}
+	return parts
+}
+
+// unsent returns the number of bytes that the kernel holds for the caller because the caller's host has
+// not acknowledged them, or zero if it is not known. It may be used concurrently with writeNow.
+func (c *conn) unsent() int {
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }) != nil || err != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -54,6 +54,7 @@
 	defer cancel(nil)
 	c.memory.Release() // The response of the attempt before is not used.
 	c.memory, c.headBytes = c.h.answerMemory.Begin(target.Hash, func() { c.endForMemory(cancel) }), 0
+	c.beginSlowCaller(attemptCtx, target.Hash, tracked, cancel)
 	c.lastProgress.Store(0)
 	c.attemptStart = time.Now()
 	c.hasLoad = false
@@ -239,7 +240,7 @@
 				c.h.CacheIndex.MarkPrefilled(affinity.Shared(c.parts), target.Hash, now)
 			}
 			c.writeEvents(response.Head, events)
-			if perEvent, ok := pace.add(countEvents(events), now); ok {
+			if perEvent, ok := pace.add(countEvents(events), now); ok && !c.isBehind() {
 				c.recordPace(target, perEvent, now)
 			}
 		}
@@ -294,6 +295,7 @@
 	}
 	c.writeHead(head)
 	c.writer.WriteChunk(data)
+	c.resumeReading()
 }
 
 // writeHead sends the response head unless one was sent. The head of the first
--- a/internal/fleet/forward/body.go
+++ b/internal/fleet/forward/body.go
@@ -58,10 +58,14 @@
 	}
 }
 
-// endForMemory ends an attempt whose response occupies memory that others need.
+// endForMemory ends an attempt whose response occupies memory that others need, or the response if it
+// is whole and is written to a slow caller.
 func (c *call) endForMemory(cancel context.CancelCauseFunc) {
+	if c.slow.hasBody.Load() {
+		c.endSlow(slowMemory)
+		return
+	}
 	cancel(errResponseMemory)
-	c.writer.Interrupt()
 }
 
 // AnswerMemory returns what unfinished responses occupy beyond a small part of each, in bytes.
@@ -69,6 +73,9 @@
 
 // logMemory logs and counts an answer that is ended because the memory for answers is used up.
 func (h *Handler) logMemory(e answermemory.Ended) {
+	if e.SlowCaller {
+		return // The call logs it.
+	}
 	metrics.GetOrCreateCounter(`hickoryrock_answers_ended_for_memory_total`).Inc()
 	h.Log.Warn().Str("target", h.View().Targets.Name(e.Target)).Int64("bytes", e.Bytes).Int64("target-bytes", e.TargetBytes).
 		Int64("used-bytes", e.UsedBytes).Int64("limit-bytes", h.ResponseMemory).
--- a/internal/fleet/forward/end.go
+++ b/internal/fleet/forward/end.go
@@ -104,6 +104,7 @@
 // the target and as evidence for the quarantine.
 func (c *call) recordEnd(ctx context.Context, target *state.Target, end attemptEnd) {
 	at := time.Now()
+	c.attributeToCaller(ctx, &end)
 	c.progress.Outcome = end.outcome
 	if end.outcome != NotExecuted {
 		c.progress.PossibleExecutions++
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -170,6 +170,8 @@
 		// memory is that of the last attempt's response, of whose head headBytes are held.
 		memory    *answermemory.Answer
 		headBytes int
+		// slow is what is known about a caller that does not keep up.
+		slow slowCaller
 		// buffered is a target's complete response, relayed unless a retry follows.
 		buffered *bufferedResponse
 		reason   string
@@ -256,7 +258,9 @@
 		h: h, request: r, body: body, writer: w, headers: platform.DecodeCallHeaders(r.Fields),
 		view: view, targets: view.Targets, start: start, tried: make(map[uint64]bool),
 	}
+	w.SetSlowCaller((*slowCallerHooks)(c))
 	c.serve(ctx)
+	c.finishSlowCaller(ctx)
 	c.memory.Release()
 	c.record()
 }
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -11,7 +11,7 @@
 	"hickoryrock/internal/wire/http1"
 )
 
-// reasonCallerGone is the reason of calls whose caller has disconnected or does not read.
+// reasonCallerGone is the reason of calls whose caller has disconnected.
 const reasonCallerGone = "caller-gone"
 
 // hasSuccess reports whether the target returned a successful response.
@@ -35,6 +35,8 @@
 	switch {
 	case c.isDone():
 		reason = "done"
+	case c.slow.ended.Load() != nil:
+		reason = reasonSlowCaller
 	case c.hasSuccess():
 		reason = reasonCallerGone
 	}
--- a/internal/fleet/forward/silence.go
+++ b/internal/fleet/forward/silence.go
@@ -93,6 +93,10 @@
 				return
 			case <-timer.C:
 			}
+			if c.slow.waiting.Load() {
+				timer.Reset(silenceRecheckInterval)
+				continue // The router does not read what the target sends.
+			}
 			now := time.Now()
 			remaining := c.untilSilent(target, started, now)
 			if remaining > 0 {
