--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -267,16 +267,18 @@
 
 // send writes the call; a large one is written in the background while the response is read.
 func (c *conn) send(call Call) *Failure {
-	b := http1.AppendRequest(make([]byte, 0, 1024+len(call.Body)), call.Method, call.Target, call.Fields,
-		int64(len(call.Body)))
-	b = append(b, call.Body...)
-	if len(b) > maxInlineWriteBytes {
+	b := http1.AppendRequest(make([]byte, 0, 1024+min(len(call.Body), maxInlineWriteBytes)), call.Method, call.Target,
+		call.Fields, int64(len(call.Body)))
+	if len(b)+len(call.Body) > maxInlineWriteBytes {
+		// A copy of the body would double its memory while the target reads it slowly.
+		parts := net.Buffers{b, call.Body}
 		go func() {
-			_, err := c.Write(b)
+			_, err := parts.WriteTo(c.Conn)
 			c.written <- err
 		}()
 		return nil
 	}
+	b = append(b, call.Body...)
 	n, err := c.Write(b)
 	c.written <- err
 	if err == nil {
