--- a/internal/caller/ingress/backlog.go
+++ b/internal/caller/ingress/backlog.go
@@ -105,10 +105,14 @@
 		w.keep(parts)
 		return
 	}
-	rest := net.Buffers(w.conn.writeNow(parts))
-	if len(rest) == 0 {
-		return
+	if rest := skip(parts, w.conn.writeNow(nil, parts)); len(rest) > 0 {
+		w.awaitOrKeep(rest)
 	}
+}
+
+// awaitOrKeep writes parts that the kernel does not take at once.
+func (w *ResponseWriter) awaitOrKeep(parts [][]byte) {
+	rest := net.Buffers(parts)
 	w.conn.limitWrite(keepUpTimeout)
 	_, err := rest.WriteTo(w.conn.Conn)
 	switch {
--- a/internal/caller/ingress/response.go
+++ b/internal/caller/ingress/response.go
@@ -182,7 +182,15 @@
 // WriteFailed reports whether a write to the caller failed or the response was aborted.
 func (w *ResponseWriter) WriteFailed() bool { return w.writeFailed.Load() }
 
-func (w *ResponseWriter) write(b []byte) { w.writeParts(b) }
+func (w *ResponseWriter) write(b []byte) {
+	if w.slowCaller == nil || w.writeFailed.Load() || w.IsBehind() {
+		w.writeParts(b)
+		return
+	}
+	if n := w.conn.writeNow(b, nil); n < len(b) {
+		w.awaitOrKeep([][]byte{b[n:]})
+	}
+}
 
 // limitWrite sets the write deadline of the next write, or of the one in progress, which is earlier
 // than timeout if the server has stopped, and past if the response was abandoned.
--- a/internal/caller/ingress/socket.go
+++ b/internal/caller/ingress/socket.go
@@ -10,9 +10,10 @@
 // socket gives access to the connection's file descriptor.
 type socket struct {
 	raw syscall.RawConn
-	// write makes one call of writev with parts. It is created once, so that a write allocates
-	// nothing.
+	// write makes one system call that writes data, or parts if it is nil. It is created once, so
+	// that a write of data allocates nothing.
 	write   func(fd uintptr) bool
+	data    []byte
 	parts   [][]byte
 	written int
 	err     error
@@ -34,7 +35,11 @@
 	s := &socket{raw: raw}
 	s.write = func(fd uintptr) bool {
 		for {
-			s.written, s.err = unix.Writev(int(fd), s.parts)
+			if s.data != nil {
+				s.written, s.err = unix.Write(int(fd), s.data)
+			} else {
+				s.written, s.err = unix.Writev(int(fd), s.parts)
+			}
 			if !errors.Is(s.err, unix.EINTR) {
 				return true
 			}
@@ -44,20 +49,20 @@
 	return s
 }
 
-// writeNow writes what the kernel takes of parts without waiting, and returns the rest. An error is
-// left to the write of the rest. It needs no write deadline, whose timer costs more than the write.
-func (c *conn) writeNow(parts [][]byte) [][]byte {
+// writeNow writes what the kernel takes of data, or of parts if it is nil, without waiting, and
+// returns the number of bytes. An error is left to the write of the rest. It needs no write deadline.
+func (c *conn) writeNow(data []byte, parts [][]byte) int {
 	s := c.socket()
 	if s == nil {
-		return parts
+		return 0
 	}
-	s.parts, s.written, s.err = parts, 0, nil
+	s.data, s.parts, s.written, s.err = data, parts, 0, nil
 	err := s.raw.Write(s.write)
-	s.parts = nil
+	s.data, s.parts = nil, nil
 	if err != nil || s.err != nil {
-		return parts
+		return 0
 	}
-	return skip(parts, s.written)
+	return s.written
 }
 
 // skip returns parts without their first n bytes.
