--- a/internal/fleet/forward/slots_test.go
+++ b/internal/fleet/forward/slots_test.go
@@ -463,7 +463,7 @@
 		time.Sleep(50 * time.Millisecond)
 		left := time.Now()
 		_ = c.Close()
-		<-ended
+		f.Assert(<-ended, qt.IsNotNil)
 		f.Assert(time.Since(left) < 400*time.Millisecond, qt.IsTrue)
 		f.Assert(f.line()["reason"], qt.Equals, "caller-gone")
 		f.Assert(f.targetRequests(), qt.Equals, 0)
@@ -475,7 +475,7 @@
 		go func() { got <- f.call("/safe/a") }()
 		time.Sleep(50 * time.Millisecond)
 		f.server.Stop()
-		<-ended
+		f.Assert(<-ended, qt.IsNotNil)
 		f.assertResponse(<-got, 503, "")
 		f.Assert(f.targetRequests(), qt.Equals, 0)
 	})
--- a/internal/fleet/forward/warmup_test.go
+++ b/internal/fleet/forward/warmup_test.go
@@ -197,7 +197,7 @@
 			f.Fatal("still ejected")
 		}
 	}
-	backoff := func(f *fixture) func() {
+	backoff := func(*fixture) func() {
 		return func() { time.Sleep(1100 * time.Millisecond) }
 	}
 	for name, tc := range map[string]struct {
