--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -23,7 +23,9 @@
 // record updates the metrics and writes the call's log line.
 func (c *call) record() {
 	elapsed := time.Since(c.start)
-	c.recordTime(elapsed)
+	if c.hasKeptUp() {
+		c.recordTime(elapsed)
+	}
 	route, configuration := "", int64(0)
 	if c.route != nil {
 		route = c.route.Name
--- a/internal/fleet/forward/slowcaller.go
+++ b/internal/fleet/forward/slowcaller.go
@@ -169,6 +169,9 @@
 // isBehind reports whether the times at which events are relayed depend on the caller.
 func (c *call) isBehind() bool { return c.wasUnread() || c.writer.IsBehind() }
 
+// hasKeptUp reports whether how long the call took is independent of its caller.
+func (c *call) hasKeptUp() bool { return c.slow.memory == nil && !c.slow.hasBody.Load() }
+
 // wasUnread reports whether the target may have cut its response off because it was not read for a
 // while. What it has sent before that may be read later.
 func (c *call) wasUnread() bool {
