--- a/internal/fleet/forward/slots.go
+++ b/internal/fleet/forward/slots.go
@@ -115,8 +115,10 @@
 	switch {
 	case errors.As(err, &refusal):
 		c.reason, c.retryAfter = reasonNoSlot, refusal.RetryAfter
-	case errors.Is(context.Cause(ctx), ingress.ErrStopped):
+	case errors.Is(context.Cause(ctx), ingress.ErrStopped) && c.progress.PossibleExecutions > 0:
 		c.reason = reasonStopped
+	case errors.Is(context.Cause(ctx), ingress.ErrStopped):
+		c.reason = reasonStopping // Not run.
 	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		// The deadline of the request may end before that of ctx, which is the same.
 		c.reason = reasonNoSlot
--- a/internal/fleet/forward/slots_test.go
+++ b/internal/fleet/forward/slots_test.go
@@ -427,13 +427,13 @@
 // Guards against calls that wait for a slot longer than someone waits for them, or that are then
 // sent all the same.
 func TestWaitForASlotEnds(t *testing.T) {
-	wait := func(f *slotFixture) chan error {
-		ended := make(chan error, 1)
+	wait := func(f *slotFixture) chan struct{} {
+		ended := make(chan struct{})
 		f.slots.assign = func(ctx context.Context, r slotgrant.Request) (uint64, error) {
 			ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 			defer cancel()
 			<-ctx.Done()
-			ended <- ctx.Err()
+			close(ended)
 			return 0, fmt.Errorf("wait for a slot: %w", ctx.Err())
 		}
 		return ended
@@ -478,6 +478,7 @@
 		<-ended
 		f.assertResponse(<-got, 503, "")
 		f.Assert(f.targetRequests(), qt.Equals, 0)
+		f.Assert(f.line()["reason"], qt.Equals, "router-stopping")
 	})
 	t.Run("a grant just before the deadline is not used", func(t *testing.T) {
 		f := newSlotFixture(t, 1, always("200 OK", "", "x"))
--- a/internal/fleet/forward/warmup_test.go
+++ b/internal/fleet/forward/warmup_test.go
@@ -197,7 +197,7 @@
 			f.Fatal("still ejected")
 		}
 	}
-	backoff := func(f *fixture) func() {
+	backoff := func(*fixture) func() {
 		return func() { time.Sleep(1100 * time.Millisecond) }
 	}
 	for name, tc := range map[string]struct {
@@ -279,6 +279,30 @@
 	})
 }
 
+// Guards against a lock that all calls share, and a search of the routers, in deployments that
+// have neither cold targets nor windows.
+func TestPaceCostsNothingWhereNothingIsSwitchedOn(t *testing.T) {
+	for name, script := range map[string]rawserver.Handler{
+		"200": always("200 OK", platformtest.LoadLine("3,0,8")+"X-Hickoryrock-Cold-Ms: 1000\r\n", "x"),
+		"500": always("500 Error", platformtest.LoadLine("3,0,8"), "x"), "503": write(platformtest.NotExecuted), "reset": reset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var uses atomic.Int64
+			f := newFixture(t, 3, script, withColdRate, func(c *forward.Config) {
+				c.Pace = targetpace.NewTracker(func() (uint64, []uint64) {
+					uses.Add(1) // At the first use.
+					return 1, nil
+				})
+			})
+			for _, path := range []string{"/once/a", "/safe/a", "/resume/a", "/chat/a"} {
+				_ = f.call(path)
+			}
+			f.Assert(f.targetRequests() >= 4, qt.IsTrue)
+			f.Assert(uses.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
 func withLog(l *lines) func(*forward.Config) {
 	return func(c *forward.Config) { c.Log = zerolog.New(l) }
 }
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -181,10 +181,7 @@
 		delete(w.expiring, c.name)
 		changed = changed || !bytes.Equal(old.raw, c.raw)
 		if c.target != nil {
-			c.target.ReceivedAt = now
-			if old.target != nil && bytes.Equal(old.raw, c.raw) {
-				c.target.ReceivedAt = old.target.ReceivedAt
-			}
+			c.target.ReceivedAt = old.receivedAt(c.raw, now)
 		}
 		w.entries[c.name] = entry{raw: c.raw, target: c.target}
 	}
@@ -207,6 +204,14 @@
 	}
 }
 
+// receivedAt returns when an entry was received that is listed now: earlier if it is unchanged.
+func (e entry) receivedAt(raw []byte, now time.Time) time.Time {
+	if e.target != nil && bytes.Equal(e.raw, raw) {
+		return e.target.ReceivedAt
+	}
+	return now
+}
+
 // supersedes reports whether a known incarnation is later than the one that the store lists
 // under its name: the listed one left before the store came back. w.mu must be held.
 func (w *Watcher) supersedes(known, listed *state.Target) bool {
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -92,7 +92,7 @@
 				Evacuated: t.Evacuated, WaitMS: waits[t.Hash].Milliseconds(), Summary: s,
 			}
 			if w, ok := warming[t.Hash]; ok {
-				entry.Pace, entry.PaceReason = w.Pace.String(), w.Why
+				entry.Pace, entry.PaceReason = w.String(), w.Why
 			}
 			if limit, ok := limits[t.Hash]; ok {
 				entry.Limit = &limit
