--- a/internal/node/edge/slots_test.go
+++ b/internal/node/edge/slots_test.go
@@ -96,10 +96,7 @@
 	for _, port := range []*int{&f.ports.Callers, &f.ports.Ready, &f.ports.Lookup} {
 		*port = ports.Free(f)
 	}
-	f.ports.Peers = ports.Free(f)
-	for ports.Free(f) != f.ports.Peers+1 {
-		f.ports.Peers = ports.Free(f)
-	}
+	f.ports.Peers = freePair(f)
 	for i := range routers {
 		f.routers = append(f.routers, f.start(i))
 	}
@@ -107,6 +104,16 @@
 	return f
 }
 
+// freePair returns the first of two free ports that follow each other.
+func freePair(t testing.TB) int {
+	t.Helper()
+	first := ports.Free(t)
+	for second := ports.Free(t); second != first+1; second = ports.Free(t) {
+		first = second
+	}
+	return first
+}
+
 // start starts a router, which replaces the one of the same number.
 func (f *plainFleet) start(number int) *plainRouter {
 	name, ip := fmt.Sprint("edge-", number), plainIP(number)
@@ -341,3 +348,27 @@
 	})
 	assertBound("a router is cut off", func() { f.routers[2].cut() })
 }
+
+// Guards against routers that do not start because of a port that they may never need, and against
+// routers that start without it where they do.
+func TestOccupiedPortForSlots(t *testing.T) {
+	for _, hasPressure := range []bool{false, true} {
+		t.Run(fmt.Sprint("pressure: ", hasPressure), func(t *testing.T) {
+			c := qt.New(t)
+			s := platform.Settings{
+				Router: "edge", IP: "127.0.0.1", CallerAddress: ports.FreeAddress(c), ReadyAddress: ports.FreeAddress(c),
+				StoreAddress: ports.FreeAddress(c), HasPressure: hasPressure,
+			}
+			first := freePair(c)
+			s.PeerPorts = [2]int{first, first + 1}
+			occupied, err := net.ListenPacket("udp4", net.JoinHostPort(s.IP, strconv.Itoa(first+1)))
+			c.Assert(err, qt.IsNil)
+			t.Cleanup(func() { _ = occupied.Close() })
+			_, closeRouter, err := New("", s, zerolog.Nop())
+			c.Assert(err != nil, qt.Equals, hasPressure, qt.Commentf("%v", err))
+			if err == nil {
+				closeRouter()
+			}
+		})
+	}
+}
