--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -184,6 +184,8 @@
 		// waited for grants.
 		slot     slotgrant.Grant
 		slotWait time.Duration
+		// reservedSlot is a grant for the next attempt, or zero.
+		reservedSlot slotgrant.Grant
 		// slotCoordinator is the address of the router that has granted the last slot, or "".
 		slotCoordinator string
 		// paced holds the targets of the attempt in progress whose pace counts it.
@@ -265,6 +267,7 @@
 	}
 	w.SetSlowCaller((*slowCallerHooks)(c))
 	c.serve(ctx)
+	c.cancelReservedSlot()
 	c.finishSlowCaller(ctx)
 	c.memory.Release()
 	c.record()
--- a/internal/fleet/forward/silence.go
+++ b/internal/fleet/forward/silence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/peer/slotgrant"
 	"hickoryrock/internal/policy/targetstats"
 )
 
@@ -82,7 +83,7 @@
 		return func() {}
 	}
 	done, ended := make(chan struct{}), make(chan struct{})
-	started := c.attemptStart
+	started, hasSlot := c.attemptStart, c.slot != (slotgrant.Grant{})
 	go func() {
 		defer close(ended)
 		timer := time.NewTimer(max(c.untilSilent(target, started, time.Now()), minSilenceCheckInterval))
@@ -106,9 +107,12 @@
 			if c.begun.Load() && !c.route.Resumable {
 				return // Cancelling would cut a stream that nothing can continue.
 			}
-			if !c.unresumable.Load() && c.hasAlternative(now) && c.reserveRetry(now) {
-				cancel(errSilent)
-				return
+			if !c.unresumable.Load() && c.hasAlternative(now) && (!hasSlot || c.reserveSlot(done)) {
+				if c.reserveRetry(now) {
+					cancel(errSilent)
+					return
+				}
+				c.cancelReservedSlot()
 			}
 			timer.Reset(silenceRecheckInterval)
 		}
--- a/internal/fleet/forward/slots.go
+++ b/internal/fleet/forward/slots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -71,6 +72,12 @@
 // acquireSlot waits for a slot and returns its target. If it returns nil and true, the call is
 // not sent; with nil and false, this router chooses a target without a slot.
 func (c *call) acquireSlot(ctx context.Context) (target *state.Target, isDecided bool) {
+	if grant := c.reservedSlot; grant != (slotgrant.Grant{}) {
+		c.reservedSlot = slotgrant.Grant{}
+		if target := c.useGrant(grant); target != nil {
+			return target, true
+		}
+	}
 	var rejected []uint64
 	for range maxGrants {
 		excluded, ok := c.slotExclusions(time.Now())
@@ -97,17 +104,59 @@
 			c.reason = reason
 			return nil, true
 		}
-		if target := c.grantedTarget(grant); target != nil {
-			c.slot, c.slotCoordinator = grant, grant.Coordinator
+		if target := c.useGrant(grant); target != nil {
 			return target, true
 		}
-		// The coordinator has another view of the target than this router.
-		c.h.Slots.Cancel(grant)
 		rejected = append(rejected, grant.Target)
 	}
 	return nil, false
 }
 
+// useGrant returns the target of a grant, which the next attempt uses, or nil if the call may not be
+// sent there: the coordinator may have another view of the target than this router.
+func (c *call) useGrant(grant slotgrant.Grant) *state.Target {
+	target := c.grantedTarget(grant)
+	if target == nil {
+		c.h.Slots.Cancel(grant)
+		return nil
+	}
+	c.slot, c.slotCoordinator = grant, grant.Coordinator
+	return target
+}
+
+// reserveSlot takes a slot for the next attempt while the target of the present one is silent, and
+// reports whether it did or there is no coordinator. Without it, the silent target is the best
+// that the call has. It gives up when done is closed.
+func (c *call) reserveSlot(done <-chan struct{}) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), silenceRecheckInterval)
+	defer cancel()
+	go func() {
+		select {
+		case <-done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	request := slotgrant.Request{
+		Service: c.service, Workspace: c.workspace.Name, Priority: c.priority(), Deadline: c.deadline,
+		Objective: c.start.Add(c.route.LatencyObjective), Excluded: slices.Collect(maps.Keys(c.tried)),
+	}
+	grant, err := c.h.Slots.Acquire(ctx, request)
+	if err != nil {
+		return errors.Is(err, slotgrant.ErrNoCoordinator)
+	}
+	c.reservedSlot = grant
+	return true
+}
+
+// cancelReservedSlot gives back a slot that no attempt has used.
+func (c *call) cancelReservedSlot() {
+	if c.reservedSlot != (slotgrant.Grant{}) {
+		c.h.Slots.Cancel(c.reservedSlot)
+		c.reservedSlot = slotgrant.Grant{}
+	}
+}
+
 // isEndedBy reports whether the call is not sent because of an error of Acquire, and sets the
 // reason.
 func (c *call) isEndedBy(ctx context.Context, err error) bool {
--- a/internal/fleet/forward/slots_test.go
+++ b/internal/fleet/forward/slots_test.go
@@ -574,3 +574,33 @@
 		f.Assert(f.slots.requests(), qt.HasLen, 0)
 	})
 }
+
+// Guards against calls that leave a slow target although no other has room for them: they would
+// fail, and the slow target would answer.
+func TestSilentTargetIsLeftOnlyForAnotherSlot(t *testing.T) {
+	slow := func(c net.Conn, r rawserver.Request) bool {
+		time.Sleep(200 * time.Millisecond)
+		return always("200 OK", "", "x")(c, r)
+	}
+	t.Run("no other slot", func(t *testing.T) {
+		f := newSlotFixture(t, 2, slow)
+		first := f.slots.assign
+		f.slots.assign = func(ctx context.Context, r slotgrant.Request) (uint64, error) {
+			if len(r.Excluded) > 0 {
+				return 0, &slotgrant.Refusal{RetryAfter: time.Second}
+			}
+			return first(ctx, r)
+		}
+		f.assertResponse(f.call("/safe/a"), 200, "x")
+		f.Assert(f.targetRequests(), qt.Equals, 1)
+	})
+	t.Run("another slot", func(t *testing.T) {
+		f := newSlotFixture(t, 2, slow)
+		f.assertResponse(f.call("/safe/a"), 200, "x")
+		f.Assert(f.targetRequests(), qt.Equals, 2)
+		f.slots.mu.Lock()
+		defer f.slots.mu.Unlock()
+		f.Assert(f.slots.granted, qt.Equals, 2)
+		f.Assert(len(f.slots.released)+len(f.slots.cancelled), qt.Equals, 2)
+	})
+}
