--- a/internal/fleet/forward/end.go
+++ b/internal/fleet/forward/end.go
@@ -10,6 +10,7 @@
 
 	"hickoryrock/internal/caller/ingress"
 	"hickoryrock/internal/fleet/state"
+	"hickoryrock/internal/peer/slotgrant"
 	"hickoryrock/internal/target/http1client"
 	"hickoryrock/internal/wire/http1"
 )
@@ -115,6 +116,11 @@
 	if end.reason != "" {
 		c.reason = end.reason
 	}
+	if c.slot != (slotgrant.Grant{}) && end.outcome == NotExecuted && end.stage == stageBody && end.blame == blameFailure {
+		// The coordinator gives a target that refuses fewer calls. Without it, the others would have
+		// to take all of its load.
+		end.blame = blameNone
+	}
 	c.recordHealth(target, end, at)
 	c.recordPaceOfEnd(target, end, at)
 	c.recordEvidence(ctx, target, end, at)
--- a/internal/policy/slots/estimate.go
+++ b/internal/policy/slots/estimate.go
@@ -27,6 +27,12 @@
 	// must reach for it to be refused after it was queued: the estimate varies with each
 	// burst.
 	hopelessFactor = 2
+	// overdueGrants is the number of grants of which one goes to an overdue request. Others are
+	// refused lateNotice before they are overdue, with half of their time left for another attempt:
+	// each that goes first may make a punctual request late, and if all did, an overload would leave
+	// none on time.
+	overdueGrants = 16
+	lateNotice    = 20 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the wait on which a Retry-After is based.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
@@ -35,9 +41,9 @@
 )
 
 // canServe reports whether a new request can be served in time, and how long it is expected
-// to wait. It can be if it will meet its latency objective or, late, will get a place that
-// punctual requests leave before it is overdue: an overdue request takes the place of a
-// punctual one, which then is late itself.
+// to wait. It can be if it will meet its latency objective or, late, if what waits ahead of it will
+// be worked off well before it is overdue: most overloads are bursts of a few seconds, and a late
+// answer is worth more to a caller than none.
 func (p *Pool) canServe(w *waiter) (time.Duration, bool) {
 	rate := p.releaseRate(w.Excluded)
 	if rate <= 0 {
@@ -58,7 +64,7 @@
 	if own.class == punctual && p.canBeOnTime(w, wait) {
 		return wait, true
 	}
-	wait = waitFor(allAhead, rate, p.arrivalRate(maxKinds))
+	wait = waitFor(allAhead, rate, 0)
 	return wait, float64(wait) <= lateShare*float64(w.overdueAt.Sub(p.now)) && p.canEnd(w, wait)
 }
 
@@ -119,13 +125,17 @@
 		order = append(order, ranked{w, p.rank(w)})
 	}
 	slices.SortFunc(order, func(a, b ranked) int { return a.compare(&b.rank) })
-	ahead, common, arrivals := 1, p.releaseRate(nil), p.arrivalRate(maxKinds)
+	ahead, common, overdueLeft := 1, p.releaseRate(nil), p.overdueLeft()
 	for _, w := range order {
 		rate := common
 		if len(w.Excluded) > 0 {
 			rate = p.releaseRate(w.Excluded)
 		}
-		wait, ok := p.canStillServe(w.waiter, w.class, ahead, rate, arrivals)
+		wait, ok := p.canStillServe(w.waiter, ahead, rate)
+		if w.class != punctual && p.now.Add(lateNotice).After(w.overdueAt) {
+			ok = ok && overdueLeft > 0
+			overdueLeft--
+		}
 		if ok {
 			ahead++
 			continue
@@ -135,17 +145,20 @@
 	}
 }
 
+// overdueLeft returns how many overdue requests may go before punctual ones now.
+func (p *Pool) overdueLeft() int {
+	if p.overdueGrant > 0 && p.grants-p.overdueGrant < overdueGrants {
+		return 0
+	}
+	return 1
+}
+
 // canStillServe reports whether a waiting request with a place in the order can be served in
-// time at rates of releases and arrivals a second, and how long it is expected to wait.
-func (p *Pool) canStillServe(w *waiter, c class, place int, rate, arrivals float64) (time.Duration, bool) {
+// time at a rate of releases a second, and how long it is expected to wait.
+func (p *Pool) canStillServe(w *waiter, place int, rate float64) (time.Duration, bool) {
 	if rate <= 0 {
 		return noTargetWait, false
 	}
-	if c == late {
-		if wait := waitFor(place, rate, arrivals); p.now.Add(wait).After(w.overdueAt) {
-			return wait, false
-		}
-	}
 	wait := waitFor(place, rate, 0)
 	left := w.Deadline.Sub(p.now) - p.usage.usual(w.Priority)
 	return wait, wait <= hopelessFactor*left
--- a/internal/policy/slots/pool.go
+++ b/internal/policy/slots/pool.go
@@ -37,6 +37,8 @@
 		nextEnd time.Time
 		// sequence is the number of requests that have waited, grants that of all grants.
 		sequence, grants uint64
+		// overdueGrant is the number of the last grant to an overdue request, or zero.
+		overdueGrant uint64
 		// answersWithCalls is the number of answers since one that stated no calls.
 		answersWithCalls int
 		// ended holds the granted and cancelled requests that are over.
@@ -236,6 +238,9 @@
 		}
 		p.removeWaiting(w.Key)
 		p.reply(p.grant(&w.Request, t))
+		if !p.now.Before(w.overdueAt) {
+			p.overdueGrant = p.grants
+		}
 	}
 }
 
