--- a/internal/soak/oracle/oracle.go
+++ b/internal/soak/oracle/oracle.go
@@ -23,6 +23,8 @@
 	InterruptedEvacuated  Invariant = "an evacuation interrupted a call in progress"
 	InterruptedByStop     Invariant = "a planned stop interrupted a call"
 	WorkAfterDisconnect   Invariant = "a target kept working for a caller that has disconnected"
+	TooManyToCold         Invariant = "a cold target received more calls than it can take"
+	NotServedAfterCrowd   Invariant = "too few calls were served after a crowd had gone"
 	TooFewServed          Invariant = "too few calls were served without faults"
 	ProcessFailure        Invariant = "a process failed"
 	// HarnessFailure is not an invariant of the product: the soak test itself failed.
--- a/internal/soak/scenario/evacuations.go
+++ b/internal/soak/scenario/evacuations.go
@@ -99,6 +99,9 @@
 
 // entry returns the spec of the target's entry in the store.
 func (t *target) entry() string {
+	if t.IsScarce() {
+		return platformtest.ScarceTarget(t.domain, t.Proxy.Address(), t.state, t.incarnation, traffic.Slots, t.ColdLeftMS())
+	}
 	if t.domain == "" {
 		return platformtest.Target(t.Proxy.Address(), t.state, t.incarnation)
 	}
--- a/internal/soak/scenario/faults.go
+++ b/internal/soak/scenario/faults.go
@@ -83,6 +83,7 @@
 	}},
 	{name: "network fault between routers and a target", run: func(tb *testbed, rng *rand.Rand, duration time.Duration) {
 		if t := tb.pickTarget(rng); t != nil {
+			defer t.BeginNetworkFault()()
 			tb.injectFault(rng, duration, []*faultproxy.Proxy{t.Proxy})
 		}
 	}},
@@ -139,6 +140,9 @@
 	if tb.options.Evacuations {
 		planned = append(planned, evacuateDomain)
 	}
+	if tb.options.ScarceTargets {
+		planned = append(planned, turnCold)
+	}
 	if !tb.options.RealCallers {
 		return planned
 	}
--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -62,6 +62,8 @@
 		StoreReturns bool
 		// Evacuations lets operators also evacuate failure domains.
 		Evacuations bool
+		// ScarceTargets lets targets state their slots and load, turn slow or cold, and be crowded.
+		ScarceTargets bool
 		// RealCallers lets callers and planned stops do what they do on the users' platform,
 		// with its grace period.
 		RealCallers bool
@@ -122,6 +124,9 @@
 	for end := time.Now().Add(o.Duration); time.Now().Before(end); {
 		tb.runFaultPhase()
 		time.Sleep(oracle.SettleTime)
+		if o.ScarceTargets {
+			tb.runCrowdPhase()
+		}
 		for range rounds {
 			tb.runPlannedPhase()
 		}
@@ -156,6 +161,9 @@
 	if o.Evacuations {
 		all = append(all, evacuateDomain, evacuateDomains)
 	}
+	if o.ScarceTargets {
+		all = append(all, turnSlow, turnSlow, turnCold, turnCold, crowd, crowd)
+	}
 	return all
 }
 
@@ -184,6 +192,9 @@
 	if tb.options.Evacuations {
 		tb.startStep(tb.drawStep([]event{evacuateDomain}), &running)
 	}
+	if tb.options.ScarceTargets {
+		tb.startStep(tb.drawStep([]event{turnCold}), &running)
+	}
 	for range plannedEventCount {
 		tb.startStep(tb.drawStep(tb.plannedEvents()), &running)
 	}
--- a/internal/soak/scenario/testbed.go
+++ b/internal/soak/scenario/testbed.go
@@ -57,6 +57,11 @@
 
 		// starving is locked while child processes keep processors busy.
 		starving sync.Mutex
+		// crowding is locked while a crowd calls.
+		crowding sync.Mutex
+		// coldTime is how long targets are cold after their start. It is zero in runs without
+		// scarce targets and for the targets with which the fleet starts.
+		coldTime time.Duration
 
 		mu           sync.Mutex
 		targets      map[string]*target
@@ -81,7 +86,9 @@
 		grace time.Duration
 		// evacuateTime is the bound on evacuations in the settings, or zero.
 		evacuateTime time.Duration
-		logLine      func(string)
+		// scarceTargets is set if the settings bound the calls to cold targets.
+		scarceTargets bool
+		logLine       func(string)
 
 		mu       sync.Mutex
 		revision int
@@ -133,6 +140,9 @@
 			return nil, nil, err
 		}
 	}
+	if o.ScarceTargets {
+		tb.coldTime = traffic.ColdTime
+	}
 	return tb, tb.close, nil
 }
 
@@ -154,7 +164,7 @@
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+seed/250%250, 1+seed%250, i+1)
 	r := &router{
 		name: name, ip: ip, settingsPath: filepath.Join(dir, name+".json"), grace: tb.grace, logLine: tb.logLine,
-		newestServed: make(map[int]int),
+		newestServed: make(map[int]int), scarceTargets: tb.options.ScarceTargets,
 	}
 	if tb.options.Evacuations {
 		r.evacuateTime = traffic.EvacuateTime
@@ -193,6 +203,9 @@
 	domain := domainName(int(r.name[len(r.name)-1]-'0') % domainCount)
 	data := platformtest.FleetSettingsWithEvacuations(r.name, r.ip, domain, ports, r.storeProxy.Address(), r.revision,
 		int(r.grace.Seconds()), int(r.evacuateTime.Milliseconds()))
+	if r.scarceTargets {
+		data = platformtest.WithScarceTargets(data, ports)
+	}
 	if err := os.WriteFile(r.settingsPath+".new", data, 0o600); err != nil {
 		return fmt.Errorf("settings of %q: %w", r.name, err)
 	}
@@ -209,10 +222,14 @@
 }
 
 func (tb *testbed) configuration(version int) string {
+	spec := platformtest.FleetConfiguration(version)
 	if tb.options.RealCallers {
-		return platformtest.LongConfiguration(version)
+		spec = platformtest.LongConfiguration(version)
 	}
-	return platformtest.FleetConfiguration(version)
+	if tb.options.ScarceTargets {
+		spec = platformtest.WithColdTargets(spec, traffic.ColdPerSecond, traffic.ColdTime.Seconds())
+	}
+	return spec
 }
 
 // rewriteStore writes the newest configuration and the state of all targets again, and
@@ -260,12 +277,20 @@
 	if err != nil {
 		return err
 	}
+	if tb.options.ScarceTargets {
+		t.MakeScarce()
+		t.StartCold(tb.coldTime)
+	}
 	domain := tb.targetDomain(id)
 	tb.recorder.RecordDomain(id, domain)
 	tb.mu.Lock()
-	tb.targets[id] = &target{Target: t, crash: crash, incarnation: incarnation, domain: domain}
+	started := &target{Target: t, crash: crash, incarnation: incarnation, domain: domain}
+	tb.targets[id] = started
 	tb.mu.Unlock()
 	tb.registerTarget(id, "ready")
+	if tb.coldTime > 0 {
+		go tb.renewWhileCold(started)
+	}
 	return nil
 }
 
@@ -279,8 +304,8 @@
 
 // removeTarget removes a target from the store and stops it.
 func (tb *testbed) removeTarget(id string) {
-	tb.store.Remove(platformtest.KindTargets, id)
 	tb.mu.Lock()
+	tb.store.Remove(platformtest.KindTargets, id)
 	t := tb.targets[id]
 	delete(tb.targets, id)
 	tb.mu.Unlock()
--- a/internal/soak/traffic/behavior.go
+++ b/internal/soak/traffic/behavior.go
@@ -51,7 +51,9 @@
 		burst bool
 		// longRate is the share of long calls.
 		longRate float64
-		body     bodyStyle
+		// crowd callers make calls on which targets work for crowdWorkTime.
+		crowd bool
+		body  bodyStyle
 	}
 )
 
@@ -67,8 +69,14 @@
 	}
 }
 
+// CrowdBehavior returns the behavior of a caller that belongs to a crowd.
+func CrowdBehavior() Behavior { return Behavior{real: true, ttlFactor: 1, crowd: true} }
+
 // drawPath returns the path of the caller's next call.
 func (b Behavior) drawPath() string {
+	if b.crowd {
+		return []string{platformtest.PathOnce, platformtest.PathSafe}[rand.IntN(2)] + crowdPath
+	}
 	if rand.Float64() < b.longRate {
 		return drawLongPath()
 	}
--- a/internal/soak/traffic/target.go
+++ b/internal/soak/traffic/target.go
@@ -73,6 +73,8 @@
 		drainingSince time.Time
 		conns         map[net.Conn]struct{}
 		inProgress    map[string]time.Time
+		// scarce is nil in runs whose targets state neither slots nor load.
+		scarce *scarce
 	}
 )
 
@@ -91,6 +93,7 @@
 	}
 	t.server, t.Proxy = server, p
 	t.stop = sync.OnceFunc(func() {
+		t.endScarce()
 		stopServer()
 		recorder.RecordBreakOff(id)
 		stopProxy()
@@ -141,13 +144,22 @@
 		t.recorder.CheckEvacuated(forwarded.Call, t.ID, EvacuateTime)
 	}
 	t.recorder.RecordArrival(forwarded.Call)
+	t.countCold(forwarded)
 	fault := t.drawFault()
 	if fault == RefuseNotRun {
-		return t.write(c, platformtest.NotExecuted(r))
+		return t.write(c, platformtest.NotExecutedWith(r, t.stateLines()))
 	}
+	switch t.admit() {
+	case queueFull:
+		return t.write(c, platformtest.NotExecutedWith(r, t.stateLines()))
+	case crashed:
+		return false
+	case admitted:
+	}
+	defer t.release()
 	t.recorder.RecordRun(forwarded.Call, maxTargets(r.Target), t.ID)
 	defer t.recorder.RecordRunEnd(forwarded.Call, t.ID)
-	time.Sleep(rand.N(maxWorkTime))
+	time.Sleep(t.lengthen(workTime(r.Target)))
 	switch fault {
 	case ResetAfterRun:
 		rawserver.Reset(c)
@@ -156,19 +168,19 @@
 		_, _ = io.Copy(io.Discard, c) // Until the router closes the connection.
 		return false
 	case Respond500:
-		return t.write(c, platformtest.Response(r, "500 Failed", "", "failed"))
+		return t.write(c, platformtest.Response(r, "500 Failed", t.stateLines(), "failed"))
 	}
 	if isStream(r.Target) {
 		return t.stream(c, r, forwarded)
 	}
 	if p := planOf(r.Target); p.long {
-		time.Sleep(p.gap)
+		time.Sleep(t.lengthen(p.gap))
 	}
 	extra := ""
 	if fault == ExtraResponse {
 		extra = platformtest.ResponseToOtherCall()
 	}
-	return t.write(c, platformtest.Response(r, "200 OK", "", WholeBody(forwarded.Call))+extra)
+	return t.write(c, platformtest.Response(r, "200 OK", t.stateLines(), WholeBody(forwarded.Call))+extra)
 }
 
 // checkDrained records a violation if a call reaches the target more than drainDeadline
@@ -185,7 +197,7 @@
 
 // stream writes the events after the last one that the caller has received.
 func (t *Target) stream(c net.Conn, r rawserver.Request, forwarded platformtest.ForwardedCall) bool {
-	if !t.write(c, platformtest.StreamHead(r)) {
+	if !t.write(c, platformtest.StreamHeadWith(r, t.stateLines())) {
 		return false
 	}
 	p := planOf(r.Target)
@@ -201,7 +213,7 @@
 		if elapsed, ok := t.recorder.DisconnectedFor(forwarded.Call); ok && elapsed > disconnectDeadline && t.recorder.SettledFor(elapsed) {
 			t.recorder.RecordViolation(oracle.WorkAfterDisconnect, "%s still writes the response to call %s %v after its caller disconnected", t.ID, forwarded.Call, elapsed)
 		}
-		time.Sleep(p.gap)
+		time.Sleep(t.lengthen(p.gap))
 	}
 	return t.write(c, "0\r\n\r\n")
 }
