--- a/internal/soak/traffic/scarce.go
+++ b/internal/soak/traffic/scarce.go
@@ -177,6 +177,10 @@
 	result := admitted
 	select {
 	case s.slots <- struct{}{}:
+		if t.HasEnded() { // Work that ends in a crash frees its slot at the same time.
+			<-s.slots
+			result = crashed
+		}
 	case <-s.ended:
 		result = crashed
 	}
