--- a/internal/fleet/forward/silence.go
+++ b/internal/fleet/forward/silence.go
@@ -107,12 +107,9 @@
 			if c.begun.Load() && !c.route.Resumable {
 				return // Cancelling would cut a stream that nothing can continue.
 			}
-			if !c.unresumable.Load() && c.hasAlternative(now) && (!hasSlot || c.reserveSlot(done)) {
-				if c.reserveRetry(now) {
-					cancel(errSilent)
-					return
-				}
-				c.cancelReservedSlot()
+			if c.reserveAlternative(hasSlot, done, now) {
+				cancel(errSilent)
+				return
 			}
 			timer.Reset(silenceRecheckInterval)
 		}
@@ -123,6 +120,19 @@
 	}
 }
 
+// reserveAlternative takes what another attempt needs while the present one goes on, and reports
+// whether it did. It waits for a slot until done is closed at most.
+func (c *call) reserveAlternative(hasSlot bool, done <-chan struct{}, now time.Time) bool {
+	if c.unresumable.Load() || !c.hasAlternative(now) || (hasSlot && !c.reserveSlot(done)) {
+		return false
+	}
+	if !c.reserveRetry(now) {
+		c.cancelReservedSlot()
+		return false
+	}
+	return true
+}
+
 // hasAlternative reports whether an untried target is available for the call.
 func (c *call) hasAlternative(now time.Time) bool {
 	targets := c.h.View().Targets.ByService[c.service]
