--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -183,9 +183,6 @@
 	// An answer with 421 is from another server, whose load says nothing of this service.
 	if headers.HasLoad && response.Head.Status != http.StatusMisdirectedRequest {
 		c.load, c.hasLoad = headers.Load, true
-		if headers.Load.Pace > 0 {
-			c.h.uneven.add(c.service)
-		}
 	}
 	c.observeTarget(target, response.Head.Status, headers)
 	c.recordProgress(tracked, time.Now())
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -101,8 +101,8 @@
 		// Slots assigns the slots of plain services' targets. Nil means that this router chooses
 		// targets by itself.
 		Slots SlotSource
-		// HasPressure is set where callers compete for too little room, so that all plain services'
-		// slots are assigned. Otherwise those of services are whose targets are uneven.
+		// HasPressure is set where callers compete for too little room, so that plain services' slots
+		// are assigned, and targets that have started or recovered get their load step by step.
 		HasPressure bool
 		// LoadFactor bounds a target's calls in flight as a multiple of the mean.
 		LoadFactor float64
@@ -127,7 +127,6 @@
 		usual           usualTimes
 		callTimes       callTimes
 		crashInquiries  *crashInquiries
-		uneven          unevenServices
 	}
 
 	// call is the state of one call from a caller.
--- a/internal/fleet/forward/slots.go
+++ b/internal/fleet/forward/slots.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"hickoryrock/internal/caller/ingress"
@@ -41,32 +40,15 @@
 		// Cancel ends a grant that has not been used.
 		Cancel(g slotgrant.Grant)
 	}
-
-	// unevenServices holds the services whose targets have stated how long work takes on their
-	// machines at the moment. It is safe for concurrent use.
-	unevenServices struct {
-		names sync.Map
-	}
 )
 
-func (u *unevenServices) add(service string) {
-	if !u.has(service) {
-		u.names.Store(service, struct{}{})
-	}
-}
-
-func (u *unevenServices) has(service string) bool {
-	_, ok := u.names.Load(service)
-	return ok
-}
-
-// usesSlots reports whether the call needs a slot that the coordinator of its service grants:
-// calls of a plain service whose callers compete for room, or whose targets are uneven.
+// usesSlots reports whether the call needs a slot that the coordinator of its service grants: one
+// of a plain service whose callers compete for room.
 func (c *call) usesSlots() bool {
 	if c.h.Slots == nil || c.route.Streaming || len(c.parts) > 0 || c.view.Configuration.Services[c.service].Slots > 0 {
 		return false
 	}
-	return c.h.HasPressure || c.h.uneven.has(c.service)
+	return c.h.HasPressure
 }
 
 // acquireSlot waits for a slot and returns its target. If it returns nil and true, the call is
@@ -194,7 +176,7 @@
 func (c *call) slotExclusions(now time.Time) (excluded []uint64, ok bool) {
 	c.targets = c.h.View().Targets
 	targets := c.targets.ByService[c.service]
-	if c.h.HasWindows(c.service) {
+	if c.h.hasWindows() {
 		c.h.updatePace(c.service, targets, c.h.TargetHealth.Summaries(state.Hashes(targets), now), now)
 	}
 	for hash := range c.tried {
--- a/internal/fleet/forward/warmup.go
+++ b/internal/fleet/forward/warmup.go
@@ -131,7 +131,7 @@
 	if h.Pace == nil {
 		return false
 	}
-	if h.HasWindows(service) {
+	if h.hasWindows() {
 		return true
 	}
 	limit, _ := h.coldLimit(service)
@@ -205,16 +205,13 @@
 	h.recoveries.prune(listed)
 }
 
-// HasWindows reports whether targets of a service that have started or recovered get their load
-// step by step.
-func (h *Handler) HasWindows(service string) bool {
-	return h.Pace != nil && (h.HasPressure || h.uneven.has(service))
-}
+// hasWindows reports whether targets that have started or recovered get their load step by step.
+func (h *Handler) hasWindows() bool { return h.Pace != nil && h.HasPressure }
 
 // updatePace tells the pace tracker which targets of a service are in use, how many calls they
 // have, and which have recovered.
 func (h *Handler) updatePace(service string, targets []*state.Target, summaries []targetstats.Summary, now time.Time) {
-	if !h.HasWindows(service) {
+	if !h.hasWindows() {
 		return
 	}
 	usable := make([]uint64, 0, len(targets))
--- a/internal/node/edge/slots.go
+++ b/internal/node/edge/slots.go
@@ -22,8 +22,11 @@
 	return uint16(p[0] + 1), p[1] > p[0] && p[0] < 1<<16-1
 }
 
-// listenForSlots starts the exchange of slots with the other routers.
+// listenForSlots starts the exchange of slots with the other routers where callers compete for room.
 func (r *Router) listenForSlots() error {
+	if !r.settings.HasPressure {
+		return nil
+	}
 	port, ok := r.slotPort()
 	if !ok {
 		r.log.Warn().Ints("ports", r.settings.PeerPorts[:]).Msg("no port is left for the exchange of slots")
@@ -31,13 +34,8 @@
 	}
 	address := net.JoinHostPort(r.settings.IP, strconv.Itoa(int(port)))
 	client, closeClient, err := slotgrant.New(address, r.slotMembers, r.slotTargets, r.log)
-	switch {
-	case err != nil && r.settings.HasPressure:
+	if err != nil {
 		return err
-	case err != nil:
-		// Not fatal where it may never be needed: calls can be served without slots.
-		r.log.Error().Err(err).Msg("failed to listen for the exchange of slots")
-		return nil
 	}
 	r.slots = client
 	r.cleanups = append(r.cleanups, closeClient)
