--- a/internal/fleet/forward/observe.go
+++ b/internal/fleet/forward/observe.go
@@ -59,6 +59,11 @@
 	return eligibility.Verdict{Reason: eligibility.Limited, Wait: wait}
 }
 
+// Eligibility returns whether a target may be sent a call now.
+func (h *Handler) Eligibility(t *state.Target, now time.Time) eligibility.Verdict {
+	return h.eligibility.Check(t, now)
+}
+
 // isEligible reports whether a target may be sent another call now.
 func (h *Handler) isEligible(t *state.Target, now time.Time) bool {
 	return h.eligibility.Check(t, now).Reason == eligibility.Eligible
--- a/internal/node/edge/evacuations_test.go
+++ b/internal/node/edge/evacuations_test.go
@@ -141,6 +141,7 @@
 	f.Assert(v.Evacuations[0].Revision > 0 && v.Evacuations[0].Since != nil, qt.IsTrue)
 	for _, target := range v.Targets {
 		f.Assert(target.Evacuated, qt.Equals, target.FailureDomain == "east")
+		f.Assert(target.NoCalls == "evacuated", qt.Equals, target.Evacuated)
 	}
 	f.Assert(f.router.countEvacuated(), qt.Equals, 1.0)
 
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -57,6 +57,8 @@
 		SaysLeaving bool `json:"says-leaving,omitempty"`
 		// Evacuated is set if the target's failure domain is evacuated.
 		Evacuated bool `json:"evacuated,omitempty"`
+		// NoCalls is why this router sends the target no calls now, or empty.
+		NoCalls string `json:"no-calls,omitempty"`
 		// Limit is the number of calls a second that the target names, from all routers.
 		Limit *float64 `json:"limit,omitempty"`
 		// WaitMS is the time for which the target wants no requests from this router.
@@ -89,7 +91,8 @@
 			t := targets[i]
 			entry := targetView{
 				ID: t.ID, Service: service, Address: t.Address, FailureDomain: t.FailureDomain, Leaving: t.Draining, SaysLeaving: t.Leaving,
-				Evacuated: t.Evacuated, WaitMS: waits[t.Hash].Milliseconds(), Summary: s,
+				Evacuated: t.Evacuated, WaitMS: waits[t.Hash].Milliseconds(),
+				NoCalls: r.handler.Eligibility(t, time.Now()).Reason.String(), Summary: s,
 			}
 			if w, ok := warming[t.Hash]; ok {
 				entry.Pace, entry.PaceReason = w.String(), w.Why
