--- a/internal/node/edge/command.go
+++ b/internal/node/edge/command.go
@@ -61,6 +61,7 @@
 		return "", platform.Settings{}, false
 	}
 	s, err := platform.LoadSettings(*path)
+	s.AssignsSlots = os.Getenv(platform.SlotsVariable) == "1"
 	if err != nil {
 		_, _ = fmt.Fprintln(env.Stderr, err)
 		return "", platform.Settings{}, false
--- a/internal/node/edge/slots.go
+++ b/internal/node/edge/slots.go
@@ -22,9 +22,10 @@
 	return uint16(p[0] + 1), p[1] > p[0] && p[0] < 1<<16-1
 }
 
-// listenForSlots starts the exchange of slots with the other routers where callers compete for room.
+// listenForSlots starts the exchange of slots with the other routers where callers compete for room
+// and operators have switched it on.
 func (r *Router) listenForSlots() error {
-	if !r.settings.HasPressure {
+	if !r.settings.HasPressure || !r.settings.AssignsSlots {
 		return nil
 	}
 	port, ok := r.slotPort()
--- a/internal/node/edge/slots_test.go
+++ b/internal/node/edge/slots_test.go
@@ -124,6 +124,7 @@
 	path := filepath.Join(f.t.TempDir(), "boot.json")
 	f.Assert(os.WriteFile(path, platformtest.ScarceSettings(name, ip, fmt.Sprint("d-", number), f.ports, f.storeAddress), 0o600), qt.IsNil)
 	settings, err := platform.LoadSettings(path)
+	settings.AssignsSlots = true
 	f.Assert(err, qt.IsNil)
 	log := new(syncBuffer)
 	router, closeRouter, err := New(path, settings, zerolog.New(log).With().Timestamp().Logger())
@@ -398,7 +399,7 @@
 			c := qt.New(t)
 			s := platform.Settings{
 				Router: "edge", IP: "127.0.0.1", CallerAddress: ports.FreeAddress(c), ReadyAddress: ports.FreeAddress(c),
-				StoreAddress: ports.FreeAddress(c), HasPressure: hasPressure,
+				StoreAddress: ports.FreeAddress(c), HasPressure: hasPressure, AssignsSlots: true,
 			}
 			first := freePair(c)
 			s.PeerPorts = [2]int{first, first + 1}
--- a/internal/soak/process/process.go
+++ b/internal/soak/process/process.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"hickoryrock/platform"
 )
 
 const (
@@ -63,7 +65,7 @@
 	}
 	// The command comes from the soak test itself. Stop ends the process.
 	cmd := exec.CommandContext(context.Background(), p.command[0], p.command[1:]...) //nolint:gosec
-	cmd.Env = append(os.Environ(), raceOptions)
+	cmd.Env = append(os.Environ(), raceOptions, platform.SlotsVariable+"=1")
 	r := &execution{cmd: cmd, exited: make(chan struct{})}
 	r.cmd.Stdout, r.cmd.Stderr = out, out
 	if err := r.cmd.Start(); err != nil {
