Ask eligibility in one function, drop half of a comment that no longer holds

Late requests are no longer estimated by the rate that others leave, so the share of it bounds them no more. isEligible repeated Eligibility.

--- a/internal/fleet/forward/observe.go
+++ b/internal/fleet/forward/observe.go
@@ -66,7 +66,7 @@
 
 // isEligible reports whether a target may be sent another call now.
 func (h *Handler) isEligible(t *state.Target, now time.Time) bool {
-	return h.eligibility.Check(t, now).Reason == eligibility.Eligible
+	return h.Eligibility(t, now).Reason == eligibility.Eligible
 }
 
 // refusal returns why no target takes the call, and the time until one may.
--- a/internal/policy/slots/estimate.go
+++ b/internal/policy/slots/estimate.go
@@ -16,8 +16,7 @@
 	// some hundred milliseconds, and hardly any lease ends meanwhile.
 	minMeasuredShare = 0.5
 	// minRateShare is the least part of the release rate that is assumed to be left by
-	// requests that go first. It bounds the late requests that are kept in an overload, and
-	// so the part of the grants that goes to overdue ones instead of punctual ones.
+	// requests that go first.
 	minRateShare = 0.1
 	// lateShare is the part of the time left until it is overdue that a request which will be
 	// late may be expected to wait, to be queued. Without a margin most of such requests are
