--- a/internal/fleet/forward/warmup_test.go
+++ b/internal/fleet/forward/warmup_test.go
@@ -56,6 +56,18 @@
 	})
 }
 
+// tolerateSilence lets targets hold the answers of the route "chat" without being taken for silent,
+// after which calls avoid them.
+func (f *fixture) tolerateSilence() {
+	configuration := f.view.Load().Configuration
+	for i := range configuration.Routes {
+		if r := &configuration.Routes[i]; r.Name == "chat" {
+			r.Timeout, r.LatencyObjective = 10*time.Second, time.Minute
+		}
+	}
+	configuration.Index()
+}
+
 // all runs n calls at once.
 func all(n int, call func()) {
 	var group sync.WaitGroup
@@ -234,6 +246,7 @@
 				return always("200 OK", lines, "x")(c, r)
 			}, tc.opts)
 			f.cacheIndex.MarkRestored()
+			f.tolerateSilence()
 			calls := 0
 			call := func() {
 				calls++ // The targets are chosen by the calls' IDs.
@@ -247,12 +260,12 @@
 			end()
 			refuses.Store(false)
 			call()
-			before := f.received()[0]
+			before, sent := f.received()[0], f.targetRequests()
 			var group sync.WaitGroup
 			for range 24 {
 				group.Go(func() { _ = f.call("/chat/a") })
 			}
-			time.Sleep(300 * time.Millisecond)
+			f.awaitRequests(sent + 24)
 			inFlight := f.received()[0] - before
 			close(goOn)
 			group.Wait()
--- a/internal/testing/ports/ports.go
+++ b/internal/testing/ports/ports.go
@@ -3,9 +3,8 @@
 
 import (
 	"net"
-	"os"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"testing"
 )
@@ -14,22 +13,35 @@
 	// Ports start at first, below the ephemeral ports of outgoing connections.
 	first = 20000
 	count = 12000
-	// perProcess is the distance between the first ports of two test processes.
-	perProcess = 100
+	// blockSize is the number of ports that one test process takes at a time. It listens at the
+	// first of them until it ends, so that no other test process takes the block.
+	blockSize = 100
 )
 
-var next atomic.Int64
+// block is what is left of the blocks that this process has taken.
+var block struct {
+	mu sync.Mutex
+	// next and end are the port after the last one that was given, and the end of the block.
+	next, end int
+	// tried is the number of blocks that were tried.
+	tried int
+	// held are the listeners at the first ports of the blocks.
+	held []net.Listener
+}
 
-// Free returns a port that is free for TCP and UDP on loopback, or fails the test. It is
-// below the ephemeral port range, so that no outgoing connection takes it before it is used.
-// No process is forked meanwhile: until it executes its program, the child would keep the
-// listener open.
+// Free returns a port that is free for TCP and UDP on loopback and that Free gives nobody else
+// while this process runs, or fails the test. It is below the ephemeral port range, so that no
+// outgoing connection takes it before it is used. No process is forked meanwhile: until it
+// executes its program, the child would keep the listener open.
 func Free(t testing.TB) int {
 	t.Helper()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
-	for range count {
-		port := first + (os.Getpid()*perProcess+int(next.Add(1)))%count
+	block.mu.Lock()
+	defer block.mu.Unlock()
+	for block.next < block.end || takeBlock() {
+		port := block.next
+		block.next++
 		if isFree(address(port)) {
 			return port
 		}
@@ -38,6 +50,23 @@
 	return 0
 }
 
+// takeBlock takes a block that no other test process has, and reports whether there was one.
+// block.mu must be held.
+func takeBlock() bool {
+	for ; block.tried < count/blockSize; block.tried++ {
+		start := first + block.tried*blockSize
+		l, err := net.Listen("tcp4", address(start)) //nolint:noctx // Returns at once.
+		if err != nil {
+			continue
+		}
+		block.held = append(block.held, l)
+		block.next, block.end = start+1, start+blockSize
+		block.tried++
+		return true
+	}
+	return false
+}
+
 // FreeAddress returns an address on loopback with a free port; see Free.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
