--- a/internal/policy/targetstats/targetstats.go
+++ b/internal/policy/targetstats/targetstats.go
@@ -36,6 +36,11 @@
 	// maxPeerUnreachableShare is the share of unreachable targets beyond which the
 	// reporting router itself is assumed to be cut off.
 	maxPeerUnreachableShare = 0.4
+	// largeFleet is the number of other routers from which minReporters of them must find a
+	// target unreachable for this router to believe it. In a large fleet some router's link is
+	// always full or cut, while a target that is down is soon found so by several.
+	largeFleet   = 20
+	minReporters = 2
 	// activityWindow is how long data received from a target outweighs other
 	// routers' reports that it is unreachable.
 	activityWindow = 300 * time.Millisecond
@@ -237,6 +242,10 @@
 	results := make([]float64, len(targets))
 	failures := make([]float64, len(targets))
 	paces := make([]pace, len(targets))
+	reporters := 1
+	if len(tr.peers) >= largeFleet {
+		reporters = minReporters
+	}
 	for i, t := range targets {
 		e := tr.targets[t]
 		if e == nil {
@@ -246,7 +255,7 @@
 		e.peers.decay(now)
 		out[i] = Summary{
 			Calls: e.calls + e.peers.calls, PendingTokens: e.pendingTokens + e.peers.pendingTokens,
-			Ejected: now.Before(e.ejectedUntil) || (e.peers.unreachable > 0 && !tr.recentlyActive(t, now)),
+			Ejected: now.Before(e.ejectedUntil) || (e.peers.unreachable >= reporters && !tr.recentlyActive(t, now)),
 		}
 		results[i], failures[i] = e.results+e.peers.results, e.failures+e.peers.failures
 		paces[i] = pace{e.paceSum + e.peers.paceSum, e.paceCount + e.peers.paceCount}
--- a/internal/policy/targetstats/targetstats_test.go
+++ b/internal/policy/targetstats/targetstats_test.go
@@ -145,6 +145,39 @@
 	})
 }
 
+// Guards against targets that all routers of a large fleet avoid because of one router whose link is
+// full: their caches were read again elsewhere.
+func TestReportersOfUnreachableTargets(t *testing.T) {
+	const fleet = 40
+	// ejected returns whether a target is ejected at a router that hears others, of which
+	// some report the target as unreachable.
+	ejected := func(others, reporters int) bool {
+		tr := targetstats.NewTracker(func(targetstats.Change) {})
+		for i := range others {
+			load := targetstats.Load{Target: 1, Calls: 1, Unreachable: i < reporters}
+			tr.UpdatePeer(fmt.Sprint("router-", i), []targetstats.Load{load}, 60, start)
+		}
+		return tr.Summaries([]uint64{1, 2}, start.Add(time.Second))[0].Ejected
+	}
+	t.Run("one of a large fleet is not believed", func(t *testing.T) {
+		qt.Assert(t, ejected(fleet, 1), qt.IsFalse)
+	})
+	t.Run("two are", func(t *testing.T) {
+		qt.Assert(t, ejected(fleet, 2), qt.IsTrue)
+	})
+	t.Run("one of a small fleet is", func(t *testing.T) {
+		qt.Assert(t, ejected(8, 1), qt.IsTrue)
+	})
+	t.Run("what the router finds itself counts", func(t *testing.T) {
+		tr := targetstats.NewTracker(func(targetstats.Change) {})
+		for i := range fleet {
+			tr.UpdatePeer(fmt.Sprint("router-", i), nil, 60, start)
+		}
+		tr.RecordUnreachable(1, start)
+		qt.Assert(t, tr.Summaries([]uint64{1}, start)[0].Ejected, qt.IsTrue)
+	})
+}
+
 func TestLoadsOfOtherRouters(t *testing.T) {
 	all := targets(3)
 	t.Run("are added", func(t *testing.T) {
