--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -212,7 +212,7 @@
 	peerAddress := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0]))
 	fleet, closeFleet, err := gossip.New(gossip.Identity{
 		Router: s.Router, CallerAddress: s.CallerAddress, PeerAddress: peerAddress,
-		FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixMicro()), CPUShare: s.CPUShare,
+		FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixMicro()), CPUShare: s.CPUShare, LinkMbps: s.LinkMbps,
 	}, r.gossipState, r.tracker, r.cacheIndex, r.watcher, r.log, gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.targetLimits), gossip.WithPace(r.pace))
 	if err != nil {
 		return err
--- a/internal/peer/gossip/batch.go
+++ b/internal/peer/gossip/batch.go
@@ -17,6 +17,9 @@
 	// relay costs the beacons of one period, and a router counts as lost only after
 	// maxMissedBeacons.
 	relayPeriod = time.Second
+	// minFastRelays is the least number of routers of a failure domain that take turns as relays
+	// of a large fleet.
+	minFastRelays = 2
 	// batchInterval is how long a relay collects beacons.
 	batchInterval = 50 * time.Millisecond
 	// maxBatchBytes keeps a datagram below the usual path MTU.
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -90,7 +90,7 @@
 
 func (f *Fleet) setIdentity(b *peerv1.Beacon) {
 	b.Router, b.CallerAddress, b.PeerAddress = f.self.Router, f.self.CallerAddress, f.self.PeerAddress
-	b.FailureDomain, b.ProcessorMilli = f.self.FailureDomain, processorMilli(f.self.CPUShare)
+	b.FailureDomain, b.ProcessorMilli, b.LinkKbit = f.self.FailureDomain, processorMilli(f.self.CPUShare), linkKbit(f.self.LinkMbps)
 	b.Evacuations = f.encodeEvacuations()
 }
 
@@ -216,7 +216,7 @@
 	}
 	b.CallerAddress, b.PeerAddress = p.beacon.GetCallerAddress(), p.beacon.GetPeerAddress()
 	b.FailureDomain, b.Router = p.beacon.GetFailureDomain(), p.beacon.GetRouter()
-	b.ProcessorMilli = p.beacon.GetProcessorMilli()
+	b.ProcessorMilli, b.LinkKbit = p.beacon.GetProcessorMilli(), p.beacon.GetLinkKbit()
 	return b
 }
 
--- a/internal/peer/gossip/broadcast.go
+++ b/internal/peer/gossip/broadcast.go
@@ -1,9 +1,11 @@
 package gossip
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +31,12 @@
 	kind    byte
 }
 
+// relayCandidate is a router that may send beacons on to its failure domain.
+type relayCandidate struct {
+	address  netip.AddrPort
+	linkKbit uint32
+}
+
 // route says how a beacon reaches all peers.
 type route struct {
 	// known are the datagrams for live peers, some of them through relays.
@@ -44,10 +52,12 @@
 // maxSilentDestinations of the others. Up to directFleetSize live peers, each peer in this
 // router's failure domain gets one, and so does a relay in each other domain; in a larger fleet
 // also the own domain has a relay, so that a router sends one datagram for each domain. The
-// relay follows from seed, which changes often, so that the loss of a router costs few beacons.
-func newRoute(peers map[string]*peer, live int, self netip.AddrPort, failureDomain string, seed uint64, now time.Time) route {
+// relay follows from seed, which changes often, so that the loss of a router costs few beacons. In
+// a large fleet it has one of the fastest links: a relay sends as much as its whole domain receives,
+// and links of 10 Mbit/s were full with 55 routers in a domain, so that calls waited for seconds.
+func newRoute(peers map[string]*peer, live int, self relayCandidate, failureDomain string, seed uint64, now time.Time) route {
 	var r route
-	domains := make(map[string][]netip.AddrPort)
+	domains := make(map[string][]relayCandidate)
 	direct := live <= directFleetSize
 	for _, p := range peers {
 		if !p.live {
@@ -60,18 +70,22 @@
 		case direct && domain == failureDomain:
 			r.known = append(r.known, destination{p.address, kindDirect})
 		default:
-			domains[domain] = append(domains[domain], p.address)
+			domains[domain] = append(domains[domain], relayCandidate{p.address, p.beacon.GetLinkKbit()})
 		}
 	}
-	for domain, addresses := range domains {
-		if len(addresses) == 1 {
-			r.known = append(r.known, destination{addresses[0], kindDirect})
+	for domain, candidates := range domains {
+		if len(candidates) == 1 {
+			r.known = append(r.known, destination{candidates[0].address, kindDirect})
 			continue
 		}
 		if domain == failureDomain {
-			addresses = append(addresses, self)
+			candidates = append(candidates, self)
+		}
+		relay := pickRelay(candidates, seed)
+		if !direct {
+			relay = pickFastRelay(candidates, seed)
 		}
-		if relay := pickRelay(addresses, seed); relay == self {
+		if relay == self.address {
 			r.relaySelf = true
 		} else {
 			r.known = append(r.known, destination{relay, kindRelay})
@@ -105,27 +119,47 @@
 }
 
 // pickRelay returns the address that a seed selects.
-func pickRelay(addresses []netip.AddrPort, seed uint64) netip.AddrPort {
-	relay, best := addresses[0], uint64(0)
-	var key [14]byte
-	binary.LittleEndian.PutUint64(key[6:], seed)
-	for _, a := range addresses {
-		ip := a.Addr().As4()
-		copy(key[:], ip[:])
-		binary.LittleEndian.PutUint16(key[4:], a.Port())
-		if rank := xxhash.Sum64(key[:]); rank >= best {
-			relay, best = a, rank
+func pickRelay(candidates []relayCandidate, seed uint64) netip.AddrPort {
+	relay, best := candidates[0].address, uint64(0)
+	for _, c := range candidates {
+		if rank := relayRank(c.address, seed); rank >= best {
+			relay, best = c.address, rank
 		}
 	}
 	return relay
 }
 
+// pickFastRelay returns the address that a seed selects among the routers with the fastest links:
+// those with at least half the speed of the fastest, and at least minFastRelays. With successive
+// seeds they take turns, so that one that has failed is not selected twice in a row.
+func pickFastRelay(candidates []relayCandidate, seed uint64) netip.AddrPort {
+	slices.SortFunc(candidates, func(a, b relayCandidate) int {
+		return cmp.Or(cmp.Compare(b.linkKbit, a.linkKbit), cmp.Compare(relayRank(a.address, 0), relayRank(b.address, 0)))
+	})
+	n := min(minFastRelays, len(candidates))
+	for n < len(candidates) && candidates[n].linkKbit >= candidates[0].linkKbit/2 {
+		n++
+	}
+	return candidates[seed%uint64(n)].address
+}
+
+// relayRank returns the rank of a router by rendezvous hashing.
+func relayRank(address netip.AddrPort, seed uint64) uint64 {
+	var key [14]byte
+	ip := address.Addr().As4()
+	copy(key[:], ip[:])
+	binary.LittleEndian.PutUint16(key[4:], address.Port())
+	binary.LittleEndian.PutUint64(key[6:], seed)
+	return xxhash.Sum64(key[:])
+}
+
 // broadcast sends a beacon to all peers, with the identity to those that are not live.
 func (f *Fleet) broadcast(b *peerv1.Beacon) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	r := newRoute(f.peers, f.livePeers, f.address, f.self.FailureDomain, f.relaySeed(now), now)
+	self := relayCandidate{f.address, linkKbit(f.self.LinkMbps)}
+	r := newRoute(f.peers, f.livePeers, self, f.self.FailureDomain, f.relaySeed(now), now)
 	f.writeAll(r.known, b)
 	if r.relaySelf {
 		if data := f.encode(b); data != nil {
--- a/internal/peer/gossip/broadcast_test.go
+++ b/internal/peer/gossip/broadcast_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -37,7 +39,7 @@
 	return peers
 }
 
-var self = netip.MustParseAddrPort("10.9.9.9:7340")
+var self = relayCandidate{address: netip.MustParseAddrPort("10.9.9.9:7340")}
 
 // deliveriesPerPeer returns how many copies of a broadcast from domain each peer
 // receives, counting those that relays forward.
@@ -57,7 +59,7 @@
 		}
 	}
 	if r.relaySelf {
-		forward(domain, self)
+		forward(domain, self.address)
 	}
 	return out
 }
@@ -119,6 +121,77 @@
 	}
 }
 
+// Guards against relays whose links are full: calls through a router that sends the beacons of 220
+// routers on to 54 others waited for seconds behind them at 10 Mbit/s.
+func TestRelaysOfLargeFleetsHaveFastLinks(t *testing.T) {
+	const fast, slow = 200_000, 10_000
+	newFleet := func(links func(i int) uint32) map[string]*peer {
+		peers := newPeers(map[string]int{"a": 54, "b": 55, "c": 55, "d": 55})
+		for i, address := range slices.Sorted(maps.Keys(peers)) {
+			peers[address].beacon.LinkKbit = links(i)
+		}
+		return peers
+	}
+	// relays returns the relays outside the own domain for successive seeds.
+	relays := func(c *qt.C, peers map[string]*peer, domain string) []netip.AddrPort {
+		var list []netip.AddrPort
+		for seed := range uint64(200) {
+			r := newRoute(peers, len(peers), self, "a", seed, start)
+			for address, n := range deliveriesPerPeer(peers, r, "a") {
+				c.Assert(n, qt.Equals, 1, qt.Commentf("%v", address))
+			}
+			for _, d := range r.known {
+				if p := peers[d.address.String()]; p.beacon.GetFailureDomain() == domain {
+					list = append(list, d.address)
+				}
+			}
+		}
+		c.Assert(list, qt.HasLen, 200)
+		return list
+	}
+	assertTurns := func(c *qt.C, list []netip.AddrPort, want int) {
+		c.Helper()
+		distinct := make(map[netip.AddrPort]bool)
+		for i, relay := range list {
+			distinct[relay] = true
+			c.Assert(i > 0 && relay == list[i-1], qt.IsFalse, qt.Commentf("twice in a row"))
+		}
+		c.Assert(len(distinct), qt.Equals, want)
+	}
+	t.Run("two fast links in each domain", func(t *testing.T) {
+		c := qt.New(t)
+		peers := newFleet(func(int) uint32 { return slow })
+		for _, domain := range []string{"b", "c", "d"} {
+			n := 0
+			for _, p := range peers {
+				if p.beacon.GetFailureDomain() == domain && n < 2 {
+					p.beacon.LinkKbit, n = fast, n+1
+				}
+			}
+			list := relays(c, peers, domain)
+			assertTurns(c, list, 2)
+			for _, relay := range list {
+				c.Assert(peers[relay.String()].beacon.GetLinkKbit(), qt.Equals, uint32(fast))
+			}
+		}
+	})
+	t.Run("one fast link takes turns with another router", func(t *testing.T) {
+		peers := newFleet(func(i int) uint32 { return slow + uint32(i) })
+		for _, p := range peers {
+			if p.beacon.GetFailureDomain() == "b" {
+				p.beacon.LinkKbit = fast
+				break
+			}
+		}
+		assertTurns(qt.New(t), relays(qt.New(t), peers, "b"), 2)
+	})
+	t.Run("equal or unknown links", func(t *testing.T) {
+		for _, link := range []uint32{0, slow} {
+			assertTurns(qt.New(t), relays(qt.New(t), newFleet(func(int) uint32 { return link }), "c"), 55)
+		}
+	})
+}
+
 func TestDirectBeacons(t *testing.T) {
 	assertDirect := func(c *qt.C, peers map[string]*peer, wantKnown, wantUnknown int) {
 		c.Helper()
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -114,6 +114,8 @@
 	maxDatagramBytes = 8 << 10
 	// maxCPUShare is more cores than any VM has.
 	maxCPUShare = 1 << 16
+	// maxLinkMbps is more than the link of any VM bears.
+	maxLinkMbps = 1 << 20
 	// countScale is the factor by which decayed counts are multiplied on the wire.
 	countScale = 100
 )
@@ -129,6 +131,8 @@
 		Incarnation uint64
 		// CPUShare is the number of processor cores that the router may use; zero if unknown.
 		CPUShare float64
+		// LinkMbps is the speed of the link of the router's VM in Mbit/s; zero if unknown.
+		LinkMbps float64
 	}
 
 	// State is the part of a router's state that its beacons advertise.
--- a/internal/peer/gossip/peers.go
+++ b/internal/peer/gossip/peers.go
@@ -118,6 +118,9 @@
 // processorMilli returns a CPU share as beacons carry it.
 func processorMilli(share float64) uint32 { return uint32(min(share, maxCPUShare) * 1000) }
 
+// linkKbit returns the speed of a link in Mbit/s as beacons carry it.
+func linkKbit(mbps float64) uint32 { return uint32(min(mbps, maxLinkMbps) * 1000) }
+
 // cpuShare returns the CPU share that a beacon carries.
 func cpuShare(milli uint32) float64 { return float64(milli) / 1000 }
 
