--- a/internal/policy/targetstats/targetstats_test.go
+++ b/internal/policy/targetstats/targetstats_test.go
@@ -1,6 +1,7 @@
 package targetstats_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
