--- a/internal/node/edge/caches.go
+++ b/internal/node/edge/caches.go
@@ -28,8 +28,9 @@
 	// cacheLoadTimeout bounds the attempts to fetch cache contents from other routers.
 	// Afterwards the router learns them only from the calls that it routes.
 	cacheLoadTimeout = 2 * time.Second
-	// engineReadTimeout bounds the request for one engine's cache contents.
-	engineReadTimeout = 500 * time.Millisecond
+	// engineReadTimeout bounds the request for one engine's cache contents. Other routers wait for all
+	// of them, and an engine that is busy answers late.
+	engineReadTimeout = 300 * time.Millisecond
 	// maxEngineReads bounds the concurrent requests, and with them their memory.
 	maxEngineReads = 64
 )
--- a/internal/peer/gossip/broadcast.go
+++ b/internal/peer/gossip/broadcast.go
@@ -174,17 +174,22 @@
 
 // announceNear sends this router's revisions to the live peers of its failure domain.
 func (f *Fleet) announceNear() {
+	f.announce(func(p *peer) bool { return p.beacon.GetFailureDomain() == f.self.FailureDomain })
+}
+
+// announce sends this router's revisions to the live peers that pass a filter.
+func (f *Fleet) announce(pass func(p *peer) bool) {
 	b := f.newBeacon()
 	f.setIdentity(b)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var near []destination
+	var to []destination
 	for _, p := range f.peers {
-		if p.live && p.beacon.GetFailureDomain() == f.self.FailureDomain {
-			near = append(near, destination{p.address, kindDirect})
+		if p.live && pass(p) {
+			to = append(to, destination{p.address, kindDirect})
 		}
 	}
-	f.writeAll(near, b)
+	f.writeAll(to, b)
 }
 
 // writeAll sends a beacon to several peers. The caller must hold f.mu.
--- a/internal/peer/gossip/caches.go
+++ b/internal/peer/gossip/caches.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -15,45 +14,13 @@
 	"hickoryrock/internal/policy/affinity"
 )
 
-// maxCacheSends is the number of peers to which a router sends cache contents at a time.
-// They are hundreds of kilobytes in a large fleet, and a router that sent them to all
+// maxCacheSends is the number of peers to which a router with a slow link sends cache contents at
+// a time. They are hundreds of kilobytes in a large fleet, and a router that sent them to all
 // others of its failure domain at once would finish none in time.
 const maxCacheSends = 2
 
 var errCachesNotLoaded = errors.New("the contents of the targets' prefix caches are not loaded yet")
 
-// CacheSource is where a starting router may get the contents of the prefix caches.
-type CacheSource struct {
-	// Router and Address are a random peer that has them; empty when there is none.
-	Router, Address string
-	// Expected is set when a peer that started earlier may get them.
-	Expected bool
-}
-
-// CacheSource returns where to get the contents of the targets' prefix caches. In a
-// large fleet only routers of the same failure domain are considered, because the
-// contents are large.
-func (f *Fleet) CacheSource() CacheSource {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var loaded []*peerv1.Beacon
-	var source CacheSource
-	for _, p := range f.peers {
-		if !p.live || (len(f.peers) > smallFleetSize && p.beacon.GetFailureDomain() != f.self.FailureDomain) {
-			continue
-		}
-		source.Expected = source.Expected || p.beacon.GetIncarnation() < f.self.Incarnation
-		if p.beacon.GetCachesLoaded() {
-			loaded = append(loaded, p.beacon)
-		}
-	}
-	if len(loaded) > 0 {
-		b := loaded[rand.IntN(len(loaded))]
-		source.Router, source.Address = b.GetRouter(), b.GetPeerAddress()
-	}
-	return source
-}
-
 // GetCaches implements peerv1connect.FleetServiceHandler.
 func (f *Fleet) GetCaches(
 	context.Context, *connect.Request[peerv1.GetCachesRequest],
@@ -73,7 +40,7 @@
 	}
 }
 
-// limitCacheSends rejects requests for cache contents beyond maxCacheSends at a time.
+// limitCacheSends rejects requests for cache contents beyond those that are answered at a time.
 // The peers that ask retry, also with those that have been served meanwhile.
 func (f *Fleet) limitCacheSends(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -112,10 +79,6 @@
 	return true
 }
 
-// AnnounceCaches tells the routers of this failure domain that this one can send them
-// the contents of the prefix caches.
-func (f *Fleet) AnnounceCaches() { f.announceNear() }
-
 func encodeCaches(holdings []affinity.Holding) *peerv1.Caches {
 	byTarget := make(map[uint64]*peerv1.CacheContents)
 	caches := new(peerv1.Caches)
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -220,7 +220,7 @@
 		opts: newOptions(opts), lags: newLags(),
 		client: &http.Client{Timeout: fetchTimeout}, peers: make(map[string]*peer), peersBySender: make(map[uint32]*peer),
 		beaconRequests: make(chan *storewatch.Delta, maxQueuedBeacons), fetchRequests: make(chan struct{}, 1),
-		greetings: make(chan netip.AddrPort, maxQueuedGreetings), cacheSends: make(chan struct{}, maxCacheSends),
+		greetings: make(chan netip.AddrPort, maxQueuedGreetings), cacheSends: make(chan struct{}, cacheSendsAtATime(self.LinkMbps)),
 		address: netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port()), senderID: senderID(self.PeerAddress),
 		sent:      metrics.GetOrCreateCounter(`hickoryrock_beacon_datagrams_total{direction="sent"}`),
 		received:  metrics.GetOrCreateCounter(`hickoryrock_beacon_datagrams_total{direction="received"}`),
