--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -86,6 +86,7 @@
 	fields := platform.TargetRequestFields(c.request, platform.TargetRequest{
 		Target: target, CacheSource: c.cacheSource, Workspace: c.workspace.Name,
 		ForwardKey: c.view.Configuration.Workspaces == nil, Remaining: remaining, LastEventID: c.stream.lastID,
+		Priority: c.priority(), HasPriority: c.h.HasPressure && c.hasEngines(),
 	})
 	response, failure := c.h.Pool.Do(ctx, endpoint(target), http1client.Call{
 		Method: c.request.Method, Target: c.request.Target, Fields: fields, Body: c.body, Match: c.matchResponse,
--- a/internal/fleet/forward/slots.go
+++ b/internal/fleet/forward/slots.go
@@ -227,6 +227,12 @@
 	c.slot = slotgrant.Grant{}
 }
 
+// hasEngines reports whether the call's service consists of engines, which admit requests by
+// priority.
+func (c *call) hasEngines() bool {
+	return c.route.Sticky || c.view.Configuration.Services[c.service].Slots > 0
+}
+
 // priority returns the call's urgency; 0 is the most urgent.
 func (c *call) priority() int {
 	if c.workspace.HasPriority {
