--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -147,23 +147,38 @@
 		Parts: c.parts, Seed: xxhash.Sum64String(c.headers.ID), Factor: c.h.LoadFactor,
 		Fetch: c.view.Configuration.Services[c.service].CacheTransfer, StaleCounts: c.hasStaleCounts(),
 	}
+	choice := c.assign(request, targets, candidates, now)
+	if choice.Index < 0 {
+		return nil
+	}
+	c.placement = choice
+	c.h.Limits.Take(targets[choice.Index].Hash, now)
+	c.cacheSource = nil
+	if choice.Source >= 0 {
+		c.cacheSource = targets[choice.Source]
+		c.h.Limits.Take(c.cacheSource.Hash, now)
+	}
+	return targets[choice.Index]
+}
+
+// assign chooses one of the candidates, which describe the targets in the same order, and begins
+// the paces of the choice. The cache index records only this choice, not one that a pace forbids.
+func (c *call) assign(r affinity.Request, targets []*state.Target, candidates []affinity.Candidate, now time.Time) affinity.Choice {
+	if len(r.Parts) > 0 {
+		c.h.assigning.Lock()
+		defer c.h.assigning.Unlock()
+	}
 	for {
-		choice := c.h.CacheIndex.Choose(request, candidates, now)
+		choice := c.h.CacheIndex.Choose(r, candidates, now)
 		if choice.Index < 0 {
-			return nil
+			return choice
 		}
 		if taken := c.beginPaces(targets, choice, now); taken >= 0 {
 			candidates[taken].Exhausted = true // Another call has used its pace meanwhile.
 			continue
 		}
-		c.placement = choice
-		c.h.Limits.Take(targets[choice.Index].Hash, now)
-		c.cacheSource = nil
-		if choice.Source >= 0 {
-			c.cacheSource = targets[choice.Source]
-			c.h.Limits.Take(c.cacheSource.Hash, now)
-		}
-		return targets[choice.Index]
+		c.h.CacheIndex.Assign(affinity.Shared(r.Parts), targets[choice.Index].Hash, choice.PrefillTokens, now)
+		return choice
 	}
 }
 
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -116,6 +116,9 @@
 	Handler struct {
 		Config
 		eligibility *eligibility.Checker
+		// assigning is held from the choice of a target for a prompt until the cache index has
+		// recorded it, so that calls with the same new prompt go to the same target.
+		assigning sync.Mutex
 		// grantEligibility checks targets at which the coordinator of a service has granted a
 		// slot: it has bounded the calls in flight there.
 		grantEligibility *eligibility.Checker
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -210,8 +210,8 @@
 	f.eventually("the call is counted", func() bool {
 		return b.tracker.Summaries([]uint64{7}, time.Now())[0].Calls == 1
 	})
-	request := affinity.Request{Parts: []affinity.Part{{Hash: 1, Tokens: 900}, {Hash: 2, Tokens: 10}}}
-	a.cacheIndex.Choose(request, []affinity.Candidate{{Target: 7}}, time.Now())
+	shared := []affinity.Part{{Hash: 1, Tokens: 900}}
+	a.cacheIndex.Assign(shared, 7, 910, time.Now())
 	f.eventually("the peer knows the holding", func() bool { return len(b.cacheIndex.Holdings(time.Now())) == 1 })
 	late := f.start("c", f.storeAddress)
 	late.AddPeer(b.address)
@@ -251,8 +251,8 @@
 		}
 		return true
 	})
-	request := affinity.Request{Parts: []affinity.Part{{Hash: 1, Tokens: 900}, {Hash: 2, Tokens: 10}}}
-	routers[0].cacheIndex.Choose(request, []affinity.Candidate{{Target: 7}}, time.Now())
+	shared := []affinity.Part{{Hash: 1, Tokens: 900}}
+	routers[0].cacheIndex.Assign(shared, 7, 910, time.Now())
 	since := time.Now()
 	routers[0].cacheIndex.MarkRestored()
 	routers[0].AnnounceCaches()
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -189,8 +189,9 @@
 	return &CacheIndex{parts: make(map[uint64][]holder), restored: make(chan struct{}), updated: make(chan struct{}, 1)}
 }
 
-// Choose picks a candidate for a request. For a call with a prompt it records
-// that the chosen target will hold the shared parts.
+// Choose picks a candidate for a request and leaves the index unchanged. Callers that carry out the
+// choice must call Assign, and let no other call of theirs choose in between: two calls with
+// the same new prompt would otherwise go to different targets, which would both prefill it.
 func (x *CacheIndex) Choose(r Request, candidates []Candidate, now time.Time) Choice {
 	allowed := allowedCandidates(r.Factor, candidates)
 	if len(r.Parts) == 0 {
@@ -233,14 +234,21 @@
 	default:
 		best.Reason = ReasonNew
 	}
+	return best
+}
+
+// Assign records that a target will hold the shared parts of a prompt because a call is sent
+// there, and for its announcement how many tokens the target has to prefill for the call first.
+func (x *CacheIndex) Assign(shared []Part, target uint64, prefillTokens int, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	for i, p := range shared {
-		h := Holding{Part: p.Hash, Target: candidates[best.Index].Target}
+		h := Holding{Part: p.Hash, Target: target}
 		if i == len(shared)-1 {
-			h.PrefillTokens = best.PrefillTokens // Announced once for the whole prompt.
+			h.PrefillTokens = prefillTokens // Announced once for the whole prompt.
 		}
 		x.record(h, now, true)
 	}
-	return best
 }
 
 // Shared returns the parts of a prompt that other calls may share: all but the
--- a/internal/policy/affinity/affinity_test.go
+++ b/internal/policy/affinity/affinity_test.go
@@ -30,19 +30,45 @@
 	}}
 }
 
+// assign chooses a candidate and carries out the choice.
+func assign(x *affinity.CacheIndex, r affinity.Request, all []affinity.Candidate, now time.Time) affinity.Choice {
+	choice := x.Choose(r, all, now)
+	if choice.Index >= 0 {
+		x.Assign(affinity.Shared(r.Parts), all[choice.Index].Target, choice.PrefillTokens, now)
+	}
+	return choice
+}
+
+// Guards against other routers that are told of a choice which is not carried out.
+func TestChoiceIsRecordedOnlyWhenAssigned(t *testing.T) {
+	c := qt.New(t)
+	x := affinity.NewCacheIndex()
+	all, r := candidates(6), prompt(1, 2)
+	first := x.Choose(r, all, start)
+	c.Assert(x.Holdings(start), qt.HasLen, 0)
+	c.Assert(x.TakeUpdates(30), qt.HasLen, 0)
+	c.Assert(x.Choose(r, all, start), qt.Equals, first)
+	c.Assert(assign(x, r, all, start), qt.Equals, first)
+	target := all[first.Index].Target
+	c.Assert(x.TakeUpdates(30), qt.DeepEquals, []affinity.Holding{
+		{Part: 1, Target: target}, {Part: 2, Target: target, PrefillTokens: first.PrefillTokens},
+	})
+	c.Assert(x.Choose(r, all, start).Reason, qt.Equals, affinity.ReasonHeld)
+}
+
 func TestChooseReturnsToCachedTarget(t *testing.T) {
 	c := qt.New(t)
 	x := affinity.NewCacheIndex()
 	all := candidates(18)
-	first := x.Choose(prompt(1, 2), all, start)
+	first := assign(x, prompt(1, 2), all, start)
 	c.Assert(first.Reason, qt.Equals, affinity.ReasonNew)
 	c.Assert(first.PrefillTokens, qt.Equals, 9000)
-	again := x.Choose(prompt(1, 2), all, start.Add(time.Second))
+	again := assign(x, prompt(1, 2), all, start.Add(time.Second))
 	c.Assert(again.Index, qt.Equals, first.Index)
 	c.Assert(again.Reason, qt.Equals, affinity.ReasonHeld)
 	c.Assert(again.PrefillTokens, qt.Equals, 500)
 	all[first.Index].PendingTokens = 300
-	c.Assert(x.Choose(prompt(1, 2), all, start.Add(time.Second)).PendingTokens, qt.Equals, 300)
+	c.Assert(assign(x, prompt(1, 2), all, start.Add(time.Second)).PendingTokens, qt.Equals, 300)
 }
 
 func TestEmptyIndexesChooseSameTarget(t *testing.T) {
@@ -59,10 +85,10 @@
 	c := qt.New(t)
 	x := affinity.NewCacheIndex()
 	all := candidates(18)
-	home := x.Choose(prompt(1, 2), all, start).Index
+	home := assign(x, prompt(1, 2), all, start).Index
 	x.MarkPrefilled(affinity.Shared(prompt(1, 2).Parts), all[home].Target, start.Add(300*time.Millisecond))
 	all[home].Draining = true
-	moved := x.Choose(prompt(1, 2), all, start.Add(time.Second))
+	moved := assign(x, prompt(1, 2), all, start.Add(time.Second))
 	c.Assert(moved.Index, qt.Not(qt.Equals), home)
 	c.Assert(moved.Source, qt.Equals, home)
 	c.Assert(moved.FetchedTokens, qt.Equals, 8500)
@@ -85,7 +111,7 @@
 		t.Run("in "+domain, func(t *testing.T) {
 			c := qt.New(t)
 			all[3].FailureDomain = domain
-			choice := x.Choose(prompt(1, 2), all, start.Add(time.Second))
+			choice := assign(x, prompt(1, 2), all, start.Add(time.Second))
 			c.Assert(choice.Index, qt.Equals, 3)
 			c.Assert(choice.FetchedTokens, qt.Equals, 8500)
 			c.Assert(all[choice.Source].FailureDomain, qt.Equals, domain)
@@ -100,7 +126,7 @@
 func TestPrefillingTargetIsNotFetchSource(t *testing.T) {
 	setup := func() (one, other *affinity.CacheIndex, all []affinity.Candidate, home uint64) {
 		one, other, all = affinity.NewCacheIndex(), affinity.NewCacheIndex(), candidates(18)
-		choice := one.Choose(prompt(1, 2), all, start)
+		choice := assign(one, prompt(1, 2), all, start)
 		other.ApplyUpdates(one.TakeUpdates(30), start)
 		all[choice.Index].Draining = true
 		return one, other, all, all[choice.Index].Target
@@ -108,13 +134,13 @@
 	late := start.Add(900 * time.Millisecond)
 	assertNoSource := func(c *qt.C, x *affinity.CacheIndex, all []affinity.Candidate) {
 		c.Helper()
-		moved := x.Choose(prompt(1, 2), all, late)
+		moved := assign(x, prompt(1, 2), all, late)
 		c.Assert(moved.Source, qt.Equals, -1)
 		c.Assert(moved.RecomputedTokens, qt.Equals, 8500)
 	}
 	assertSource := func(c *qt.C, x *affinity.CacheIndex, all []affinity.Candidate) {
 		c.Helper()
-		moved := x.Choose(prompt(1, 2), all, late)
+		moved := assign(x, prompt(1, 2), all, late)
 		c.Assert(moved.FetchedTokens, qt.Equals, 8500)
 		c.Assert(moved.RecomputedTokens, qt.Equals, 0)
 	}
@@ -139,7 +165,7 @@
 	t.Run("until prefillTimeout has passed", func(t *testing.T) {
 		c := qt.New(t)
 		_, other, all, _ := setup()
-		moved := other.Choose(prompt(1, 2), all, start.Add(3*time.Second))
+		moved := assign(other, prompt(1, 2), all, start.Add(3*time.Second))
 		c.Assert(moved.FetchedTokens, qt.Equals, 8500)
 	})
 }
@@ -149,9 +175,9 @@
 		c := qt.New(t)
 		x := affinity.NewCacheIndex()
 		all := candidates(3)
-		home := x.Choose(prompt(1, 2), all, start).Index
+		home := assign(x, prompt(1, 2), all, start).Index
 		all[home].Ejected = true
-		c.Assert(x.Choose(prompt(1, 2), all, start).Index, qt.Not(qt.Equals), home)
+		c.Assert(assign(x, prompt(1, 2), all, start).Index, qt.Not(qt.Equals), home)
 	})
 	t.Run("when all are ejected one of them is chosen", func(t *testing.T) {
 		all := candidates(3)
@@ -186,7 +212,7 @@
 			// A call has its first event 300 ms after it was sent.
 			x.MarkPrefilled(affinity.Shared(prompt(1, 2).Parts), chosen[i-3], now)
 		}
-		choice := x.Choose(prompt(1, 2), all, now)
+		choice := assign(x, prompt(1, 2), all, now)
 		chosen = append(chosen, all[choice.Index].Target)
 		all[choice.Index].Calls++
 		recomputed += choice.RecomputedTokens
@@ -235,15 +261,15 @@
 	c := qt.New(t)
 	one, other := affinity.NewCacheIndex(), affinity.NewCacheIndex()
 	all := candidates(18)
-	home := one.Choose(prompt(1, 2), all, start).Index
+	home := assign(one, prompt(1, 2), all, start).Index
 	updates := one.TakeUpdates(30)
 	c.Assert(len(updates), qt.Equals, 2)
 	c.Assert(updates[0].PrefillTokens+updates[1].PrefillTokens, qt.Equals, 9000)
 	c.Assert(len(one.TakeUpdates(30)), qt.Equals, 0)
-	one.Choose(prompt(1, 2), all, start.Add(time.Second))
+	assign(one, prompt(1, 2), all, start.Add(time.Second))
 	c.Assert(len(one.TakeUpdates(30)), qt.Equals, 0)
 	other.ApplyUpdates(updates, start)
-	choice := other.Choose(prompt(1, 2), all, start.Add(time.Second))
+	choice := assign(other, prompt(1, 2), all, start.Add(time.Second))
 	c.Assert(choice.Index, qt.Equals, home)
 	c.Assert(choice.Reason, qt.Equals, affinity.ReasonHeld)
 	other.Expire(map[uint64]bool{}, start)
@@ -268,7 +294,7 @@
 				all[i].Draining = rapid.Bool().Draw(t, "draining")
 			}
 			r := prompt(rapid.Uint64Range(1, 3).Draw(t, "group"), rapid.Uint64Range(10, 15).Draw(t, "chat"))
-			choice := x.Choose(r, all, now)
+			choice := assign(x, r, all, now)
 			if choice.Index < 0 {
 				continue
 			}
--- a/internal/policy/affinity/fleet_test.go
+++ b/internal/policy/affinity/fleet_test.go
@@ -44,7 +44,7 @@
 		f.indexes = append(f.indexes, affinity.NewCacheIndex())
 	}
 	f.choose = func(router int, r affinity.Request, all []affinity.Candidate, now time.Time) affinity.Choice {
-		return f.indexes[router].Choose(r, all, now)
+		return assign(f.indexes[router], r, all, now)
 	}
 	return f
 }
@@ -127,7 +127,7 @@
 				all[i].PendingTokens = 0
 			}
 			only := affinity.Request{Parts: r.Parts[1:]}
-			return baseline.indexes[router].Choose(only, all, now)
+			return assign(baseline.indexes[router], only, all, now)
 		}
 		baseline.run(rand.New(rand.NewPCG(s, 1)), 106)
 		lateByHash += baseline.lateShare() / 10
--- a/internal/policy/affinity/head_test.go
+++ b/internal/policy/affinity/head_test.go
@@ -193,7 +193,7 @@
 			index.ApplyUpdates([]affinity.Holding{{Part: p.Hash, Target: target, Prefilled: prefilled}}, f.now())
 		}
 	}
-	choice := index.Choose(affinity.Request{Parts: c.parts, Factor: boundFactor, Fetch: true}, f.candidates(c.router), f.now())
+	choice := assign(index, affinity.Request{Parts: c.parts, Factor: boundFactor, Fetch: true}, f.candidates(c.router), f.now())
 	c.engine, c.prefillTokens, c.unreported = choice.Index, max(choice.PrefillTokens, 1), choice.PrefillTokens
 	f.arrived[f.nowMS+1]++
 	if float64(len(f.engines[c.engine])) > boundFactor*f.meanCalls()+boundExtra {
--- a/internal/policy/affinity/slow_test.go
+++ b/internal/policy/affinity/slow_test.go
@@ -70,7 +70,7 @@
 			all[e].Calls = max(f.reported[e], f.inFlight[router][e])
 			all[e].Slowness = f.measured(e, now.Sub(start))
 		}
-		choice := f.indexes[router].Choose(prompt(1000+chat%4, chat), all, now)
+		choice := assign(f.indexes[router], prompt(1000+chat%4, chat), all, now)
 		for _, h := range f.indexes[router].TakeUpdates(30) {
 			for r, x := range f.indexes {
 				if r != router {
