--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -28,13 +27,14 @@
 	portPeers   = 7340
 	portMetrics = 9464
 
-	// contactTime is contact_ms: the calm time after which a VM is in touch.
+	// contactTime is the calm time after which a VM is in touch.
 	contactTime = 3 * time.Second
 	// callerTTL is how long callers keep the answer to a lookup.
 	callerTTL = time.Second
 
-	host = "ficu95.example"
-	key  = "n2ctnfzs989anu6wsjnb"
+	host   = "ficu95.example"
+	region = "jylland"
+	key    = "n2ctnfzs989anu6wsjnb"
 )
 
 var zones = []string{"vejle-a", "vejle-b", "horsens"}
@@ -176,30 +176,11 @@
 
 // writeSettings writes the settings file as the platform does.
 func (r *router) writeSettings(store string, bootstrap bool) {
-	address := r.address
-	zoneMap := make(map[string]string)
-	for _, z := range zones {
-		zoneMap[z] = "jylland"
-	}
-	data, _ := json.Marshal(map[string]any{ // Maps of strings and numbers never fail to encode.
-		"node_name": r.name, "role": "router", "machine_class": "edge", "serves": []string{"edge", "control", "registry"},
-		"ip": r.ip, "zone": r.zone, "region": "jylland", "zones": zoneMap,
-		"listen": map[string]any{
-			"front": address(portCallers), "ready": address(portReady), "control": address(portControl), "directory": address(portLookup),
-		},
-		"port_range": []int{portPeers, portPeers + 15},
-		"seeds":      []string{fmt.Sprintf("%s:%d", r.bed.ip(1), portControl), fmt.Sprintf("%s:%d", r.bed.ip(2), portControl)},
-		"bootstrap":  bootstrap, "heartbeat_ms": 1200,
-		"limits": map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000},
-		"bounds": map[string]any{
-			"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000, "grace_s": 8,
-			"loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_skew_ms": 5000, "revoke_ms": 5000,
-			"retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 52, "recover_s": 12, "cap_factor": 2, "ttl_max_s": 5,
-		},
-		"platform": map[string]any{
-			"address": store, "form": "objects", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1 << 20,
-		},
-	})
+	data := platformtest.RouterSettings{
+		Name: r.name, IP: r.ip, Domain: r.zone, Region: region, Domains: zones, Store: store, Bootstrap: bootstrap,
+		CallerPort: portCallers, ReadyPort: portReady, ControlPort: portControl, LookupPort: portLookup, PeerPort: portPeers,
+		Seeds: []string{r.bed.ip(1), r.bed.ip(2)},
+	}.Encode()
 	_ = os.WriteFile(r.path+".new", data, 0o600)
 	_ = os.Rename(r.path+".new", r.path)
 }
--- a/review/bed/caller.go
+++ b/review/bed/caller.go
@@ -3,15 +3,14 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
+
+	"hickoryrock/platform/platformtest"
 )
 
 type (
@@ -81,15 +80,13 @@
 func (c *callers) lookUp() {
 	for range 3 {
 		r := c.bed.routers[rand.IntN(len(c.bed.routers))]
-		status, body := get(fmt.Sprintf("http://%s:%d/lookup?name=%s&region=jylland&zone=%s", r.ip, portLookup, host, r.zone))
-		var answer struct {
-			Addresses []string `json:"addresses"`
-		}
-		if status != http.StatusOK || json.Unmarshal(body, &answer) != nil || len(answer.Addresses) == 0 {
+		status, body := get(platformtest.LookupURL(r.address(portLookup), host, region, r.zone))
+		addresses, _, err := platformtest.Lookup(body)
+		if status != http.StatusOK || err != nil || len(addresses) == 0 {
 			continue
 		}
 		c.mu.Lock()
-		c.addresses = answer.Addresses
+		c.addresses = addresses
 		c.mu.Unlock()
 		return
 	}
@@ -126,7 +123,7 @@
 		return out
 	}
 	defer func() { _ = resp.Body.Close() }()
-	out.status, out.sealed = resp.StatusCode, resp.Header.Get("X-Hickoryrock-Response-Seal") != ""
+	out.status, out.sealed = resp.StatusCode, platformtest.IsSealed(resp.Header)
 	body, err := io.ReadAll(resp.Body)
 	out.body, out.whole = string(body), err == nil
 	return out
@@ -134,18 +131,9 @@
 
 // encode returns the bytes of a request.
 func (r request) encode(id string) string {
-	var b strings.Builder
-	_, _ = fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Hickoryrock-Attempt-Id: %s\r\n", r.method, r.path, host, id)
-	if r.parts != "" {
-		_, _ = fmt.Fprintf(&b, "X-Hickoryrock-Model: m\r\nX-Hickoryrock-Token-Usage: 713,276\r\nX-Hickoryrock-Prefix-Hash: %s\r\n", r.parts)
-	}
-	_, _ = fmt.Fprintf(&b, "X-Hickoryrock-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n", r.deadline.Milliseconds(), key)
-	if r.method != http.MethodGet {
-		_, _ = fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.body))
-	}
-	b.WriteString("\r\n")
-	b.WriteString(r.body)
-	return b.String()
+	return platformtest.CallerRequest{
+		ID: id, Method: r.method, Host: host, Path: r.path, Key: key, Parts: r.parts, Body: r.body, Deadline: r.deadline,
+	}.Encode()
 }
 
 // each runs f in its own goroutine at each interval until ctx is done, and waits for all.
--- a/review/bed/cascade.go
+++ b/review/bed/cascade.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/platform/platformtest"
 )
 
 const (
@@ -46,7 +47,7 @@
 // runCascade lets model servers crash, one after the other, while sound streams are running
 // that share the first part of their prompts.
 func runCascade(b *bed, trouble bool) (bool, error) {
-	b.configure(1, []string{key}, []map[string]any{engines("walk")}, chatRoute("walkthrough", cascadePath, "walk", 15*time.Second))
+	b.configure(1, []string{key}, []map[string]any{platformtest.EngineService("walk")}, chatRoute("walkthrough", cascadePath, "walk", 15*time.Second))
 	var targets []*target
 	for i := range cascadeTargets {
 		t, err := b.addTarget(i, "walk", func(t *target, c net.Conn, r rawserver.Request) bool {
--- a/review/bed/entries.go
+++ b/review/bed/entries.go
@@ -39,7 +39,7 @@
 	entriesPath    = "/puxa403/"
 	serviceOld     = "old"
 	serviceNew     = "new"
-	// applyTime is config_apply_ms.
+	// applyTime is the time in which a change must be in force.
 	applyTime = 2 * time.Second
 )
 
@@ -51,7 +51,7 @@
 
 // ServeHTTP implements http.Handler.
 func (w *watchCounter) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Get("wait_ms") > "0" {
+	if platformtest.IsWatch(r) {
 		w.last.Store(time.Now().UnixNano())
 	}
 	w.store.ServeHTTP(rw, r)
@@ -60,7 +60,7 @@
 // addBookingServices registers two services with one target each, and configures a route of
 // bookings to the old one.
 func (b *bed) addBookingServices() ([]map[string]any, error) {
-	services := []map[string]any{plainService(serviceOld), plainService(serviceNew)}
+	services := []map[string]any{platformtest.PlainService(serviceOld), platformtest.PlainService(serviceNew)}
 	b.configure(1, []string{key}, services, bookingRoute(serviceOld))
 	for i, service := range []string{serviceOld, serviceNew} {
 		_, err := b.addTarget(i, service, func(t *target, c net.Conn, r rawserver.Request) bool {
@@ -75,7 +75,7 @@
 }
 
 func bookingRoute(service string) map[string]any {
-	return route("booking", entriesPath, "non_idempotent", service, nil)
+	return route("booking", entriesPath, platformtest.RouteOnce, service)
 }
 
 // runEntries replaces many VMs, then kills the router that watches the store, and moves a route
@@ -119,7 +119,7 @@
 
 // addedRoute returns a route that a version of the configuration adds.
 func addedRoute(version int) map[string]any {
-	return route(fmt.Sprint("status-", version), fmt.Sprintf("/cufi%d/", version), "idempotent", serviceOld, nil)
+	return route(fmt.Sprint("status-", version), fmt.Sprintf("/cufi%d/", version), platformtest.RouteSafe, serviceOld)
 }
 
 // watching returns the number of routers that have watched the store lately.
--- a/review/bed/lapse.go
+++ b/review/bed/lapse.go
@@ -30,7 +30,7 @@
 	// lapseRest the time for which it still serves then.
 	lapseMargin = 500 * time.Millisecond
 	lapseRest   = time.Second
-	// drainTime is drain_ms.
+	// drainTime is the time after which a target that drains gets no calls.
 	drainTime = 2 * time.Second
 )
 
@@ -45,7 +45,7 @@
 // runLapse lets servers leave that do not report it: they stop to renew their entries, which
 // lapse while the store is down, and go on serving for a time. Callers come in batches.
 func runLapse(b *bed, trouble bool) (bool, error) {
-	b.configure(1, []string{key}, []map[string]any{engines(lapseService)}, chatRoute("advice", lapsePath, lapseService, 15*time.Second))
+	b.configure(1, []string{key}, []map[string]any{platformtest.EngineService(lapseService)}, chatRoute("advice", lapsePath, lapseService, 15*time.Second))
 	seen := &lapseLog{due: make(map[string]time.Time)}
 	var targets []*target
 	for i := range lapseTargets {
@@ -106,7 +106,7 @@
 	l.mu.Lock()
 	if due, ok := l.due[t.id]; ok && time.Now().After(due) {
 		l.late++
-		t.bed.logf("request %s reaches server %s, %v too late", r.HeaderField("x-hickoryrock-attempt-id"), t.id,
+		t.bed.logf("request %s reaches server %s, %v too late", platformtest.DecodeForwarded(r).Call, t.id,
 			time.Since(due).Round(time.Millisecond))
 	}
 	l.mu.Unlock()
--- a/review/bed/poison.go
+++ b/review/bed/poison.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/platform/platformtest"
 )
 
 const (
@@ -25,7 +26,7 @@
 	// poisonDown is how long a crashed server is away.
 	poisonDown = 2 * time.Second
 	// allowedLate is the number of requests with the part that may reach servers later than
-	// contact_ms after the fifth crash.
+	// contactTime after the fifth crash.
 	allowedLate = 3
 )
 
@@ -39,11 +40,11 @@
 // runPoison sends requests with a prompt part that crashes each server that begins to write an
 // answer on it.
 func runPoison(b *bed, trouble bool) (bool, error) {
-	b.configure(1, []string{key}, []map[string]any{engines("walk")}, chatRoute("report", poisonPath, "walk", 6*time.Second))
+	b.configure(1, []string{key}, []map[string]any{platformtest.EngineService("walk")}, chatRoute("report", poisonPath, "walk", 6*time.Second))
 	var seen poisonLog
 	for i := range poisonTargets {
 		_, err := b.addTarget(i, "walk", func(t *target, c net.Conn, r rawserver.Request) bool {
-			if hasPart(r, poisonPart) {
+			if platformtest.HasPart(r, poisonPart) {
 				seen.crash(t, c, r)
 				return false
 			}
@@ -67,12 +68,11 @@
 	p.mu.Lock()
 	p.arrivals = append(p.arrivals, time.Now())
 	p.mu.Unlock()
-	t.bed.logf("request %s with the part reaches server %s", r.HeaderField("x-hickoryrock-attempt-id"), t.id)
+	t.bed.logf("request %s with the part reaches server %s", platformtest.DecodeForwarded(r).Call, t.id)
 	time.Sleep(20 * time.Millisecond)
-	begin := "HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: "
+	begin := platformtest.CutHead
 	if os.Getenv("HEAD") == "1" {
-		begin = "HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: " + r.HeaderField("x-hickoryrock-attempt-id") +
-			"\r\nX-Hickoryrock-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+		begin = platformtest.StreamHead(r)
 	}
 	_, _ = io.WriteString(c, begin) // The server crashes in any case.
 	if !t.isUp() {
@@ -114,7 +114,7 @@
 }
 
 // judge reports whether too many requests with the part have reached servers later than
-// contact_ms after the fifth crash.
+// contactTime after the fifth crash.
 func (p *poisonLog) judge(b *bed) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/bed/releases.go
+++ b/review/bed/releases.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/platform/platformtest"
 )
 
 const (
@@ -63,7 +64,7 @@
 // runReleases adds servers and lets others leave while callers use their connections, and looks
 // at the end whether the routers take new connections.
 func runReleases(b *bed, trouble bool) (bool, error) {
-	b.configure(1, []string{key}, []map[string]any{engines(releaseService)}, chatRoute("answer", releasePath, releaseService, releaseTimeout))
+	b.configure(1, []string{key}, []map[string]any{platformtest.EngineService(releaseService)}, chatRoute("answer", releasePath, releaseService, releaseTimeout))
 	var targets []*target
 	add := func() error {
 		t, err := b.addTarget(len(targets), releaseService, func(t *target, c net.Conn, r rawserver.Request) bool {
@@ -109,12 +110,12 @@
 	return seen.judge(b), nil
 }
 
-// leave drains the target, which ends a little later than drain_ms.
+// leave drains the target, which ends a little later than drainTime.
 func (t *target) leave() {
 	t.leaving.Store(true)
-	t.register("draining")
+	t.register(platformtest.StateDraining)
 	time.AfterFunc(drainTime+spreadTime, func() {
-		t.bed.store.Remove("servers", t.id)
+		t.bed.store.Remove(platformtest.KindTargets, t.id)
 		t.crash()
 	})
 }
@@ -232,7 +233,7 @@
 }
 
 // judge reports whether a router that says it is ready has taken no new connection for
-// contact_ms, while callers tried.
+// contactTime, while callers tried.
 func (l *releaseLog) judge(b *bed) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/bed/target.go
+++ b/review/bed/target.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,16 +59,15 @@
 	t.mu.Lock()
 	t.listener, t.conns = l, make(map[net.Conn]bool)
 	t.mu.Unlock()
-	t.register("ready")
+	t.register(platformtest.StateReady)
 	go t.accept(l)
 	return nil
 }
 
 // register writes the target's entry.
 func (t *target) register(state string) {
-	t.bed.store.Set(platformtest.KindTargets, t.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":%q,"cold_left_ms":0,"sequence":0,"born":%d}`,
-		t.service, t.address, t.zone, state, time.Now().UnixMilli()))
+	t.bed.store.Set(platformtest.KindTargets, t.id, platformtest.DeploymentTarget(
+		t.service, t.address, t.zone, state, time.Now()))
 }
 
 func (t *target) accept(l net.Listener) {
@@ -105,7 +103,7 @@
 			return
 		}
 		r := rawserver.Request{Request: head, Body: body}
-		if expected := r.HeaderField("x-hickoryrock-expect-instance"); expected != "" && expected != t.id {
+		if expected := platformtest.DecodeForwarded(r).ExpectedTarget; expected != "" && expected != t.id {
 			if _, err := io.WriteString(c, platformtest.Misdirected(r)); err != nil {
 				return
 			}
@@ -160,7 +158,7 @@
 		return false
 	}
 	for n := 1; n <= events; n++ {
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, r.HeaderField("x-hickoryrock-attempt-id"))
+		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, platformtest.DecodeForwarded(r).Call)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return false
 		}
@@ -169,8 +167,3 @@
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil && !isLeaving
 }
-
-// hasPart reports whether a part stands in the prompt of a request.
-func hasPart(r rawserver.Request, part string) bool {
-	return strings.Contains(r.HeaderField("x-hickoryrock-prefix-hash"), part+":")
-}
