Export a router's memory by owner (design 0022)

Operators saw the memory of a process, and of its parts only that of answers. Gauges now tell what request bodies, unfinished responses and slow callers occupy at present and at most since the start, and how many entries the cache index, its announcements and other routers' reports have. Calls cost no more: the owners count for their bounds already; the bound of request bodies is a counter instead of a semaphore, whose value can't be read.

--- a/internal/caller/ingress/head.go
+++ b/internal/caller/ingress/head.go
@@ -1,7 +1,5 @@
 package ingress
 
-import "golang.org/x/sync/semaphore"
-
 const (
 	// freeHeadBytes is what the head of a request may occupy without a share of the bound of the
 	// memory of requests.
@@ -12,7 +10,7 @@
 
 // headMemory is the memory that the head of one request occupies.
 type headMemory struct {
-	total *semaphore.Weighted
+	total *memoryBound
 	// held is in bytes.
 	held int64
 }
@@ -26,7 +24,7 @@
 	if need <= m.held {
 		return true
 	}
-	if !m.total.TryAcquire(need - m.held) {
+	if !m.total.tryAcquire(need - m.held) {
 		return false
 	}
 	m.held = need
@@ -34,6 +32,6 @@
 }
 
 func (m *headMemory) release() {
-	m.total.Release(m.held)
+	m.total.release(m.held)
 	m.held = 0
 }
--- a/internal/caller/ingress/ingress.go
+++ b/internal/caller/ingress/ingress.go
@@ -16,7 +16,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/wire/http1"
@@ -65,7 +64,7 @@
 		limits  func() state.Limits
 		log     zerolog.Logger
 		// bodyMemory limits the memory of all request bodies and large heads together, in bytes.
-		bodyMemory *semaphore.Weighted
+		bodyMemory memoryBound
 		closeDelay time.Duration
 
 		draining atomic.Bool
@@ -110,8 +109,9 @@
 	s := &Server{
 		handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{}),
 		serving:    make(map[net.Listener]chan struct{}),
-		bodyMemory: semaphore.NewWeighted(defaultBodyMemory), closeDelay: defaultCloseDelay,
+		closeDelay: defaultCloseDelay,
 	}
+	s.bodyMemory.limit = defaultBodyMemory
 	now := time.Now()
 	s.lastAccept.Store(&now)
 	s.stopped, s.stop = context.WithCancelCause(context.Background())
@@ -225,7 +225,7 @@
 	defer s.active.Add(-1)
 	limits := s.limits()
 	c.beginCall(limits.HeaderTimeout)
-	head := headMemory{total: s.bodyMemory}
+	head := headMemory{total: &s.bodyMemory}
 	defer head.release()
 	req, err := http1.ReadRequestReserving(c.reader, limits.HeaderBytes, head.hold)
 	if err != nil {
@@ -238,11 +238,11 @@
 	}
 	body, reserved, err := s.readBody(c, req, limits.BodyBytes)
 	if err != nil {
-		s.bodyMemory.Release(reserved) // Before reject, which may linger on the connection.
+		s.bodyMemory.release(reserved) // Before reject, which may linger on the connection.
 		s.reject(c, err)
 		return false
 	}
-	defer s.bodyMemory.Release(reserved)
+	defer s.bodyMemory.release(reserved)
 	ctx, stop := s.watchDisconnect(c)
 	s.handler.ServeCall(ctx, response, req, body)
 	response.Flush(ctx)
@@ -298,7 +298,7 @@
 	if req.Length < 0 {
 		initial = min(bodyChunkBytes-1, limit) + 1 // The limit may be the largest integer.
 	}
-	if !s.bodyMemory.TryAcquire(initial) {
+	if !s.bodyMemory.tryAcquire(initial) {
 		return nil, 0, errBodyMemory
 	}
 	if req.ExpectContinue {
@@ -340,7 +340,7 @@
 		// Double the buffer, so that large bodies are copied rarely, up to one byte over the limit,
 		// which shows that the body exceeds it.
 		more := min(reserved-1, limit-reserved) + 1
-		if !s.bodyMemory.TryAcquire(more) {
+		if !s.bodyMemory.tryAcquire(more) {
 			return nil, reserved, errBodyMemory
 		}
 		reserved += more
--- a/internal/caller/ingress/options.go
+++ b/internal/caller/ingress/options.go
@@ -1,10 +1,6 @@
 package ingress
 
-import (
-	"time"
-
-	"golang.org/x/sync/semaphore"
-)
+import "time"
 
 // Option changes a server's settings.
 type Option func(*Server)
@@ -14,7 +10,7 @@
 func WithBodyMemory(bytes int64) Option {
 	return func(s *Server) {
 		if bytes > 0 {
-			s.bodyMemory = semaphore.NewWeighted(bytes)
+			s.bodyMemory.limit = bytes
 		}
 	}
 }
--- a/internal/fleet/forward/body.go
+++ b/internal/fleet/forward/body.go
@@ -68,6 +68,10 @@
 	cancel(errResponseMemory)
 }
 
+// ResponseUsage returns what unfinished responses occupy beyond a small part of each: those whose
+// callers read slowly, with what is held for these callers, and all others.
+func (h *Handler) ResponseUsage() (slow, others answermemory.Usage) { return h.answerMemory.Usage() }
+
 // AnswerMemory returns what unfinished responses occupy beyond a small part of each, in bytes.
 func (h *Handler) AnswerMemory() int64 { return h.answerMemory.Used() }
 
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -165,6 +165,7 @@
 	metrics.GetOrCreateGauge(`hickoryrock_answer_memory_bytes`, func() float64 { return float64(handler.AnswerMemory()) })
 	r.server = ingress.New(handler, r.limits, log,
 		ingress.WithBodyMemory(int64(bodyMemoryFraction*float64(s.MemoryBytes))))
+	r.exportMemory(handler)
 	if err := r.listen(); err != nil {
 		r.close()
 		return nil, nil, err
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -163,6 +163,8 @@
 	CacheIndex struct {
 		mu    sync.Mutex
 		parts map[uint64][]holder
+		// holdings is the number of holders of all parts.
+		holdings int
 		// updates are holdings that other routers do not know, refreshes those that
 		// they know to have been used again.
 		updates   []Holding
--- a/internal/policy/affinity/affinity_test.go
+++ b/internal/policy/affinity/affinity_test.go
@@ -311,3 +311,32 @@
 		}
 	})
 }
+
+// Guards against a count of holdings that drifts away from them.
+func TestCountOfHoldings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x, all, now := affinity.NewCacheIndex(), candidates(4), start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "s")) * time.Second)
+			target := all[rapid.IntRange(0, 3).Draw(t, "target")].Target
+			part := rapid.Uint64Range(1, 5).Draw(t, "part")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				x.Assign([]affinity.Part{{Hash: part}}, target, 0, now)
+			case 1:
+				x.ApplyUpdates([]affinity.Holding{{Part: part, Target: target, Prefilled: true}}, now)
+			case 2:
+				x.TakeUpdates(3)
+			case 3:
+				x.Expire(map[uint64]bool{target: true, all[0].Target: true}, now)
+				if held, _ := x.Count(); held != len(x.Holdings(now)) {
+					t.Fatalf("%d counted, %d held", held, len(x.Holdings(now)))
+				}
+			}
+		}
+		x.Expire(nil, now)
+		if held, _ := x.Count(); held != 0 {
+			t.Fatalf("%d counted, none held", held)
+		}
+	})
+}
--- a/internal/policy/affinity/holdings.go
+++ b/internal/policy/affinity/holdings.go
@@ -56,6 +56,14 @@
 	return all
 }
 
+// Count returns the number of holdings, including those that have expired but are not yet removed,
+// and of those that wait for their announcement.
+func (x *CacheIndex) Count() (holdings, unannounced int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.holdings, len(x.updates) + len(x.refreshes)
+}
+
 // Updated returns a channel that receives a value when there are holdings for
 // TakeUpdates.
 func (x *CacheIndex) Updated() <-chan struct{} { return x.updated }
@@ -110,6 +118,7 @@
 				kept = append(kept, h)
 			}
 		}
+		x.holdings -= len(holders) - len(kept)
 		if len(kept) == 0 {
 			delete(x.parts, part)
 			continue
@@ -153,6 +162,7 @@
 		}
 		return
 	}
+	x.holdings++
 	x.parts[h.Part] = append(holders, holder{target: h.Target, lastUsed: now, lastAnnounced: now, prefilledAt: prefilledAt})
 	if local {
 		x.queueUpdate(h)
--- a/internal/policy/answermemory/answermemory.go
+++ b/internal/policy/answermemory/answermemory.go
@@ -29,13 +29,19 @@
 		// used is what all answers occupy, ending what those of them do that are ended and have
 		// not been released.
 		used, ending int64
-		byTarget     map[uint64]*holdings
+		// slowUsage and otherUsage are the parts of used that answers occupy whose callers read slowly, and
+		// all other answers.
+		slowUsage, otherUsage Usage
+		byTarget              map[uint64]*holdings
 		// slow holds the answers whose callers read slowly, without those that are ended.
 		slow map[*Answer]struct{}
 		// released is closed and replaced when an answer gives memory back.
 		released chan struct{}
 	}
 
+	// Usage is what answers occupy, and the most that they have occupied since the start, in bytes.
+	Usage struct{ Bytes, Peak int64 }
+
 	// Ended describes an answer that was ended because the memory was used up.
 	Ended struct {
 		Target uint64
@@ -83,6 +89,14 @@
 	return b.used
 }
 
+// Usage returns what the answers occupy whose callers read slowly, and what all others do, as Used
+// counts it.
+func (b *Budget) Usage() (slow, others Usage) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.slowUsage, b.otherUsage
+}
+
 // Begin returns the memory of an answer of a target. If end is called, the answer must be ended:
 // its memory is needed for others. end is called with the budget's lock held.
 func (b *Budget) Begin(target uint64, end func()) *Answer {
@@ -119,7 +133,7 @@
 	if a.ended {
 		a.bytes -= less
 		a.budget.ending -= less
-		a.budget.used -= less
+		a.budget.count(a, -less)
 	} else {
 		a.budget.set(a, a.bytes-less)
 	}
@@ -139,7 +153,9 @@
 	}
 	b.unlist(a)
 	bytes := a.bytes
+	b.count(a, -bytes)
 	a.bytes, a.slow = 0, slow
+	b.count(a, bytes)
 	b.list(a, bytes)
 	a.bytes = bytes
 }
@@ -239,7 +255,7 @@
 		} else {
 			b.unlist(a)
 		}
-		b.used -= a.bytes
+		b.count(a, -a.bytes)
 		b.announceRelease()
 	}
 	a.bytes, a.ended = 0, true
@@ -290,10 +306,21 @@
 	} else {
 		b.list(a, bytes)
 	}
-	b.used += bytes - a.bytes
+	b.count(a, bytes-a.bytes)
 	a.bytes = bytes
 }
 
+// count adds bytes to what an answer is counted with. The lock must be held.
+func (b *Budget) count(a *Answer, bytes int64) {
+	b.used += bytes
+	usage := &b.otherUsage
+	if a.slow {
+		usage = &b.slowUsage
+	}
+	usage.Bytes += bytes
+	usage.Peak = max(usage.Peak, usage.Bytes)
+}
+
 // list enters what an answer will occupy, among the answers of its target or those of slow callers.
 // The lock must be held.
 func (b *Budget) list(a *Answer, bytes int64) {
--- a/internal/policy/answermemory/answermemory_test.go
+++ b/internal/policy/answermemory/answermemory_test.go
@@ -182,3 +182,38 @@
 	a = f.budget.BeginBacklog(target, func() { time.AfterFunc(releaseDelay, func() { a.Release() }) })
 	return a
 }
+
+// Guards against memory that counts for the wrong owner, or for one that has given it back.
+func TestUsageByOwner(t *testing.T) {
+	const kb = 1 << 10
+	f := newFixture(t)
+	assertUsage := func(slow, slowPeak, others, othersPeak int64) {
+		f.Helper()
+		gotSlow, gotOthers := f.budget.Usage()
+		f.Assert(gotSlow, qt.Equals, answermemory.Usage{Bytes: slow * kb, Peak: slowPeak * kb})
+		f.Assert(gotOthers, qt.Equals, answermemory.Usage{Bytes: others * kb, Peak: othersPeak * kb})
+		f.Assert(f.budget.Used(), qt.Equals, (slow+others)*kb)
+	}
+	ignore := func() {}
+	answer, backlog := f.budget.Begin(sound, ignore), f.budget.BeginBacklog(sound, ignore)
+	f.Assert(answer.Hold(answermemory.FreeBytes+40*kb), qt.IsTrue)
+	f.Assert(backlog.Add(16*kb), qt.IsTrue)
+	assertUsage(16, 16, 40, 40)
+	answer.SetSlow(true)
+	assertUsage(56, 56, 0, 40)
+	answer.SetSlow(false)
+	backlog.Remove(8 * kb)
+	assertUsage(8, 56, 40, 40)
+	f.Assert(answer.Hold(answermemory.FreeBytes+8*kb), qt.IsTrue)
+	assertUsage(8, 56, 8, 40)
+	// The larger one of two slow answers is ended, and counts until it is released.
+	other := f.budget.BeginBacklog(sound, ignore)
+	f.Assert(other.Add(80*kb), qt.IsTrue)
+	f.Assert(answer.Hold(answermemory.FreeBytes+16*kb), qt.IsFalse)
+	assertUsage(88, 88, 8, 40)
+	other.Remove(40 * kb)
+	other.Release()
+	backlog.Release()
+	answer.Release()
+	assertUsage(0, 88, 0, 40)
+}
--- a/internal/policy/targetstats/peers.go
+++ b/internal/policy/targetstats/peers.go
@@ -75,6 +75,17 @@
 	tr.peers[router] = p
 }
 
+// PeerLoads returns the number of loads in the last reports of all other routers.
+func (tr *Tracker) PeerLoads() int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	n := 0
+	for _, p := range tr.peers {
+		n += len(p.loads)
+	}
+	return n
+}
+
 // AddPendingTokens adds prompt tokens that another router has just sent to a target. They
 // are dropped on its next report, which includes them.
 func (tr *Tracker) AddPendingTokens(router string, target uint64, tokens int) {
--- a/internal/policy/targetstats/peers_test.go
+++ b/internal/policy/targetstats/peers_test.go
@@ -95,6 +95,15 @@
 				tr.Prune(map[uint64]bool{1: true})
 			}
 			assertMatchesModel(t, tr.Summaries(all, now), m, all, now)
+			loads := 0
+			for _, r := range m {
+				if now.Sub(r.at) <= 1500*time.Millisecond {
+					loads += len(r.loads)
+				}
+			}
+			if tr.PeerLoads() != loads {
+				t.Fatalf("%d loads in reports are counted, %d are there", tr.PeerLoads(), loads)
+			}
 		}
 	})
 }
