--- a/internal/fleet/forward/partly_sent_test.go
+++ b/internal/fleet/forward/partly_sent_test.go
@@ -6,12 +6,14 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/standin/rawserver"
 	"hickoryrock/internal/wire/http1"
+	"hickoryrock/platform"
 	"hickoryrock/platform/platformtest"
 )
 
@@ -38,14 +40,35 @@
 			}()
 			f := newFixture(t, 0, nil)
 			address := l.Addr().String()
-			f.view.Store(&state.View{Configuration: f.view.Load().Configuration, Targets: state.NewTargets([]*state.Target{
+			f.view.Store(&state.View{Configuration: unhurriedConfiguration(), Targets: state.NewTargets([]*state.Target{
 				{ID: "i-0", Service: "s", Address: address}, {ID: "i-1", Service: "s", Address: address},
 			})})
 			for i, path := range []string{"/once/a", "/safe/a"} {
-				got := f.send(platformtest.Call(presentCall, "POST", path, 1000, strings.Repeat("a", bytes)))
+				got := f.send(platformtest.Call(presentCall, "POST", path, int(unhurriedTimeout.Milliseconds()), strings.Repeat("a", bytes)))
 				f.assertResponse(got, 502, "")
 				f.Assert(int(received.Load()), qt.Equals, 1+2*i, qt.Commentf("%s", path))
 			}
 		})
 	}
 }
+
+// unhurriedTimeout is longer than any call of these tests takes, also on a busy machine.
+const unhurriedTimeout = 20 * time.Second
+
+// unhurriedConfiguration returns a configuration whose calls end neither because a target is silent
+// for a part of its latency objective nor at their deadline, each of which may precede the first byte
+// that is sent to the target.
+func unhurriedConfiguration() *state.Configuration {
+	list := routes()
+	for i := range list {
+		list[i].Timeout = unhurriedTimeout
+		if list[i].LatencyObjective > 0 {
+			list[i].LatencyObjective = unhurriedTimeout
+		}
+	}
+	configuration := &state.Configuration{
+		Version: 1, Routes: list, Limits: platform.DefaultLimits(), Workspaces: map[string]state.Workspace{"key": {Name: "w"}},
+	}
+	configuration.Index()
+	return configuration
+}
