--- a/internal/fleet/forward/quarantine_test.go
+++ b/internal/fleet/forward/quarantine_test.go
@@ -149,17 +149,27 @@
 // issue 40).
 func TestLaterEndsAtACrashedTargetAreEvidence(t *testing.T) {
 	tracker := quarantine.NewTracker()
+	crashIsKnown := make(chan struct{})
 	f := newFixture(t, 1, func(c net.Conn, r rawserver.Request) bool {
 		if slices.Contains(platformtest.Parts(r), guiltyPart) {
-			time.Sleep(600 * time.Millisecond)
+			<-crashIsKnown
 		}
 		return reset(c, r)
 	}, func(c *forward.Config) { c.Quarantine = tracker })
+	release := sync.OnceFunc(func() { close(crashIsKnown) })
 	f.cacheIndex.MarkRestored()
 	f.restartTargets() // They state a start time now.
-	time.AfterFunc(200*time.Millisecond, f.restartTargets)
-	go f.callWithParts("/chat/a", rarePart, "e1")
-	_ = f.callWithParts("/chat/a", guiltyPart, "e1")
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	t.Cleanup(release)
+	group.Go(func() { _ = f.callWithParts("/chat/a", guiltyPart, "e1") })
+	f.awaitRequests(1)
+	group.Go(func() { _ = f.callWithParts("/chat/a", rarePart, "e1") })
+	f.awaitRequests(2)
+	f.restartTargets()
+	f.awaitSuspected(tracker, rarePart)
+	f.Assert(tracker.Standing([]uint64{partHash(guiltyPart)}, time.Now()), qt.Equals, quarantine.Clear)
+	release()
 	f.assertSuspected(tracker)
 }
 
@@ -184,9 +194,15 @@
 
 // assertSuspected waits until a crash speaks against guiltyPart.
 func (f *fixture) assertSuspected(tracker *quarantine.Tracker) {
+	f.Helper()
+	f.awaitSuspected(tracker, guiltyPart)
+}
+
+// awaitSuspected waits until a crash speaks against a part.
+func (f *fixture) awaitSuspected(tracker *quarantine.Tracker, part string) {
 	f.Helper()
 	suspected := func() bool {
-		return tracker.Standing([]uint64{partHash(guiltyPart)}, time.Now()) >= quarantine.Suspected
+		return tracker.Standing([]uint64{partHash(part)}, time.Now()) >= quarantine.Suspected
 	}
 	for deadline := time.Now().Add(3 * time.Second); !suspected(); time.Sleep(10 * time.Millisecond) {
 		f.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the crash is not known"))
