--- a/internal/node/edge/confirm_test.go
+++ b/internal/node/edge/confirm_test.go
@@ -15,8 +15,8 @@
 	"hickoryrock/platform/platformtest"
 )
 
-// busyStarts bounds the starts at which a busy machine delays the confirmation of the view beyond
-// the time for which a router holds calls back.
+// busyStarts bounds the starts of routers in one test whose results say nothing because this process
+// stood still.
 const busyStarts = 20
 
 // A restarted router reads a cached list that is seconds old. It must serve no call
