--- a/internal/peer/gossip/broadcast.go
+++ b/internal/peer/gossip/broadcast.go
@@ -37,6 +37,12 @@
 	linkKbit uint32
 }
 
+// rankedAddress is the address of a router and its rank by rendezvous hashing.
+type rankedAddress struct {
+	address netip.AddrPort
+	rank    uint64
+}
+
 // route says how a beacon reaches all peers.
 type route struct {
 	// known are the datagrams for live peers, some of them through relays.
@@ -134,13 +140,18 @@
 // seeds they take turns, so that one that has failed is not selected twice in a row.
 func pickFastRelay(candidates []relayCandidate, seed uint64) netip.AddrPort {
 	slices.SortFunc(candidates, func(a, b relayCandidate) int {
-		return cmp.Or(cmp.Compare(b.linkKbit, a.linkKbit), cmp.Compare(relayRank(a.address, 0), relayRank(b.address, 0)))
+		return cmp.Or(cmp.Compare(b.linkKbit, a.linkKbit), a.address.Compare(b.address))
 	})
 	n := min(minFastRelays, len(candidates))
 	for n < len(candidates) && candidates[n].linkKbit >= candidates[0].linkKbit/2 {
 		n++
 	}
-	return candidates[seed%uint64(n)].address
+	relays := make([]rankedAddress, n)
+	for i, c := range candidates[:n] {
+		relays[i] = rankedAddress{c.address, relayRank(c.address, 0)}
+	}
+	slices.SortFunc(relays, func(a, b rankedAddress) int { return cmp.Compare(a.rank, b.rank) })
+	return relays[seed%uint64(n)].address
 }
 
 // relayRank returns the rank of a router by rendezvous hashing.
