--- a/internal/peer/slotgrant/failure_test.go
+++ b/internal/peer/slotgrant/failure_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	peerv1 "hickoryrock/api/peer/v1"
 	"hickoryrock/internal/policy/slots"
 )
 
@@ -199,12 +201,24 @@
 	coordinator, stop := f.start(c, "127.0.0.1:0")
 	address := coordinator.Address()
 	client, _ := f.start(c, "127.0.0.1:0")
-	f.setMembers(member(address))
+	// All messages after the first request of each call wait for the restart: one that arrives
+	// while nobody listens would be lost, after which the call gives up instead of repeating it.
+	isRestarted, requests := make(chan struct{}), atomic.Int64{}
+	p := newProxy(c, address, func(m *peerv1.SlotMessage) int {
+		if m.GetRequest() != nil && requests.Add(1) > 2 {
+			<-isRestarted
+		}
+		return 1
+	})
+	goOn := sync.OnceFunc(func() { close(isRestarted) })
+	c.Cleanup(goOn)
+	f.setMembers(member(p.front.address()))
 	old := mustAcquire(c, client, f.newRequest())
 	grants, _ := acquire(context.Background(), client, f.newRequest())
 	waitUntil(c, "request not received", func() bool { return assigned(coordinator) == 2 })
 	stop()
 	restarted, _ := f.start(c, address.String())
+	goOn()
 	grant := receive(c, grants)
 	// The release of its predecessor's grant does not end this one.
 	client.Release(old, slots.Result{Succeeded: true})
