--- a/internal/peer/slotgrant/failure_test.go
+++ b/internal/peer/slotgrant/failure_test.go
@@ -22,6 +22,13 @@
 // statedTimeouts are the stated time limits.
 var statedTimeouts = WithTimeouts(answerTimeout, repeatInterval, ackTimeout)
 
+// newClient starts a router of a new fleet that asks for slots.
+func newClient(t *testing.T, opts ...Option) (*qt.C, *testFleet, *Client) {
+	c, f := qt.New(t), newFleet()
+	client, _ := f.start(c, "127.0.0.1:0", opts...)
+	return c, f, client
+}
+
 // ranked returns two raw routers, the one with the higher rank for the service first.
 func ranked(c *qt.C) (first, second *rawRouter) {
 	first, second = newRawRouter(c), newRawRouter(c)
@@ -67,10 +74,8 @@
 
 // A call that waited longer than stated for a coordinator that is silent would be late.
 func TestSilentCoordinator(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t, statedTimeouts)
 	r := newRawRouter(c)
-	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts)
 	f.setMembers(member(r.address()))
 
 	start := time.Now()
@@ -90,10 +95,8 @@
 // A router that has used its share of the CPU is paused for longer than the time limit. It
 // would take coordinators for silent whose answers it has not read yet.
 func TestPauseOfThisProcessIsNotSilence(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t, statedTimeouts)
 	r := newRawRouter(c)
-	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts)
 	f.setMembers(member(r.address()))
 	calls := 0
 	client.opts.pauseGrace, client.opts.timerNow = testTimeout, func() time.Time {
@@ -110,12 +113,10 @@
 // Every call would lose 25 ms while the first router does not answer, and a router that
 // answers again would remain unused.
 func TestFailoverToSecondRankAndBack(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
-	first, second := ranked(c)
 	// The clock of the failover is the test's, so that the second of failover does not end early.
 	start, skew := time.Now(), atomic.Int64{}
-	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts, WithClock(func() time.Time { return start.Add(time.Duration(skew.Load())) }))
+	c, f, client := newClient(t, statedTimeouts, WithClock(func() time.Time { return start.Add(time.Duration(skew.Load())) }))
+	first, second := ranked(c)
 	f.setMembers(member(first.address()), member(second.address()))
 
 	for range maxSilences {
@@ -148,10 +149,8 @@
 
 // The second router must be asked in fact, not only be chosen.
 func TestSecondRankGrants(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t)
 	first, second := ranked(c)
-	client, _ := f.start(c, "127.0.0.1:0")
 	f.setMembers(member(first.address()), member(second.address()))
 	for range maxSilences {
 		client.routing.recordSilence(first.address(), f.now().Add(time.Hour))
@@ -162,10 +161,8 @@
 // A router without a network would delay each call by 25 ms although it has just learned that
 // nobody answers.
 func TestNoRouterIsAskedWhileBothAreSilent(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t)
 	first, second := ranked(c)
-	client, _ := f.start(c, "127.0.0.1:0")
 	f.setMembers(member(first.address()), member(second.address()))
 	for range maxSilences {
 		client.routing.recordSilence(first.address(), f.now().Add(time.Hour))
@@ -181,10 +178,8 @@
 
 // A call would wait until its deadline for a coordinator that has been killed.
 func TestCoordinatorKilledWhileRequestWaits(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t, WithTimeouts(testTimeout, repeatInterval, ackTimeout))
 	coordinator, stop := f.start(c, "127.0.0.1:0")
-	client, _ := f.start(c, "127.0.0.1:0", WithTimeouts(testTimeout, repeatInterval, ackTimeout))
 	f.setMembers(member(coordinator.Address()))
 	mustAcquire(c, client, f.newRequest())
 	_, errs := acquire(context.Background(), client, f.newRequest())
@@ -196,13 +191,11 @@
 // A restarted coordinator knows nothing of the requests that waited at its predecessor; those
 // would wait until their deadlines.
 func TestCoordinatorRestartedWhileRequestWaits(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t)
 	coordinator, stop := f.start(c, "127.0.0.1:0")
 	address := coordinator.Address()
-	client, _ := f.start(c, "127.0.0.1:0")
-	// All messages after the first request of each call wait for the restart: one that arrives
-	// while nobody listens would be lost, after which the call gives up instead of repeating it.
+	// Repetitions wait until the coordinator has restarted: one that arrives
+	// while nobody listens is lost, and the call gives up instead of sending another.
 	isRestarted, requests := make(chan struct{}), atomic.Int64{}
 	p := newProxy(c, address, func(m *peerv1.SlotMessage) int {
 		if m.GetRequest() != nil && requests.Add(1) > 2 {
@@ -251,10 +244,8 @@
 
 // A grant to a call that has gone on without it would take a slot until the call's deadline.
 func TestLateGrantIsCancelled(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t, statedTimeouts)
 	r := newRawRouter(c)
-	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts)
 	f.setMembers(member(r.address()))
 	silentAcquire(c, f, client)
 	request := r.receive().GetRequest()
@@ -276,10 +267,8 @@
 // A grant that arrives in the instant in which a call gives up would be used by nobody; a call
 // that only stops to wait can still use it.
 func TestGrantWhileGivingUp(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t)
 	r := newRawRouter(c)
-	client, _ := f.start(c, "127.0.0.1:0")
 	for _, isUsed := range []bool{true, false} {
 		a := client.newAttempt(f.newRequest(), member(r.address()), f.now())
 		reply := slots.Reply{Key: a.request.Key, Kind: slots.Granted, Target: targetA}
@@ -303,10 +292,8 @@
 // A repeated grant must not end the lease of a call that is in progress, and one of another
 // target, as from a restarted coordinator, must not take a slot.
 func TestRepeatedGrant(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t)
 	r := newRawRouter(c)
-	client, _ := f.start(c, "127.0.0.1:0")
 	f.setMembers(member(r.address()))
 	grants, _ := acquire(context.Background(), client, f.newRequest())
 	// A grant for the request of this number of an earlier process is not that of this one.
@@ -333,10 +320,8 @@
 
 // A call that has ended would keep its place among those that wait, or be granted a slot.
 func TestCancelledContext(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t)
 	coordinator, _ := f.start(c, "127.0.0.1:0")
-	client, _ := f.start(c, "127.0.0.1:0")
 	f.setMembers(member(coordinator.Address()))
 	first := mustAcquire(c, client, f.newRequest())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -357,11 +342,9 @@
 
 // A call would be sent although it cannot succeed, or be retried at once.
 func TestRefusal(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t)
 	f.targets[0].IsEligible = false
 	coordinator, _ := f.start(c, "127.0.0.1:0")
-	client, _ := f.start(c, "127.0.0.1:0")
 	for _, m := range []Member{member(coordinator.Address()), self(client.Address())} {
 		f.setMembers(m)
 		_, err := client.Acquire(context.Background(), f.newRequest())
@@ -395,10 +378,8 @@
 // A call of a service that the coordinator does not know must not be refused: its view may be
 // older than the caller's.
 func TestUnknownService(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet()
+	c, f, client := newClient(t, statedTimeouts)
 	coordinator, _ := f.start(c, "127.0.0.1:0")
-	client, _ := f.start(c, "127.0.0.1:0", statedTimeouts)
 	r := f.newRequest()
 	r.Service = "other"
 	for _, m := range []Member{member(coordinator.Address()), self(client.Address())} {
