--- a/internal/testing/ports/ports.go
+++ b/internal/testing/ports/ports.go
@@ -25,12 +25,15 @@
 	next, end int
 	// tried is the number of blocks that were tried.
 	tried int
-	// held are the listeners at the first ports of the blocks.
-	held []net.Listener
+	// starts are the first ports of the blocks, held the listeners there. reused counts the
+	// blocks whose ports are given once more, when there are no others.
+	starts []int
+	held   []net.Listener
+	reused int
 }
 
-// Free returns a port that is free for TCP and UDP on loopback and that Free gives nobody else
-// while this process runs, or fails the test. It is below the ephemeral port range, so that no
+// Free returns a port that is free for TCP and UDP on loopback and that Free gives no other test
+// process while this one runs, or fails the test. It is below the ephemeral port range, so that no
 // outgoing connection takes it before it is used. No process is forked meanwhile: until it
 // executes its program, the child would keep the listener open.
 func Free(t testing.TB) int {
@@ -39,7 +42,10 @@
 	defer syscall.ForkLock.RUnlock()
 	block.mu.Lock()
 	defer block.mu.Unlock()
-	for block.next < block.end || takeBlock() {
+	for range count {
+		if block.next >= block.end && !takeBlock() {
+			break
+		}
 		port := block.next
 		block.next++
 		if isFree(address(port)) {
@@ -50,8 +56,8 @@
 	return 0
 }
 
-// takeBlock takes a block that no other test process has, and reports whether there was one.
-// block.mu must be held.
+// takeBlock takes a block that no other test process has, or one of its own once more, and reports
+// whether there was one. block.mu must be held.
 func takeBlock() bool {
 	for ; block.tried < count/blockSize; block.tried++ {
 		start := first + block.tried*blockSize
@@ -59,12 +65,18 @@
 		if err != nil {
 			continue
 		}
-		block.held = append(block.held, l)
+		block.starts, block.held = append(block.starts, start), append(block.held, l)
 		block.next, block.end = start+1, start+blockSize
 		block.tried++
 		return true
 	}
-	return false
+	if len(block.starts) == 0 {
+		return false
+	}
+	start := block.starts[block.reused%len(block.starts)]
+	block.next, block.end = start+1, start+blockSize
+	block.reused++
+	return true
 }
 
 // FreeAddress returns an address on loopback with a free port; see Free.
