--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -45,6 +45,9 @@
 	c.progress.Attempts++
 	tracked := c.h.TargetHealth.Begin(target.Hash, c.placement.PrefillTokens, time.Now())
 	defer tracked.End()
+	if c.isPlain() {
+		c.h.LoadFigures.Sent(target.Hash, time.Now())
+	}
 	overdue := time.AfterFunc(overdueAfter(c.route.LatencyObjective, c.placement), func() { tracked.Overdue(time.Now()) })
 	defer overdue.Stop()
 
@@ -137,8 +140,9 @@
 	for i, t := range targets {
 		candidates[i] = affinity.Candidate{
 			Target: t.Hash, Calls: summaries[i].Calls, PendingTokens: summaries[i].PendingTokens, Slowness: summaries[i].Slowness,
-			Ejected: summaries[i].Ejected || c.h.TargetHealth.SilentFor(t.Hash, now) > limit,
-			Tried:   c.tried[t.Hash], Draining: t.Draining || t.Evacuated, Exhausted: !c.h.maySupplyCache(t, now),
+			ExpectedTime: c.expectedTime(t, now),
+			Ejected:      summaries[i].Ejected || c.h.TargetHealth.SilentFor(t.Hash, now) > limit,
+			Tried:        c.tried[t.Hash], Draining: t.Draining || t.Evacuated, Exhausted: !c.h.maySupplyCache(t, now),
 			FailureDomain: t.FailureDomain, SameDomain: t.FailureDomain == c.h.FailureDomain,
 		}
 	}
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -23,6 +23,7 @@
 	"hickoryrock/internal/policy/retries"
 	"hickoryrock/internal/policy/targetbackoff"
 	"hickoryrock/internal/policy/targetlimits"
+	"hickoryrock/internal/policy/targetload"
 	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/target/http1client"
@@ -73,6 +74,9 @@
 		// Backoff knows the targets that want no requests for a time. Nil means a tracker of
 		// the handler's own.
 		Backoff *targetbackoff.Tracker
+		// LoadFigures knows the load figures that plain services' targets report. Nil means a
+		// tracker of the handler's own.
+		LoadFigures *targetload.Tracker
 		// Pace bounds the calls to targets that are cold, or have started or recovered. Nil means
 		// that there are none.
 		Pace *targetpace.Tracker
@@ -232,6 +236,9 @@
 	if config.Backoff == nil {
 		config.Backoff = targetbackoff.NewTracker()
 	}
+	if config.LoadFigures == nil {
+		config.LoadFigures = targetload.NewTracker()
+	}
 	if config.OnLeaving == nil {
 		config.OnLeaving = func(uint64) {}
 	}
--- a/internal/fleet/forward/observe.go
+++ b/internal/fleet/forward/observe.go
@@ -33,6 +33,7 @@
 	if headers.HasCold {
 		c.h.observeCold(target, headers.ColdLeft, time.Now())
 	}
+	c.observeFigures(target, headers, time.Now())
 	c.h.Backoff.Observe(target.Hash, headers.RetryAfter, time.Now())
 	if headers.Leaving {
 		c.h.OnLeaving(target.Hash)
--- a/internal/fleet/forward/slots.go
+++ b/internal/fleet/forward/slots.go
@@ -45,10 +45,12 @@
 // usesSlots reports whether the call needs a slot that the coordinator of its service grants: one
 // of a plain service whose callers compete for room.
 func (c *call) usesSlots() bool {
-	if c.h.Slots == nil || c.route.Streaming || len(c.parts) > 0 || c.view.Configuration.Services[c.service].Slots > 0 {
-		return false
-	}
-	return c.h.HasPressure
+	return c.h.Slots != nil && c.h.HasPressure && c.isPlain()
+}
+
+// isPlain reports whether the call is one to a plain service: without engines, prompts or streams.
+func (c *call) isPlain() bool {
+	return !c.route.Streaming && len(c.parts) == 0 && c.view.Configuration.Services[c.service].Slots == 0
 }
 
 // acquireSlot waits for a slot and returns its target. If it returns nil and true, the call is
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -27,6 +27,7 @@
 	"hickoryrock/internal/policy/retries"
 	"hickoryrock/internal/policy/targetbackoff"
 	"hickoryrock/internal/policy/targetlimits"
+	"hickoryrock/internal/policy/targetload"
 	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/target/http1client"
@@ -81,6 +82,7 @@
 		retryBurst   float64
 		quarantine   *quarantine.Tracker
 		targetLimits *targetlimits.Tracker
+		loadFigures  *targetload.Tracker
 		// pace knows the targets that are cold, or have started or recovered.
 		pace    *targetpace.Tracker
 		handler *forward.Handler
@@ -113,6 +115,7 @@
 	r.quarantine = quarantine.NewTracker(quarantine.WithSettleTime(r.settleTime), quarantine.WithOnChange(r.logQuarantine))
 	r.targetLimits = targetlimits.NewTracker(func() (uint64, []uint64) { return r.fleet.LiveRouters() },
 		targetlimits.WithReportInterval(func() time.Duration { return r.fleet.ReportInterval() }))
+	r.loadFigures = targetload.NewTracker(targetload.WithOnResult(countLoadFigures))
 	r.pace = targetpace.NewTracker(func() (uint64, []uint64) { return r.fleet.KnownRouters() },
 		targetpace.WithLiveRouters(func() (uint64, []uint64) { return r.fleet.LiveRouters() }),
 		targetpace.WithReportInterval(func() time.Duration { return r.fleet.ReportInterval() }), targetpace.WithOnChange(r.logPace),
@@ -157,7 +160,7 @@
 		View: r.watcher.View, AwaitFreshView: r.guard.Await, Pool: pool, TargetHealth: r.tracker, CacheIndex: r.cacheIndex, Budgets: r.retryBudgets,
 		Quarantine: r.quarantine, Limits: r.targetLimits, Backoff: r.targetBackoff, OnLeaving: r.watcher.RecordLeaving, FailureDomain: s.FailureDomain, LoadFactor: factor, Log: log,
 		ReportInterval: func() time.Duration { return r.fleet.ReportInterval() }, Shutdown: r.shutdown.Load, OthersServe: r.othersServe,
-		NewestConfiguration: r.newestConfiguration, Slots: r.slotSource(), HasPressure: s.HasPressure, Pace: r.pace, ColdLimit: r.coldLimit,
+		NewestConfiguration: r.newestConfiguration, LoadFigures: r.loadFigures, Slots: r.slotSource(), HasPressure: s.HasPressure, Pace: r.pace, ColdLimit: r.coldLimit,
 		EvacuatedFetchTime: time.Duration(evacuatedFetchFraction * float64(s.Bounds.Evacuate)),
 		ResponseMemory:     int64(responseMemoryFraction * float64(s.MemoryBytes)),
 	})
@@ -213,7 +216,8 @@
 	fleet, closeFleet, err := gossip.New(gossip.Identity{
 		Router: s.Router, CallerAddress: s.CallerAddress, PeerAddress: peerAddress,
 		FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixMicro()), CPUShare: s.CPUShare,
-	}, r.gossipState, r.tracker, r.cacheIndex, r.watcher, r.log, gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.targetLimits), gossip.WithPace(r.pace))
+	}, r.gossipState, r.tracker, r.cacheIndex, r.watcher, r.log, gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.targetLimits), gossip.WithPace(r.pace),
+		gossip.WithLoadFigures(r.loadFigures))
 	if err != nil {
 		return err
 	}
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -11,10 +11,12 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/operator/command"
+	"hickoryrock/internal/policy/targetload"
 	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
 )
@@ -47,6 +49,11 @@
 		LastSeenAgeMS  int64 `json:"last-seen-age-ms"`
 	}
 
+	loadFiguresView struct {
+		targetload.Figures
+		AgeMS int64 `json:"age-ms"`
+	}
+
 	targetView struct {
 		ID            string `json:"id"`
 		Service       string `json:"service"`
@@ -67,6 +74,8 @@
 		// load is bounded; PaceReason is why it last changed.
 		Pace       string `json:"pace,omitempty"`
 		PaceReason string `json:"pace-reason,omitempty"`
+		// LoadFigures are the newest load figures of a plain service's target that are known.
+		LoadFigures *loadFiguresView `json:"load-figures,omitempty"`
 		targetstats.Summary
 	}
 )
@@ -86,6 +95,7 @@
 	for _, w := range r.pace.Warming(time.Now()) {
 		warming[w.Target] = w
 	}
+	figures := r.loadFigures.Known(time.Now())
 	for service, targets := range v.Targets.ByService {
 		for i, s := range r.tracker.Summaries(state.Hashes(targets), time.Now()) {
 			t := targets[i]
@@ -100,6 +110,9 @@
 			if limit, ok := limits[t.Hash]; ok {
 				entry.Limit = &limit
 			}
+			if known, ok := figures[t.Hash]; ok {
+				entry.LoadFigures = &loadFiguresView{known.Figures, known.Age.Milliseconds()}
+			}
 			out.Targets = append(out.Targets, entry)
 		}
 	}
@@ -114,6 +127,10 @@
 	}
 }
 
+func countLoadFigures(result targetload.Result, n int) {
+	metrics.GetOrCreateCounter(`hickoryrock_load_figures_total{result="` + string(result) + `"}`).Add(n)
+}
+
 // runView prints the state of a router, read from its metrics address.
 func runView(ctx context.Context, env command.Env, args []string) int {
 	flags := flag.NewFlagSet("view", flag.ContinueOnError)
--- a/internal/peer/gossip/beacon.go
+++ b/internal/peer/gossip/beacon.go
@@ -29,7 +29,12 @@
 	if hasIdentity {
 		f.setIdentity(b)
 	}
+	figures := f.takeFigures(time.Now())
+	if hasRoomForFigures(b, figures) {
+		b.Figures, figures = figures, nil
+	}
 	f.broadcast(b)
+	f.sendFigures(figures)
 	if !hasRoomForWindows(b) {
 		f.sendWindows()
 	}
@@ -235,6 +240,9 @@
 		})
 	}
 	newer := f.isNewer(b)
+	if newer {
+		f.mergeFigures(b, now)
+	}
 	if b.GetHasLoads() && newer {
 		f.tracker.UpdatePeer(b.GetRouter(), loads, f.localState().TargetCount, now)
 	}
--- a/internal/peer/gossip/fixture_test.go
+++ b/internal/peer/gossip/fixture_test.go
@@ -18,6 +18,7 @@
 	"hickoryrock/internal/policy/affinity"
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/targetlimits"
+	"hickoryrock/internal/policy/targetload"
 	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
 	"hickoryrock/internal/testing/ports"
@@ -36,6 +37,7 @@
 	quarantine *quarantine.Tracker
 	limits     *targetlimits.Tracker
 	pace       *targetpace.Tracker
+	figures    *targetload.Tracker
 	address    string
 	// confirmed is set if the router confirms its state to its peers.
 	confirmed atomic.Bool
@@ -86,7 +88,7 @@
 	address := ports.FreeAddress(f)
 
 	r := &router{address: address, tracker: targetstats.NewTracker(func(targetstats.Change) {}), cacheIndex: affinity.NewCacheIndex(),
-		quarantine: quarantine.NewTracker()}
+		quarantine: quarantine.NewTracker(), figures: targetload.NewTracker()}
 	r.limits = targetlimits.NewTracker(func() (uint64, []uint64) { return r.LiveRouters() })
 	r.pace = targetpace.NewTracker(func() (uint64, []uint64) { return r.KnownRouters() },
 		targetpace.WithLiveRouters(func() (uint64, []uint64) { return r.LiveRouters() }))
@@ -98,7 +100,7 @@
 		Router: name, CallerAddress: "callers-of-" + name, PeerAddress: address, FailureDomain: failureDomain,
 		Incarnation: uint64(time.Now().UnixMicro()), CPUShare: f.cpuShare,
 	}, r.localState, r.tracker, r.cacheIndex, r.watcher, zerolog.Nop(), gossip.WithQuarantine(r.quarantine), gossip.WithLimits(r.limits),
-		gossip.WithPace(r.pace))
+		gossip.WithPace(r.pace), gossip.WithLoadFigures(r.figures))
 	f.Assert(err, qt.IsNil)
 	r.Fleet = fleet
 	l, err := net.Listen("tcp4", address)
--- a/internal/peer/gossip/options.go
+++ b/internal/peer/gossip/options.go
@@ -3,6 +3,7 @@
 import (
 	"hickoryrock/internal/policy/quarantine"
 	"hickoryrock/internal/policy/targetlimits"
+	"hickoryrock/internal/policy/targetload"
 	"hickoryrock/internal/policy/targetpace"
 )
 
@@ -20,6 +21,8 @@
 		// Pace knows the windows of new and recovered targets. It calls KnownRouters, LiveRouters
 		// and ReportInterval with its lock held, like Limits.
 		Pace *targetpace.Tracker
+		// LoadFigures knows the load figures of plain services' targets.
+		LoadFigures *targetload.Tracker
 	}
 )
 
@@ -33,6 +36,11 @@
 	return func(o *Options) { o.Pace = t }
 }
 
+// WithLoadFigures exchanges the load figures that a tracker knows with the other routers.
+func WithLoadFigures(t *targetload.Tracker) Option {
+	return func(o *Options) { o.LoadFigures = t }
+}
+
 // WithQuarantine exchanges what a tracker knows with the other routers.
 func WithQuarantine(t *quarantine.Tracker) Option {
 	return func(o *Options) { o.Quarantine = t }
@@ -46,5 +54,8 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewTracker()
 	}
+	if o.LoadFigures == nil {
+		o.LoadFigures = targetload.NewTracker()
+	}
 	return o
 }
--- a/internal/policy/affinity/affinity.go
+++ b/internal/policy/affinity/affinity.go
@@ -74,6 +74,9 @@
 	// ReasonRandom means that the call has no shared parts and that the loads were too
 	// old to compare.
 	ReasonRandom Reason = "random"
+	// ReasonExpected means that the call has no shared parts and went to one of two random
+	// targets by the time that it is expected to take there.
+	ReasonExpected Reason = "expected"
 )
 
 type (
@@ -94,6 +97,9 @@
 		PendingTokens int
 		// Slowness is how much longer the target takes than usual; 0 means as usual.
 		Slowness float64
+		// ExpectedTime is how long a call is expected to take relative to a free target at the
+		// usual speed, by the load figures that the target reports; 0 means unknown.
+		ExpectedTime float64
 		// Ejected candidates have failed lately and are chosen only if there is no
 		// other.
 		Ejected bool
@@ -329,12 +335,22 @@
 	return allowed
 }
 
-func (c Candidate) slowness() float64 { return max(c.Slowness, 1) }
+// slowness returns how much longer the candidate takes than usual by measurements. Where its
+// load figures are known, they decide: measurements last for longer than a slow period.
+func (c Candidate) slowness() float64 {
+	if c.ExpectedTime > 0 {
+		return 1
+	}
+	return max(c.Slowness, 1)
+}
 
 // choosePlain picks a candidate for a call without parts. With counts that are older
 // than the calls, routers that compared them would all choose the same target until the
 // next report, so that a busy service is better served by a random choice.
 func choosePlain(r Request, candidates []Candidate, allowed []bool) Choice {
+	if hasExpectedTime(candidates) {
+		return chooseExpected(r, candidates, allowed)
+	}
 	if r.StaleCounts && meanCalls(candidates) >= minRandomCalls {
 		return chooseRandom(r, candidates, allowed)
 	}
