--- a/internal/policy/affinity/expected.go
+++ b/internal/policy/affinity/expected.go
@@ -14,13 +14,21 @@
 	// in inverse proportion. Figures are old when they are used: the shorter time alone, or more
 	// candidates, make more calls late in large fleets, as the table in docs/design/0023 shows.
 	expectedPower = 4
+	// lastingSlowness is the measured slowness from which it counts beside the load figures:
+	// periods of a few hundred milliseconds do not raise the mean of two seconds as far, so that
+	// something slows the target that its figures do not state.
+	lastingSlowness = 2
 )
 
 func (c Candidate) expectedTime() float64 {
-	if c.ExpectedTime <= 0 {
-		return 1
+	expected := c.ExpectedTime
+	if expected <= 0 {
+		expected = 1
 	}
-	return c.ExpectedTime
+	if c.Slowness >= lastingSlowness {
+		expected = max(expected, c.Slowness)
+	}
+	return expected
 }
 
 func hasExpectedTime(candidates []Candidate) bool {
