--- a/internal/fleet/forward/warmup.go
+++ b/internal/fleet/forward/warmup.go
@@ -27,14 +27,14 @@
 )
 
 type (
-	// recoveries knows which targets get no calls for a reason that ends by itself, so that they
-	// are not flooded when it ends. It is safe for concurrent use.
+	// recoveries knows which targets get no calls, or no more than their limits, for a reason that
+	// ends by itself, so that they are not flooded when it ends. It is safe for concurrent use.
 	recoveries struct {
 		mu       sync.Mutex
 		excluded map[uint64]exclusion
 	}
 
-	// exclusion is why a target gets no calls, and since when.
+	// exclusion is why a target gets no calls, or no more than it takes, and since when.
 	exclusion struct {
 		reason string
 		since  time.Time
@@ -55,8 +55,9 @@
 	maps.DeleteFunc(r.excluded, func(target uint64, _ exclusion) bool { return !listed[target] })
 }
 
-// update records why a target gets no calls, or "" if it does, and returns the reason that has
-// ended, or "".
+// update records why a target does not get its share, or "" if it does, and returns the reason that
+// has ended, or "". If a target gets no calls while it names a limit, or names one later, the last
+// reason counts, so that a window after an ejection does not grow with time.
 func (r *recoveries) update(target uint64, reason string, now time.Time) (ended string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -67,6 +68,8 @@
 			r.excluded = make(map[uint64]exclusion)
 		}
 		r.excluded[target] = exclusion{reason, now}
+	case reason != "" && (reason == targetpace.LimitEnded || before.reason == targetpace.LimitEnded):
+		r.excluded[target] = exclusion{reason, before.since}
 	case reason == "" && ok:
 		delete(r.excluded, target)
 		if before.reason == reasonEjected && now.Sub(before.since) < minEjection {
@@ -208,14 +211,14 @@
 // hasWindows reports whether targets that have started or recovered get their load step by step.
 func (h *Handler) hasWindows() bool { return h.Pace != nil && h.HasPressure }
 
-// updatePace tells the pace tracker which targets of a service are in use, how many calls they
-// have, and which have recovered.
+// updatePace tells the pace tracker which targets of a service may take more load, how many calls
+// the settled ones of these have, and which targets have recovered.
 func (h *Handler) updatePace(service string, targets []*state.Target, summaries []targetstats.Summary, now time.Time) {
 	if !h.hasWindows() {
 		return
 	}
 	usable := make([]uint64, 0, len(targets))
-	calls := 0
+	calls, settled := 0, 0
 	for i, t := range targets {
 		reason := ""
 		switch {
@@ -225,17 +228,25 @@
 			reason = eligibility.Evacuated.String()
 		case h.Backoff.Remaining(t.Hash, now) > 0:
 			reason = eligibility.Backoff.String()
+		case h.Limits.IsNamed(t.Hash, now):
+			reason = targetpace.LimitEnded
 		case t.Draining:
 			continue
 		default:
 			usable = append(usable, t.Hash)
-			calls += summaries[i].Calls
 		}
 		if ended := h.recoveries.update(t.Hash, reason, now); ended != "" {
 			h.Pace.Recovered(t.Hash, service, ended, now)
 		}
+		if reason == "" && h.Pace.IsSettled(t.Hash, now) {
+			calls, settled = calls+summaries[i].Calls, settled+1
+		}
+	}
+	mean := -1.0 // It is not known if no target is settled.
+	if settled > 0 {
+		mean = float64(calls) / float64(settled)
 	}
-	h.Pace.SetMean(service, usable, float64(calls)/float64(max(len(usable), 1)), now)
+	h.Pace.SetMean(service, usable, mean, now)
 }
 
 // recordPaceOfEnd records what the end of an attempt says about how much its target bears.
--- a/internal/policy/targetlimits/targetlimits.go
+++ b/internal/policy/targetlimits/targetlimits.go
@@ -110,6 +110,14 @@
 	return known == nil || (t.choose(known, now) && known.bucket.TokensAt(now) >= 1)
 }
 
+// IsNamed reports whether a target names a limit that applies, also if it permits more calls than
+// there are.
+func (t *Tracker) IsNamed(target uint64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limited(target, now) != nil
+}
+
 // Take counts a call that is sent to a target. Calls that were not allowed count as well.
 func (t *Tracker) Take(target uint64, now time.Time) {
 	t.mu.Lock()
--- a/internal/policy/targetlimits/targetlimits_test.go
+++ b/internal/policy/targetlimits/targetlimits_test.go
@@ -90,3 +90,17 @@
 		c.Assert(tr.Allows(target, after(2*time.Second+wait+time.Millisecond)), qt.IsTrue)
 	})
 }
+
+// Guards against a slow start that is left out, or comes while the limit still applies.
+func TestIsNamed(t *testing.T) {
+	c := qt.New(t)
+	tr := targetlimits.NewTracker(alone)
+	c.Assert(tr.IsNamed(target, start), qt.IsFalse)
+	tr.Observe(target, named(1000), start)
+	c.Assert(tr.IsNamed(target, after(30*time.Second)), qt.IsTrue)
+	c.Assert(tr.IsNamed(target, after(30*time.Second+1)), qt.IsFalse)
+	tr.Observe(target, named(1), after(time.Minute))
+	c.Assert(tr.IsNamed(target, after(time.Minute)), qt.IsTrue)
+	tr.Observe(target, targetlimits.Limit{}, after(61*time.Second))
+	c.Assert(tr.IsNamed(target, after(61*time.Second)), qt.IsFalse)
+}
--- a/internal/policy/targetpace/targetpace.go
+++ b/internal/policy/targetpace/targetpace.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// LimitEnded is the reason of a recovery after a limit that the target had named.
+	LimitEnded = "target-limits"
+
 	// maxTargets bounds the targets, services and calls that a tracker remembers.
 	maxTargets = 4096
 	// retention is how long the epoch of a settled target is remembered, so that a late report
@@ -93,7 +96,7 @@
 		// mean is negative if it is not known.
 		mean float64
 		at   time.Time
-		// isNew is set if more than half of the targets are new.
+		// isNew is set if more than half of the targets are new, or none is usable.
 		isNew bool
 	}
 )
@@ -135,8 +138,9 @@
 }
 
 // Recovered records that a target may be used again after an ejection, a wait, a limit or an
-// evacuation; why names it in kebab case. It has no effect on a window that has just opened or is
-// in use: routers notice the same recovery at different times.
+// evacuation; why names it in kebab case. It does not open a window again that has just opened or
+// is in use: routers notice the same recovery at different times. After LimitEnded the window also
+// grows with time until the first setback.
 func (t *Tracker) Recovered(hash uint64, service, why string, now time.Time) {
 	t.lock(now)
 	defer t.unlock()
@@ -151,6 +155,22 @@
 	if !known.window.hasRecovered(now) {
 		t.open(known, why, now)
 	}
+	if why == LimitEnded {
+		known.window.growWithTime(now)
+		t.advance(known, now)
+	}
+}
+
+// IsSettled reports whether a target is neither cold nor has an open window.
+func (t *Tracker) IsSettled(hash uint64, now time.Time) bool {
+	t.lock(now)
+	defer t.unlock()
+	known := t.targets[hash]
+	if known == nil {
+		return true
+	}
+	t.advance(known, now)
+	return known.pace() == Pace{}
 }
 
 // Allows reports whether this router may send a call to a target now, and if not, how long it
@@ -218,8 +238,9 @@
 }
 
 // SetMean sets the usable targets of a service and the mean number of calls that all routers
-// have in flight at each of those which are settled. A negative mean or NaN means that it is not
-// known. Windows apply to services that are named at least once a minute.
+// have in flight at each of those which IsSettled reports. A negative mean or NaN means that it is
+// not known. Targets that can't take more load, such as those that name a limit, are not usable.
+// Windows apply to services that are named at least once a minute.
 func (t *Tracker) SetMean(name string, targets []uint64, mean float64, now time.Time) {
 	t.lock(now)
 	defer t.unlock()
@@ -282,6 +303,7 @@
 	if !w.open {
 		return
 	}
+	w.updateFloor(now)
 	goal, hasGoal := t.goal(known.service)
 	switch {
 	case w.settlesIn(now) <= 0:
--- a/internal/policy/targetpace/window.go
+++ b/internal/policy/targetpace/window.go
@@ -9,6 +9,10 @@
 	// initialWindow is the number of calls in flight that a new target gets: one would stop
 	// with the first router that holds its answer back.
 	initialWindow = 2
+	// doublingTime is the time in which the window after a limit at least doubles. A window of 32,
+	// as engines need it, is reached after 0.8 s, so that calls of 500 ms restore the full share
+	// within two seconds; with successes only it takes up to 2.5 s (0019).
+	doublingTime = 200 * time.Millisecond
 	// goalMargin is added to the mean of the settled targets; a target there is settled.
 	goalMargin = 2
 	// maxWindow is far above the calls in flight at any target.
@@ -49,6 +53,12 @@
 	setbackAt   time.Time
 	steadySince time.Time
 	changedAt   time.Time
+	// openingEpoch is the epoch in which the window opened, or zero if it is not known. growsFrom is
+	// the time from which the window grows with time in that epoch, or zero if it does not; floor is
+	// what it has grown to, in calls in flight.
+	openingEpoch uint32
+	growsFrom    time.Time
+	floor        uint32
 	// reportsDue is the number of reports that still have to carry the window.
 	reportsDue int
 }
@@ -127,7 +137,7 @@
 	}
 	from, w := known.pace(), &known.window
 	w.begin(w.epoch+1, initialWindow, now)
-	w.open, w.openedAt, w.setbackAt, w.reportsDue = true, now, time.Time{}, maxReports
+	w.open, w.openedAt, w.setbackAt, w.reportsDue, w.openingEpoch = true, now, time.Time{}, maxReports, w.epoch
 	t.announce(known, from, why, now)
 	t.count(known.service)
 }
@@ -139,7 +149,7 @@
 	t.count(known.service)
 }
 
-// count updates whether more than half of a service's usable targets are new.
+// count updates whether a service has too few settled targets that could take the load of new ones.
 func (t *Tracker) count(name string) {
 	s := t.services[name]
 	if s == nil {
@@ -151,7 +161,7 @@
 			n++
 		}
 	}
-	s.isNew = 2*n > len(s.targets)
+	s.isNew = 2*n > len(s.targets) || len(s.targets) == 0
 }
 
 // isLimited reports whether a target's window applies. It does not if there are no other targets
@@ -200,12 +210,30 @@
 func (w *window) begin(epoch, level uint32, now time.Time) {
 	w.epoch, w.level = min(epoch, maxEpoch), min(max(level, 1), maxWindow)
 	w.own, w.peers, w.peerSum, w.isReported = 0, nil, 0, false
+	w.growsFrom, w.floor = time.Time{}, 0
 	w.steadySince, w.changedAt, w.reportsDue = now, now, 0
 }
 
 // size returns the window, at most maxWindow.
 func (w *window) size() int {
-	return int(min(uint64(w.level)+uint64(w.own)+w.peerSum, maxWindow))
+	return int(min(max(uint64(w.level)+uint64(w.own)+w.peerSum, uint64(w.floor)), maxWindow))
+}
+
+// growWithTime makes a window that has just opened double at least once in doublingTime. It has no
+// effect after a setback. Routers notice the end of a limit themselves, so reports need not say it.
+func (w *window) growWithTime(now time.Time) {
+	if w.open && w.openingEpoch == w.epoch && w.growsFrom.IsZero() && now.Sub(w.openedAt) < recoveryTime {
+		w.growsFrom = w.openedAt
+	}
+}
+
+// updateFloor brings what the window has grown to with time up to date.
+func (w *window) updateFloor(now time.Time) {
+	if w.growsFrom.IsZero() {
+		return
+	}
+	doublings := min(max(now.Sub(w.growsFrom)/doublingTime, 0), 30)
+	w.floor = uint32(min(initialWindow<<doublings, maxWindow))
 }
 
 func (w *window) settlesIn(now time.Time) time.Duration {
@@ -227,7 +255,10 @@
 		return false
 	case r.Epoch > w.epoch:
 		if !w.open {
-			w.open, w.openedAt = true, now
+			w.open, w.openedAt, w.openingEpoch = true, now, 0
+			if r.Epoch == w.epoch+1 && level == initialWindow {
+				w.openingEpoch = r.Epoch
+			}
 		}
 		w.begin(r.Epoch, level, now)
 		w.setbackAt, w.isReported = now, true
