Do not open a window again for a recovery that is noticed late

A router with one call in seconds noticed a recovery after the two seconds in which it does not open another window, and so reset the window of a settled target for all routers. It now compares the opening with the time at which it last saw the target excluded. The model names means and notices recoveries with each call of a router, as forward does.

--- a/internal/fleet/forward/warmup.go
+++ b/internal/fleet/forward/warmup.go
@@ -34,10 +34,11 @@
 		excluded map[uint64]exclusion
 	}
 
-	// exclusion is why a target gets no calls, or no more than it takes, and since when.
+	// exclusion is why a target gets no calls, or no more than it takes, since when, and when that
+	// was last seen.
 	exclusion struct {
-		reason string
-		since  time.Time
+		reason        string
+		since, seenAt time.Time
 	}
 
 	// coldRates says whether a service of a configuration has a bound on the calls to its cold
@@ -56,9 +57,9 @@
 }
 
 // update records why a target does not get its share, or "" if it does, and returns the reason that
-// has ended, or "". If a target gets no calls while it names a limit, or names one later, the last
+// has ended, or "", and when it was last seen. If a target gets no calls while it names a limit, or names one later, the last
 // reason counts, so that a window after an ejection does not grow with time.
-func (r *recoveries) update(target uint64, reason string, now time.Time) (ended string) {
+func (r *recoveries) update(target uint64, reason string, now time.Time) (ended string, seenAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before, ok := r.excluded[target]
@@ -67,17 +68,21 @@
 		if r.excluded == nil || len(r.excluded) > maxExcluded {
 			r.excluded = make(map[uint64]exclusion)
 		}
-		r.excluded[target] = exclusion{reason, now}
-	case reason != "" && (reason == targetpace.LimitEnded || before.reason == targetpace.LimitEnded):
-		r.excluded[target] = exclusion{reason, before.since}
+		r.excluded[target] = exclusion{reason, now, now}
+	case reason != "":
+		before.seenAt = now
+		if reason == targetpace.LimitEnded || before.reason == targetpace.LimitEnded {
+			before.reason = reason
+		}
+		r.excluded[target] = before
 	case reason == "" && ok:
 		delete(r.excluded, target)
 		if before.reason == reasonEjected && now.Sub(before.since) < minEjection {
-			return ""
+			return "", time.Time{}
 		}
-		return before.reason
+		return before.reason, before.seenAt
 	}
-	return ""
+	return "", time.Time{}
 }
 
 // paceRule is the eligibility.Rule of targets that are cold, or have started or recovered.
@@ -235,8 +240,8 @@
 		default:
 			usable = append(usable, t.Hash)
 		}
-		if ended := h.recoveries.update(t.Hash, reason, now); ended != "" {
-			h.Pace.Recovered(t.Hash, service, ended, now)
+		if ended, seenAt := h.recoveries.update(t.Hash, reason, now); ended != "" {
+			h.Pace.RecoveredSince(t.Hash, service, ended, seenAt, now)
 		}
 		if reason == "" && h.Pace.IsSettled(t.Hash, now) {
 			calls, settled = calls+summaries[i].Calls, settled+1
--- a/internal/policy/targetpace/limit_ended_test.go
+++ b/internal/policy/targetpace/limit_ended_test.go
@@ -84,6 +84,20 @@
 	})
 }
 
+// Guards against routers with few calls that open the window of a settled target again, because they
+// notice its recovery seconds after the others.
+func TestRecoveryNoticedLate(t *testing.T) {
+	c := qt.New(t)
+	tr := newTracker(1, 0, 4)
+	tr.Merge(1, report(1, 2, 4), after(joined))
+	assertNoWindow(c, tr, joined)
+	noticed := joined + 3*time.Second
+	tr.RecoveredSince(target, service, "ejection", after(joined-time.Second), after(noticed))
+	assertNoWindow(c, tr, noticed)
+	tr.RecoveredSince(target, service, "ejection", after(joined+time.Second), after(noticed))
+	assertWindow(c, tr, noticed, 2)
+}
+
 // Guards against a mean that includes targets whose own calls are held back.
 func TestIsSettled(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/internal/policy/targetpace/play_test.go
+++ b/internal/policy/targetpace/play_test.go
@@ -13,8 +13,8 @@
 	returnsAt = 2 * time.Second
 	// playTime is how long a situation is played at most.
 	playTime = 9 * time.Second
-	// meanInterval is the time between two calls of SetMean at a router.
-	meanInterval = 100 * time.Millisecond
+	// checkInterval is the time between two checks whether a situation is over.
+	checkInterval = 100 * time.Millisecond
 	// refusalTime is the time that a refused call takes.
 	refusalTime = time.Millisecond
 	// limitedShare is the part of its fair rate that a target takes while it names a limit.
@@ -48,8 +48,9 @@
 		rand      *rand.Rand
 		trackers  []*targetpace.Tracker
 		processes []uint64
-		// noticed holds when each router last saw each target in use, or -1 while it is not.
-		noticed    [][]time.Duration
+		// excludedAt holds when each router last saw that each target was not in use, or zero if it
+		// has noticed the return.
+		excludedAt [][]time.Duration
 		targets    []*playedTarget
 		hashes     []uint64
 		deliveries map[time.Duration][]windowDelivery
@@ -63,7 +64,7 @@
 func newPlay(s situation, service modelService, routers int, seed uint64) *play {
 	p := &play{
 		situation: s, modelService: service, routers: routers, rand: rand.New(rand.NewPCG(seed, 5)),
-		trackers: make([]*targetpace.Tracker, routers), processes: make([]uint64, routers), noticed: make([][]time.Duration, routers),
+		trackers: make([]*targetpace.Tracker, routers), processes: make([]uint64, routers), excludedAt: make([][]time.Duration, routers),
 		deliveries: make(map[time.Duration][]windowDelivery),
 	}
 	for i := range service.targets {
@@ -78,7 +79,7 @@
 
 func (p *play) startRouter(r int) {
 	p.processes[r] = p.rand.Uint64()
-	p.noticed[r] = make([]time.Duration, len(p.hashes))
+	p.excludedAt[r] = make([]time.Duration, len(p.hashes))
 	p.trackers[r] = targetpace.NewTracker(among(p.routers, r), targetpace.WithProportionalShares(),
 		targetpace.WithReportInterval(func() time.Duration { return reportInterval(p.routers) }))
 }
@@ -139,7 +140,7 @@
 
 // isOver reports whether the new targets have their shares and are settled at all routers.
 func (p *play) isOver(now time.Duration) bool {
-	if now%meanInterval != 0 || now < returnsAt+p.refusesFor+p.weakFor+p.crashesAfter+2*time.Second {
+	if now%checkInterval != 0 || now < returnsAt+p.refusesFor+p.weakFor+p.crashesAfter+2*time.Second {
 		return false
 	}
 	for i, t := range p.targets {
@@ -179,7 +180,7 @@
 	}
 }
 
-// updateRouters names the mean, notices recoveries and exchanges reports.
+// updateRouters exchanges reports.
 func (p *play) updateRouters(now time.Duration) {
 	for _, d := range p.deliveries[now] {
 		p.trackers[d.to].Merge(d.from, d.reports, after(now))
@@ -187,11 +188,7 @@
 	delete(p.deliveries, now)
 	interval := reportInterval(p.routers)
 	for r, tr := range p.trackers {
-		offset := time.Duration(r) * 7 * modelStep
-		if (now+offset)%meanInterval == 0 {
-			p.updateRouter(r, now)
-		}
-		if (now+offset)%interval != 0 {
+		if (now+time.Duration(r)*7*modelStep)%interval != 0 {
 			continue
 		}
 		reports := tr.TakeReport(after(now))
@@ -204,22 +201,22 @@
 	}
 }
 
-// updateRouter tells a router's tracker what updatePace of the package forward tells it.
+// updateRouter tells a router's tracker what updatePace of the package forward tells it at each call.
 func (p *play) updateRouter(r int, now time.Duration) {
 	tr := p.trackers[r]
 	var usable []uint64
 	calls, n := 0, 0
 	for i, hash := range p.hashes {
 		if p.isExcluded(i, now) {
-			p.noticed[r][i] = -1
+			p.excludedAt[r][i] = now
 			continue
 		}
 		usable = append(usable, hash)
 		// A router that has restarted meanwhile has not noticed the return.
-		if p.why != "" && p.returnAt(i, now) > 0 && p.noticed[r][i] < 0 {
-			tr.Recovered(hash, service, p.why, after(now))
+		if at := p.excludedAt[r][i]; p.why != "" && at > 0 {
+			tr.RecoveredSince(hash, service, p.why, after(at), after(now))
+			p.excludedAt[r][i] = 0
 		}
-		p.noticed[r][i] = now
 		if tr.IsSettled(hash, after(now)) {
 			calls, n = calls+p.seen(r, i, now), n+1
 		}
@@ -233,6 +230,7 @@
 
 // arrive sends a call to the less loaded of two random targets that may get it.
 func (p *play) arrive(router int, now time.Duration) {
+	p.updateRouter(router, now)
 	tr := p.trackers[router]
 	order := p.rand.Perm(len(p.targets))
 	slices.SortStableFunc(order[:2], func(a, b int) int { return p.seen(router, a, now) - p.seen(router, b, now) })
--- a/internal/policy/targetpace/targetpace.go
+++ b/internal/policy/targetpace/targetpace.go
@@ -142,6 +142,13 @@
 // is in use: routers notice the same recovery at different times. After LimitEnded the window also
 // grows with time until the first setback.
 func (t *Tracker) Recovered(hash uint64, service, why string, now time.Time) {
+	t.RecoveredSince(hash, service, why, now, now)
+}
+
+// RecoveredSince is Recovered for a router that last saw at a time that the target was not in use.
+// A window that has opened since then is that of the same recovery, however late the router notices
+// it: routers with few calls do so after seconds.
+func (t *Tracker) RecoveredSince(hash uint64, service, why string, excludedAt, now time.Time) {
 	t.lock(now)
 	defer t.unlock()
 	known := t.targets[hash]
@@ -152,7 +159,7 @@
 	}
 	known.service = service
 	t.advance(known, now)
-	if !known.window.hasRecovered(now) {
+	if !known.window.openedAt.After(excludedAt) && !known.window.hasRecovered(now) {
 		t.open(known, why, now)
 	}
 	if why == LimitEnded {
