--- a/internal/policy/targetpace/limit_ended_test.go
+++ b/internal/policy/targetpace/limit_ended_test.go
@@ -10,8 +10,8 @@
 )
 
 // unlimited returns the tracker of the only router, with a target whose limit has just ended.
-func unlimited(mean float64) *targetpace.Tracker {
-	tr := newTracker(1, 0, mean)
+func unlimited() *targetpace.Tracker {
+	tr := newTracker(1, 0, 40)
 	tr.Recovered(target, service, targetpace.LimitEnded, after(joined))
 	return tr
 }
@@ -21,7 +21,7 @@
 	// takes several round trips and reports to return.
 	t.Run("doubles every 200 ms without answers", func(t *testing.T) {
 		c := qt.New(t)
-		tr := unlimited(40)
+		tr := unlimited()
 		for i, want := range []int{2, 4, 8, 16, 32} {
 			at := joined + time.Duration(i)*200*time.Millisecond
 			assertWindow(c, tr, at, want)
@@ -30,14 +30,14 @@
 		assertNoWindow(c, tr, joined+1200*time.Millisecond)
 	})
 	t.Run("grows faster with successes", func(t *testing.T) {
-		tr := unlimited(40)
+		tr := unlimited()
 		succeed(tr, 8, joined)
 		assertWindow(qt.New(t), tr, joined+200*time.Millisecond, 10)
 	})
 	// Guards against growth with time at a target that refuses calls.
 	t.Run("grows with successes only after a setback", func(t *testing.T) {
 		c := qt.New(t)
-		tr := unlimited(40)
+		tr := unlimited()
 		at := joined + 600*time.Millisecond
 		assertWindow(c, tr, at, 16)
 		tr.RecordSetback(target, "refused", after(at))
@@ -76,7 +76,7 @@
 	// Guards against calls that are held back although no target may take more of them.
 	t.Run("does not apply if no other target is usable", func(t *testing.T) {
 		c := qt.New(t)
-		tr := unlimited(40)
+		tr := unlimited()
 		for _, usable := range [][]uint64{{target}, nil} {
 			tr.SetMean(service, usable, -1, after(joined))
 			assertNoWindow(c, tr, joined)
--- a/internal/policy/targetpace/window.go
+++ b/internal/policy/targetpace/window.go
@@ -11,7 +11,7 @@
 	initialWindow = 2
 	// doublingTime is the time in which the window after a limit at least doubles. A window of 32,
 	// as engines need it, is reached after 0.8 s, so that calls of 500 ms restore the full share
-	// within two seconds; with successes only it takes up to 2.5 s (0019).
+	// within two seconds; with successes only it takes up to 3.1 s (0019).
 	doublingTime = 200 * time.Millisecond
 	// goalMargin is added to the mean of the settled targets; a target there is settled.
 	goalMargin = 2
