--- a/internal/fleet/forward/warmup.go
+++ b/internal/fleet/forward/warmup.go
@@ -17,10 +17,11 @@
 const slowAnswerFactor = 3
 
 const (
-	// minEjection is the shortest ejection after which a target has recovered. The failure rate
-	// of one that fails a part of its calls crosses its bound many times a second, and the target
-	// still has calls in flight then.
-	minEjection   = time.Second
+	// minEjection is the shortest ejection after which a target has recovered, as far as this
+	// router has seen it. The failure rate of one that fails a part of its calls crosses its bound
+	// many times a second, and the target still has calls in flight then. An unreachable target is
+	// ejected for a second, of which a router with few calls sees a part.
+	minEjection   = 500 * time.Millisecond
 	reasonEjected = "ejected"
 	// maxExcluded bounds the targets that are remembered.
 	maxExcluded = 4096
@@ -57,8 +58,8 @@
 }
 
 // update records why a target does not get its share, or "" if it does, and returns the reason that
-// has ended, or "", and when it was last seen. If a target gets no calls while it names a limit, or names one later, the last
-// reason counts, so that a window after an ejection does not grow with time.
+// has ended, or "", and when it was last seen. If a target gets no calls while it names a limit, or
+// names one later, the last reason counts, so that a window after an ejection does not grow with time.
 func (r *recoveries) update(target uint64, reason string, now time.Time) (ended string, seenAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
