--- a/internal/peer/gossip/cachesource.go
+++ b/internal/peer/gossip/cachesource.go
@@ -35,14 +35,19 @@
 func (f *Fleet) CacheSource() CacheSource {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	peers := make([]cachePeer, 0, len(f.peers))
+	self, peers := f.cachePeers()
+	return selectCacheSource(self, peers, len(f.peers) <= smallFleetSize, rand.Uint64N)
+}
+
+// cachePeers returns this router and its live peers. The caller must hold f.mu.
+func (f *Fleet) cachePeers() (self cachePeer, peers []cachePeer) {
+	peers = make([]cachePeer, 0, len(f.peers))
 	for _, p := range f.peers {
 		if p.live {
 			peers = append(peers, p.cachePeer())
 		}
 	}
-	self := cachePeer{Identity: f.self, linkKbit: linkKbit(f.self.LinkMbps)}
-	return selectCacheSource(self, peers, len(f.peers) <= smallFleetSize, rand.Uint64N)
+	return cachePeer{Identity: f.self, linkKbit: linkKbit(f.self.LinkMbps)}, peers
 }
 
 func (p *peer) cachePeer() cachePeer {
@@ -120,14 +125,8 @@
 // that it has them.
 func (f *Fleet) AnnounceCaches() {
 	f.mu.Lock()
-	peers := make([]cachePeer, 0, len(f.peers))
-	for _, p := range f.peers {
-		if p.live {
-			peers = append(peers, p.cachePeer())
-		}
-	}
+	self, peers := f.cachePeers()
 	f.mu.Unlock()
-	self := cachePeer{Identity: f.self, linkKbit: linkKbit(f.self.LinkMbps)}
 	isFast := fastLinks(self, peers)
 	f.announce(func(p *peer) bool {
 		return p.beacon.GetFailureDomain() == f.self.FailureDomain || (isFast(self) && isFast(p.cachePeer()))
