Decide in one place which links are fast and who exchanges cache contents

The relays of large fleets and the sources of cache contents each had their own half of the fastest link, and who may fetch cache contents and who is told of them were the same rule written twice. Relays that take turns need no order by rank: that by link and address is as good, and costs no hashes. Which relay has which turn changes.

--- a/internal/peer/gossip/broadcast.go
+++ b/internal/peer/gossip/broadcast.go
@@ -37,12 +37,6 @@
 	linkKbit uint32
 }
 
-// rankedAddress is the address of a router and its rank by rendezvous hashing.
-type rankedAddress struct {
-	address netip.AddrPort
-	rank    uint64
-}
-
 // route says how a beacon reaches all peers.
 type route struct {
 	// known are the datagrams for live peers, some of them through relays.
@@ -127,41 +121,31 @@
 // pickRelay returns the address that a seed selects.
 func pickRelay(candidates []relayCandidate, seed uint64) netip.AddrPort {
 	relay, best := candidates[0].address, uint64(0)
+	var key [14]byte
+	binary.LittleEndian.PutUint64(key[6:], seed)
 	for _, c := range candidates {
-		if rank := relayRank(c.address, seed); rank >= best {
+		ip := c.address.Addr().As4()
+		copy(key[:], ip[:])
+		binary.LittleEndian.PutUint16(key[4:], c.address.Port())
+		if rank := xxhash.Sum64(key[:]); rank >= best {
 			relay, best = c.address, rank
 		}
 	}
 	return relay
 }
 
-// pickFastRelay returns the address that a seed selects among the routers with the fastest links:
-// those with at least half the speed of the fastest, and at least minFastRelays. With successive
-// seeds they take turns, so that one that has failed is not selected twice in a row.
+// pickFastRelay returns the address that a seed selects among the routers with fast links, of which
+// there are at least minFastRelays. With successive seeds they take turns, so that one that has
+// failed is not selected twice in a row.
 func pickFastRelay(candidates []relayCandidate, seed uint64) netip.AddrPort {
 	slices.SortFunc(candidates, func(a, b relayCandidate) int {
 		return cmp.Or(cmp.Compare(b.linkKbit, a.linkKbit), a.address.Compare(b.address))
 	})
 	n := min(minFastRelays, len(candidates))
-	for n < len(candidates) && candidates[n].linkKbit >= candidates[0].linkKbit/2 {
+	for n < len(candidates) && isFastLink(candidates[n].linkKbit, candidates[0].linkKbit) {
 		n++
 	}
-	relays := make([]rankedAddress, n)
-	for i, c := range candidates[:n] {
-		relays[i] = rankedAddress{c.address, relayRank(c.address, 0)}
-	}
-	slices.SortFunc(relays, func(a, b rankedAddress) int { return cmp.Compare(a.rank, b.rank) })
-	return relays[seed%uint64(n)].address
-}
-
-// relayRank returns the rank of a router by rendezvous hashing.
-func relayRank(address netip.AddrPort, seed uint64) uint64 {
-	var key [14]byte
-	ip := address.Addr().As4()
-	copy(key[:], ip[:])
-	binary.LittleEndian.PutUint16(key[4:], address.Port())
-	binary.LittleEndian.PutUint64(key[6:], seed)
-	return xxhash.Sum64(key[:])
+	return candidates[seed%uint64(n)].address
 }
 
 // broadcast sends a beacon to all peers, with the identity to those that are not live.
--- a/internal/peer/gossip/cachesource.go
+++ b/internal/peer/gossip/cachesource.go
@@ -3,9 +3,6 @@
 import "math/rand/v2"
 
 const (
-	// fastLinkShare is the part of the fastest known link from which a router's link counts as
-	// fast.
-	fastLinkShare = 0.5
 	// linkKbitPerCacheSend is the link speed for each further peer to which a router sends cache
 	// contents at a time: receivers with links of 10 Mbit/s can't take them faster.
 	linkKbitPerCacheSend = 10_000
@@ -72,7 +69,7 @@
 	var loaded []cachePeer
 	total := uint64(0)
 	for _, p := range peers {
-		if !isSmall && p.FailureDomain != self.FailureDomain && (!isFast(self) || !isFast(p)) {
+		if !isSmall && !exchangeCaches(self, p, isFast) {
 			continue
 		}
 		precedes := p.Incarnation < self.Incarnation
@@ -108,11 +105,16 @@
 	for _, p := range peers {
 		fastest, slowest = max(fastest, p.linkKbit), min(slowest, p.linkKbit)
 	}
-	limit := fastLinkShare * float64(fastest)
-	if float64(slowest) >= limit {
+	if isFastLink(slowest, fastest) {
 		return func(cachePeer) bool { return false }
 	}
-	return func(p cachePeer) bool { return float64(p.linkKbit) >= limit }
+	return func(p cachePeer) bool { return isFastLink(p.linkKbit, fastest) }
+}
+
+// exchangeCaches reports whether a router of a large fleet takes cache contents from another: from
+// those of its failure domain, and between fast links from all.
+func exchangeCaches(a, b cachePeer, isFast func(cachePeer) bool) bool {
+	return a.FailureDomain == b.FailureDomain || (isFast(a) && isFast(b))
 }
 
 // cacheSendsAtATime returns the number of peers to which a router with a link sends cache contents at
@@ -128,7 +130,5 @@
 	self, peers := f.cachePeers()
 	f.mu.Unlock()
 	isFast := fastLinks(self, peers)
-	f.announce(func(p *peer) bool {
-		return p.beacon.GetFailureDomain() == f.self.FailureDomain || (isFast(self) && isFast(p.cachePeer()))
-	})
+	f.announce(func(p *peer) bool { return exchangeCaches(self, p.cachePeer(), isFast) })
 }
--- a/internal/peer/gossip/peers.go
+++ b/internal/peer/gossip/peers.go
@@ -121,6 +121,10 @@
 // linkKbit returns the speed of a link in Mbit/s as beacons carry it.
 func linkKbit(mbps float64) uint32 { return uint32(min(mbps, maxLinkMbps) * 1000) }
 
+// isFastLink reports whether a link counts as fast where the fastest has another speed, both in
+// kbit/s: it has at least half of that.
+func isFastLink(kbit, fastest uint32) bool { return 2*uint64(kbit) >= uint64(fastest) }
+
 // cpuShare returns the CPU share that a beacon carries.
 func cpuShare(milli uint32) float64 { return float64(milli) / 1000 }
 
