--- a/internal/fleet/forward/assign_test.go
+++ b/internal/fleet/forward/assign_test.go
@@ -79,7 +79,7 @@
 	// a service have none.
 	fill := func(pace *targetpace.Tracker, target uint64) {
 		pace.SetMean("s", []uint64{target, 1, 2, 3, 4, 5}, 100, time.Now())
-		pace.Recovered(target, "s", "ejected", time.Now())
+		pace.RecoveredSince(target, "s", "ejected", time.Now(), time.Now())
 		for range 100 {
 			if !pace.TryBegin(target, time.Now()) {
 				return
--- a/internal/peer/gossip/windows_test.go
+++ b/internal/peer/gossip/windows_test.go
@@ -25,7 +25,7 @@
 		return got
 	}
 	f.Assert(window(a)+window(b), qt.Equals, 0)
-	a.pace.Recovered(7, "s", "ejection", time.Now())
+	a.pace.RecoveredSince(7, "s", "ejection", time.Now(), time.Now())
 	f.eventually("the window is known", func() bool { return window(b) == 2 })
 	a.pace.RecordSuccess(7, time.Now())
 	b.pace.RecordSuccess(7, time.Now())
@@ -60,7 +60,7 @@
 	now := time.Now()
 	r.pace.SetMean("s", nil, 1, now)
 	for i := range uint64(100) {
-		r.pace.Recovered(math.MaxUint64-i, "s", "evacuation", now)
+		r.pace.RecoveredSince(math.MaxUint64-i, "s", "evacuation", now, now)
 	}
 	name := strings.Repeat("n", 64)
 	b := &peerv1.Beacon{
--- a/internal/policy/targetpace/targetpace.go
+++ b/internal/policy/targetpace/targetpace.go
@@ -137,17 +137,12 @@
 	t.advance(known, now)
 }
 
-// Recovered records that a target may be used again after an ejection, a wait, a limit or an
-// evacuation; why names it in kebab case. It does not open a window again that has just opened or
-// is in use: routers notice the same recovery at different times. After LimitEnded the window also
+// RecoveredSince records that a target may be used again after an ejection, a wait, a limit or an
+// evacuation, which this router saw last at excludedAt; why names it in kebab case. It does not open
+// a window again that has just opened or is in use: routers notice the same recovery at different
+// times. A window that has opened after excludedAt is that of the same recovery, however late the
+// router notices it: routers with few calls do so after seconds. After LimitEnded the window also
 // grows with time until the first setback.
-func (t *Tracker) Recovered(hash uint64, service, why string, now time.Time) {
-	t.RecoveredSince(hash, service, why, now, now)
-}
-
-// RecoveredSince is Recovered for a router that last saw at a time that the target was not in use.
-// A window that has opened since then is that of the same recovery, however late the router notices
-// it: routers with few calls do so after seconds.
 func (t *Tracker) RecoveredSince(hash uint64, service, why string, excludedAt, now time.Time) {
 	t.lock(now)
 	defer t.unlock()
@@ -192,42 +187,24 @@
 func (t *Tracker) AllowsCold(hash uint64, now time.Time) (wait time.Duration, ok bool) {
 	t.lock(now)
 	defer t.unlock()
-	known := t.targets[hash]
-	if known == nil {
-		return 0, true
-	}
-	t.advance(known, now)
-	return t.coldWait(known, now)
+	return t.allowsCold(hash, now)
 }
 
 // TryBegin counts a call to a target as in flight if Allows permits it, and reports whether it
-// did. Calls that are chosen at the same time can't pass the bound together.
-func (t *Tracker) TryBegin(hash uint64, now time.Time) bool {
-	t.lock(now)
-	defer t.unlock()
-	if _, ok := t.allows(hash, now); !ok {
-		return false
-	}
-	t.begin(hash, now)
-	return true
-}
-
-// Begin counts a call to a target as in flight, also if it was not allowed. End must follow.
-func (t *Tracker) Begin(hash uint64, now time.Time) {
-	t.lock(now)
-	defer t.unlock()
-	t.begin(hash, now)
-}
+// did. Calls that are chosen at the same time can't pass the bound together. If it did, End must
+// follow.
+func (t *Tracker) TryBegin(hash uint64, now time.Time) bool { return t.tryBegin(hash, now, t.allows) }
 
 // TryBeginCold is TryBegin without the window, for calls whose number is bounded elsewhere.
 func (t *Tracker) TryBeginCold(hash uint64, now time.Time) bool {
+	return t.tryBegin(hash, now, t.allowsCold)
+}
+
+func (t *Tracker) tryBegin(hash uint64, now time.Time, allows func(uint64, time.Time) (time.Duration, bool)) bool {
 	t.lock(now)
 	defer t.unlock()
-	if known := t.targets[hash]; known != nil {
-		t.advance(known, now)
-		if _, ok := t.coldWait(known, now); !ok {
-			return false
-		}
+	if _, ok := allows(hash, now); !ok {
+		return false
 	}
 	t.begin(hash, now)
 	return true
@@ -275,20 +252,26 @@
 
 // allows is Allows with the lock held.
 func (t *Tracker) allows(hash uint64, now time.Time) (time.Duration, bool) {
-	known := t.targets[hash]
-	if known == nil {
-		return 0, true
-	}
-	t.advance(known, now)
-	if wait, ok := t.coldWait(known, now); !ok {
+	if wait, ok := t.allowsCold(hash, now); !ok {
 		return wait, false
 	}
-	if !t.isLimited(known, now) || t.inFlight[hash] < t.share(known) {
+	known := t.targets[hash]
+	if known == nil || !t.isLimited(known, now) || t.inFlight[hash] < t.share(known) {
 		return 0, true
 	}
 	return min(known.window.settlesIn(now), fullWait), false
 }
 
+// allowsCold is AllowsCold with the lock held.
+func (t *Tracker) allowsCold(hash uint64, now time.Time) (time.Duration, bool) {
+	known := t.targets[hash]
+	if known == nil {
+		return 0, true
+	}
+	t.advance(known, now)
+	return t.coldWait(known, now)
+}
+
 func (t *Tracker) begin(hash uint64, now time.Time) {
 	if known := t.targets[hash]; known != nil {
 		t.advance(known, now)
