--- a/internal/fleet/forward/slots.go
+++ b/internal/fleet/forward/slots.go
@@ -68,15 +68,8 @@
 		if !ok {
 			return nil, false
 		}
-		request := slotgrant.Request{
-			Service: c.service, Workspace: c.workspace.Name, Priority: c.priority(), Deadline: c.deadline,
-			Excluded: slices.Concat(rejected, excluded),
-		}
-		if c.route.LatencyObjective > 0 {
-			request.Objective = c.start.Add(c.route.LatencyObjective)
-		}
 		started := time.Now()
-		grant, err := c.h.Slots.Acquire(ctx, request)
+		grant, err := c.h.Slots.Acquire(ctx, c.slotRequest(slices.Concat(rejected, excluded)))
 		c.slotWait += time.Since(started)
 		if err != nil {
 			return nil, c.isEndedBy(ctx, err)
@@ -96,6 +89,17 @@
 	return nil, false
 }
 
+// slotRequest returns the request for a slot that excludes some targets.
+func (c *call) slotRequest(excluded []uint64) slotgrant.Request {
+	r := slotgrant.Request{
+		Service: c.service, Workspace: c.workspace.Name, Priority: c.priority(), Deadline: c.deadline, Excluded: excluded,
+	}
+	if c.route.LatencyObjective > 0 {
+		r.Objective = c.start.Add(c.route.LatencyObjective)
+	}
+	return r
+}
+
 // useGrant returns the target of a grant, which the next attempt uses, or nil if the call may not be
 // sent there: the coordinator may have another view of the target than this router.
 func (c *call) useGrant(grant slotgrant.Grant) *state.Target {
@@ -121,11 +125,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	request := slotgrant.Request{
-		Service: c.service, Workspace: c.workspace.Name, Priority: c.priority(), Deadline: c.deadline,
-		Objective: c.start.Add(c.route.LatencyObjective), Excluded: slices.Collect(maps.Keys(c.tried)),
-	}
-	grant, err := c.h.Slots.Acquire(ctx, request)
+	grant, err := c.h.Slots.Acquire(ctx, c.slotRequest(slices.Collect(maps.Keys(c.tried))))
 	if err != nil {
 		return errors.Is(err, slotgrant.ErrNoCoordinator)
 	}
