--- a/internal/policy/answermemory/answermemory.go
+++ b/internal/policy/answermemory/answermemory.go
@@ -26,12 +26,10 @@
 		onEnd func(Ended)
 
 		mu sync.Mutex
-		// used is what all answers occupy, ending what those of them do that are ended and have
-		// not been released.
-		used, ending int64
-		// slowUsage and otherUsage are the parts of used that answers occupy whose callers read slowly, and
-		// all other answers.
+		// slowUsage is what the answers occupy whose callers read slowly, otherUsage what all others
+		// do, and ending what those of both do that are ended and have not been released.
 		slowUsage, otherUsage Usage
+		ending                int64
 		byTarget              map[uint64]*holdings
 		// slow holds the answers whose callers read slowly, without those that are ended.
 		slow map[*Answer]struct{}
@@ -86,9 +84,12 @@
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.used
+	return b.used()
 }
 
+// used is Used with the lock held.
+func (b *Budget) used() int64 { return b.slowUsage.Bytes + b.otherUsage.Bytes }
+
 // Usage returns what the answers occupy whose callers read slowly, and what all others do, as Used
 // counts it.
 func (b *Budget) Usage() (slow, others Usage) {
@@ -176,7 +177,7 @@
 	defer b.mu.Unlock()
 	for deadline := time.Now().Add(maxWait); !a.ended; b.awaitRelease(time.Until(deadline)) {
 		more := moreBytes()
-		if more <= 0 || b.used+more <= b.limit {
+		if more <= 0 || b.used()+more <= b.limit {
 			b.set(a, a.bytes+more)
 			return true
 		}
@@ -192,7 +193,7 @@
 // callers read slowly, then those of the targets that occupy the most. It returns false if the answer
 // itself is to be ended. The lock must be held.
 func (b *Budget) makeRoom(a *Answer, more int64) bool {
-	for b.used-b.ending+more > b.limit {
+	for b.used()-b.ending+more > b.limit {
 		if len(b.slow) > 0 || a.slow {
 			slowest := b.largestSlow(a, more)
 			if slowest == a {
@@ -292,7 +293,7 @@
 	if h := b.byTarget[a.target]; h != nil {
 		targetBytes = h.bytes
 	}
-	b.onEnd(Ended{Target: a.target, SlowCaller: a.slow, Bytes: a.bytes, TargetBytes: targetBytes, UsedBytes: b.used})
+	b.onEnd(Ended{Target: a.target, SlowCaller: a.slow, Bytes: a.bytes, TargetBytes: targetBytes, UsedBytes: b.used()})
 	b.unlist(a)
 	b.ending += a.bytes
 	a.ended = true
@@ -312,7 +313,6 @@
 
 // count adds bytes to what an answer is counted with. The lock must be held.
 func (b *Budget) count(a *Answer, bytes int64) {
-	b.used += bytes
 	usage := &b.otherUsage
 	if a.slow {
 		usage = &b.slowUsage
