--- a/internal/caller/ingress/socket.go
+++ b/internal/caller/ingress/socket.go
@@ -24,12 +24,8 @@
 	if c.sock != nil {
 		return c.sock
 	}
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
+	raw := c.rawConn()
+	if raw == nil {
 		return nil
 	}
 	s := &socket{raw: raw}
@@ -49,6 +45,20 @@
 	return s
 }
 
+// rawConn returns the access to the connection's file descriptor, or nil if it has none. It may be used
+// concurrently.
+func (c *conn) rawConn() syscall.RawConn {
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
 // writeNow writes what the kernel takes of data, or of parts if it is nil, without waiting, and
 // returns the number of bytes. An error is left to the write of the rest. It needs no write deadline.
 func (c *conn) writeNow(data []byte, parts [][]byte) int {
@@ -80,15 +90,12 @@
 // unsent returns the number of bytes that the kernel holds for the caller because the caller's host has
 // not acknowledged them, or zero if it is not known. It may be used concurrently with writeNow.
 func (c *conn) unsent() int {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
+	raw := c.rawConn()
+	if raw == nil {
 		return 0
 	}
-	n := 0
+	var n int
+	var err error
 	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }) != nil || err != nil {
 		return 0
 	}
