--- a/internal/operator/configcommand/configcommand_test.go
+++ b/internal/operator/configcommand/configcommand_test.go
@@ -18,11 +18,9 @@
 )
 
 const (
-	sound = `{"version":7,"routes":[{"name":"x","host":"h","path_prefix":"/a/","route_kind":"idempotent","service":"s","timeout_ms":4000}],
-"services":[{"name":"s"}],"tenants":[{"name":"w","api_keys":["k1-secret"]}]}`
-	doubtful = `{"version":8,"routes":[{"name":"x","host":"h","path_prefix":"/a/","route_kind":"idempotent","service":"s","timeout_ms":3000}],
-"services":[{"name":"s"},{"name":"spare"}],"tenants":[{"name":"w","api_keys":["k2-secret"]}]}`
-	faulty = `{"version":8,"routes":[{"name":"x","host":"h","path_prefix":"a","route_kind":"idempotent","service":"s"}],"services":[{"name":"s"}]}`
+	sound    = platformtest.CommandSound
+	doubtful = platformtest.CommandWarned
+	faulty   = platformtest.CommandFaulty
 )
 
 // harness runs the command with files in a directory.
@@ -67,7 +65,8 @@
 		{"warnings", doubtful, []string{"-"}, 1, `-:2:34: warning: service "spare": no route uses it (unused-service at "/services/1/name")
 version 8: no errors, 1 warning
 `},
-		{"errors", faulty, []string{"-"}, 3, `-:1:61: error: route "x": prefix "a" does not begin and end with a slash (prefix-without-slash at "/routes/0/path_prefix")
+		{"errors", faulty, []string{"-"}, 3, `-:1:61: error: route "x": prefix "a" does not begin and end with a slash (prefix-without-slash at "` +
+			platformtest.CommandFaultyPlace + `")
 version 8: 1 error, no warnings
 `},
 		{"not JSON", `{"version":`, []string{"-"}, 3, `-:1:11: error: unexpected end of JSON input (syntax at "")
