--- a/review/testbed2/fleet.go
+++ b/review/testbed2/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -20,6 +19,8 @@
 const (
 	program = "target/hickoryrock"
 	region  = "jylland"
+	// routerCount is the number of routers.
+	routerCount = 4
 
 	readyTimeout = 10 * time.Second
 )
@@ -43,8 +44,10 @@
 		// address is where callers connect.
 		address string
 		path    string
-		cmd     *exec.Cmd
-		exited  chan struct{}
+		// settings are those of the first start.
+		settings platformtest.RouterSettings
+		cmd      *exec.Cmd
+		exited   chan struct{}
 	}
 )
 
@@ -61,21 +64,18 @@
 }
 
 // serveFrom lets the store be served from replicas, of which one lags. The returned function ends them.
-func (f *fleet) serveFrom(lag time.Duration, urls ...string) func() {
+func (f *fleet) serveFrom(lag time.Duration) func() {
 	f.server.Close()
-	handler, end := newReplicas(f.store, lag, urls...)
+	handler, end := newReplicas(f.store, lag)
 	f.server = httptest.NewServer(handler)
 	return end
 }
 
 // restart starts the process of a router that has ended, with the settings of a later start.
 func (f *fleet) restart(r *router) error {
-	data, err := os.ReadFile(r.path)
-	if err != nil {
-		return fmt.Errorf("settings of %q: %w", r.name, err)
-	}
-	data = bytes.Replace(data, []byte(`"bootstrap":true`), []byte(`"bootstrap":false`), 1)
-	if err := os.WriteFile(r.path, data, 0o600); err != nil {
+	s := r.settings
+	s.Bootstrap = false
+	if err := os.WriteFile(r.path, s.Encode(), 0o600); err != nil {
 		return fmt.Errorf("settings of %q: %w", r.name, err)
 	}
 	return f.run(r)
@@ -91,7 +91,7 @@
 }
 
 // start starts routers on loopback addresses of this run and waits until all are ready.
-func (f *fleet) start(n int) error {
+func (f *fleet) start() error {
 	pid := os.Getpid()
 	network := fmt.Sprintf("127.%d.%d", 64+pid>>8&63, pid&255)
 	ports, err := freePorts(network+".1", 5)
@@ -102,12 +102,13 @@
 		Region: region, Domains: domains, CallerPort: ports[0], ReadyPort: ports[1], ControlPort: ports[2], LookupPort: ports[3],
 		PeerPort: ports[4], Bootstrap: true, Store: strings.TrimPrefix(f.server.URL, "http://"), Seeds: []string{network + ".1", network + ".2"},
 	}
-	for i := range n {
+	for i := range routerCount {
 		r := &router{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", network, i+1)}
 		r.address = fmt.Sprintf("%s:%d", r.ip, ports[0])
 		r.path = filepath.Join(f.dir, r.name+".json")
 		s := f.settings
 		s.Name, s.IP, s.Domain = r.name, r.ip, domains[i%len(domains)]
+		r.settings = s
 		if err := os.WriteFile(r.path, s.Encode(), 0o600); err != nil {
 			return fmt.Errorf("settings of %q: %w", r.name, err)
 		}
--- a/review/testbed2/stalepage.go
+++ b/review/testbed2/stalepage.go
@@ -17,10 +17,9 @@
 	bookingPath    = "/puxa403/"
 	bookingService = "xano55b"
 	otherService   = "cuti104"
-	// firstPage is the number of targets on the first page of a list, otherTargets those that sort
-	// before the targets of the bookings.
-	firstPage    = 500
-	otherTargets = firstPage
+	// otherTargets is the number of targets that sort before those of the bookings: two pages.
+	otherTargets   = 2 * pageEntries
+	bookingTargets = 4
 
 	// replicaLag is how old the state of the lagging replica is.
 	replicaLag = 3 * time.Second
@@ -73,14 +72,14 @@
 	}
 	defer stop()
 	d.fleet = f
-	endReplicas := f.serveFrom(replicaLag, pageURL(targetName(otherTargets)))
+	endReplicas := f.serveFrom(replicaLag)
 	defer endReplicas()
-	for i := range otherTargets + 4 {
+	for i := range otherTargets + bookingTargets {
 		if err := d.addTarget(targetName(i+1), i < otherTargets); err != nil {
 			return exitUnable, err
 		}
 	}
-	if err := f.start(4); err != nil {
+	if err := f.start(); err != nil {
 		return exitUnable, err
 	}
 	return d.play(trouble)
