Add review case 9: a service's name ends every router

Cause: the name of a service goes unquoted into the name of a metric, and the library panics on a quotation mark, a line break or a backslash at the end.

--- a/review/testbed2/cut.go
+++ b/review/testbed2/cut.go
@@ -95,7 +95,7 @@
 			return exitUnable, err
 		}
 	}
-	if err := f.start(4); err != nil {
+	if err := f.start(); err != nil {
 		return exitUnable, err
 	}
 	time.Sleep(2 * time.Second)
--- a/review/testbed2/main.go
+++ b/review/testbed2/main.go
@@ -32,6 +32,7 @@
 	},
 	"clean-end":  runCut,
 	"stale-page": runStalePage,
+	"names":      runNames,
 	"early-head": func(r *record, trouble bool) (int, error) {
 		return runPoison(r, trouble, poisonPlan{
 			rule: ruleBudget, engines: 18, prefill: 700 * time.Millisecond, downTime: 3 * time.Second, sendsHeadFirst: true,
--- a/review/testbed2/poison.go
+++ b/review/testbed2/poison.go
@@ -93,7 +93,7 @@
 		}
 		defer e.close()
 	}
-	if err := f.start(4); err != nil {
+	if err := f.start(); err != nil {
 		return exitUnable, err
 	}
 	time.Sleep(2 * time.Second)
@@ -122,11 +122,9 @@
 	defer group.Wait()
 	ticker := time.NewTicker(p.soundPeriod)
 	defer ticker.Stop()
-	for n := 0; ; {
-		for range p.soundGroup {
-			n++
-			id := fmt.Sprintf("sound-%d", n)
-			group.Go(func() { p.sendOneSound(id, n) })
+	for first := 1; ; first += p.soundGroup {
+		for n := first; n < first+p.soundGroup; n++ {
+			group.Go(func() { p.sendOneSound(n) })
 		}
 		select {
 		case <-end:
@@ -136,8 +134,8 @@
 	}
 }
 
-func (p *poisonRun) sendOneSound(id string, n int) {
-	at := time.Now()
+func (p *poisonRun) sendOneSound(n int) {
+	id, at := fmt.Sprintf("sound-%d", n), time.Now()
 	a := call(p.record, p.address(n), p.request(id, topicPart))
 	p.mu.Lock()
 	defer p.mu.Unlock()
