--- a/review/testbed2/main.go
+++ b/review/testbed2/main.go
@@ -47,18 +47,19 @@
 		os.Exit(serveEngine())
 	}
 	name := flag.String("case", "", "the scenario to play")
-	dir := flag.String("dir", ".", "the folder for record.txt")
+	path := flag.String("record", "record.txt", "the file for what was sent, answered and run")
+	trouble := flag.String("trouble", "1", "0 plays the case without its disruption")
 	flag.Parse()
-	os.Exit(run(*name, *dir, os.Getenv("TROUBLE") != "0"))
+	os.Exit(run(*name, *path, *trouble != "0"))
 }
 
-func run(name, dir string, trouble bool) int {
+func run(name, path string, trouble bool) int {
 	play := scenarios[name]
 	if play == nil {
 		_, _ = fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
 		return exitUnable
 	}
-	r, closeRecord, err := newRecord(dir)
+	r, closeRecord, err := newRecord(path)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		return exitUnable
--- a/review/testbed2/names.go
+++ b/review/testbed2/names.go
@@ -34,7 +34,7 @@
 	fleet  *fleet
 
 	mu sync.Mutex
-	// ran holds the requests that a server has run, lost those whose connection ended without an answer.
+	// ran holds the requests that a server has run, lost those whose kept connection ended without an answer.
 	ran, lost map[string]bool
 	answered  int
 	exits     int
@@ -140,6 +140,7 @@
 func (n *nameRun) book(r *router, name, path string, pause time.Duration, end <-chan struct{}) {
 	var c net.Conn
 	var reader *bufio.Reader
+	isKept := false // Set once the connection has carried a request.
 	for i := 1; ; i++ {
 		select {
 		case <-end:
@@ -152,20 +153,21 @@
 				c = nil
 				continue // The router is down.
 			}
-			reader = bufio.NewReader(c)
+			reader, isKept = bufio.NewReader(c), false
 		}
 		id := fmt.Sprintf("%s-%d", name, i)
-		if !n.exchange(c, reader, platformtest.CallerRequest{
+		if !n.exchange(c, reader, isKept, platformtest.CallerRequest{
 			ID: id, Method: http.MethodPost, Host: host, Path: path, Key: key, Body: "12 coats", Deadline: 1500 * time.Millisecond,
 		}) {
 			_ = c.Close()
 			c = nil
 		}
+		isKept = true
 	}
 }
 
 // exchange sends a request and reads the answer. It reports whether the connection can be used again.
-func (n *nameRun) exchange(c net.Conn, reader *bufio.Reader, request platformtest.CallerRequest) bool {
+func (n *nameRun) exchange(c net.Conn, reader *bufio.Reader, isKept bool, request platformtest.CallerRequest) bool {
 	_ = c.SetDeadline(time.Now().Add(request.Deadline))
 	if _, err := io.WriteString(c, request.Encode()); err != nil {
 		return false // The router has not read the request.
@@ -178,7 +180,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err != nil {
-		n.lost[request.ID] = true
+		if isKept {
+			n.lost[request.ID] = true
+		}
 		n.record.add("caller of %s: the connection ends without an answer (%v)", request.ID, err)
 		return false
 	}
--- a/review/testbed2/record.go
+++ b/review/testbed2/record.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -15,9 +14,9 @@
 	started time.Time
 }
 
-// newRecord creates record.txt in a folder. The returned function closes it.
-func newRecord(dir string) (*record, func(), error) {
-	file, err := os.Create(filepath.Join(dir, "record.txt"))
+// newRecord creates a record. The returned function closes it.
+func newRecord(path string) (*record, func(), error) {
+	file, err := os.Create(path)
 	if err != nil {
 		return nil, nil, fmt.Errorf("create the record: %w", err)
 	}
