Do not take a reset during an upload for the end of an answer

Callers got the part of an answer that a target had sent before it reset the connection as a whole one: 200, 404 and 503, on each kind of route, streams that end after a whole event too (MIXED, ORDER; with 503 on routes whose calls run at most once also REFUSED).

Cause: the kernel reports the failure of a connection to one system call. While a long call is still being written that may be the write; the next read of the answer then returns no data, which Go returns as io.EOF, and io.EOF is the regular end of an answer without a length or chunks.

Fix: connections to targets are of internal/wire/tcp. At the end of the data it asks the write: one in progress is ended by a deadline and waited for, so that its result is known and the wait does not depend on the target. If a write was told of a failure, the read returns that failure in place of io.EOF. A call that was written before its answer ended pays a mutex without contention.

--- a/internal/fleet/forward/fixture_test.go
+++ b/internal/fleet/forward/fixture_test.go
@@ -75,13 +75,19 @@
 
 // newFixture starts a router in front of targets that all run the same script.
 func newFixture(t *testing.T, targets int, script rawserver.Handler, opts ...func(*forward.Config)) *fixture {
+	return newFixtureWithServers(t, targets, script, nil, opts...)
+}
+
+func newFixtureWithServers(
+	t *testing.T, targets int, script rawserver.Handler, serverOpts []rawserver.Option, opts ...func(*forward.Config),
+) *fixture {
 	f := &fixture{
 		C: qt.New(t), cacheIndex: affinity.NewCacheIndex(), budgets: retries.NewBudgets(),
 		tracker: targetstats.NewTracker(func(targetstats.Change) {}),
 	}
 	var list []*state.Target
 	for i := range targets {
-		server, stop, err := rawserver.New(script)
+		server, stop, err := rawserver.New(script, serverOpts...)
 		f.Assert(err, qt.IsNil)
 		t.Cleanup(stop)
 		f.targets, f.stops = append(f.targets, server), append(f.stops, stop)
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -16,9 +16,10 @@
 const maxHeadBytes = 64 << 10
 
 type (
-	// Request is a received request with its complete body.
+	// Request is a received request.
 	Request struct {
 		*http1.Request
+		// Body is the complete body, or nil if the server leaves bodies to its Handler.
 		Body []byte
 		// Sequence is the position of the request among all requests of the server, from 1.
 		Sequence int
@@ -33,6 +34,8 @@
 	Server struct {
 		listener net.Listener
 		handler  Handler
+		// leavesBodies is set if bodies are not read before the Handler is called.
+		leavesBodies bool
 
 		mu       sync.Mutex
 		requests []Request
@@ -40,14 +43,26 @@
 	}
 )
 
+// Option changes a server's settings.
+type Option func(*Server)
+
+// WithUnreadBodies calls the Handler as soon as the head of a request has arrived. The Handler reads
+// what it wants of the body, and must not keep the connection open unless it has read all of it.
+func WithUnreadBodies() Option {
+	return func(s *Server) { s.leavesBodies = true }
+}
+
 // New starts a server on a free loopback port. It returns the server and a function that closes
 // its listener.
-func New(handler Handler) (*Server, func(), error) {
+func New(handler Handler, opts ...Option) (*Server, func(), error) {
 	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, nil, fmt.Errorf("starting the raw server: %w", err)
 	}
 	s := &Server{listener: l, handler: handler}
+	for _, opt := range opts {
+		opt(s)
+	}
 	go s.acceptLoop()
 	return s, func() { _ = l.Close() }, nil
 }
@@ -109,9 +124,11 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(http1.Body(reader, head.Length))
-		if err != nil {
-			return
+		var body []byte
+		if !s.leavesBodies {
+			if body, err = io.ReadAll(http1.Body(reader, head.Length)); err != nil {
+				return
+			}
 		}
 		r := Request{Request: head, Body: body, ConnSequence: n}
 		s.mu.Lock()
--- a/internal/target/http1client/dial.go
+++ b/internal/target/http1client/dial.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"hickoryrock/internal/wire/tcp"
 )
 
 const (
@@ -34,9 +36,9 @@
 }
 
 // dial opens a new connection to an endpoint.
-func (p *Pool) dial(ctx context.Context, e Endpoint) (net.Conn, *Failure) {
+func (p *Pool) dial(ctx context.Context, e Endpoint) (*tcp.Conn, *Failure) {
 	dialer := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", e.Address)
+	c, err := tcp.Dial(ctx, &dialer, e.Address)
 	if err == nil {
 		return c, nil
 	}
--- a/internal/target/http1client/http1client.go
+++ b/internal/target/http1client/http1client.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hickoryrock/internal/wire/http1"
+	"hickoryrock/internal/wire/tcp"
 )
 
 const (
@@ -123,7 +124,7 @@
 	}
 
 	conn struct {
-		net.Conn
+		*tcp.Conn
 		key     string
 		reader  *bufio.Reader
 		expires time.Time
@@ -273,7 +274,7 @@
 		// A copy of the body would double its memory while the target reads it slowly.
 		parts := net.Buffers{b, call.Body}
 		go func() {
-			_, err := parts.WriteTo(c.Conn)
+			_, err := c.WriteBuffers(parts)
 			c.written <- err
 		}()
 		return nil
--- a/internal/target/http1client/idle.go
+++ b/internal/target/http1client/idle.go
@@ -65,11 +65,7 @@
 // isIdle reports whether an idle connection is open and has no unread data:
 // unsolicited bytes belong to no call.
 func (c *conn) isIdle() bool {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- /dev/null
+++ b/internal/wire/tcp/tcp.go
@@ -0,0 +1,116 @@
+// Package tcp opens connections on which a reset never reads as the end of the data.
+//
+// The kernel reports the failure of a connection to one system call. If that is a write, the next
+// read returns no data, as it does when the peer has sent a FIN. An answer that ends with its
+// connection would then be complete although the connection was reset.
+package tcp
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+var _ syscall.Conn = (*Conn)(nil)
+
+// Conn is a connection whose Read returns io.EOF only if the peer has finished sending. Data is
+// written through Write and WriteBuffers only, or failures would go unnoticed.
+type Conn struct {
+	net.Conn
+
+	// writing is held from before a write until its result is known.
+	writing sync.Mutex
+	// failure is the first failure of the connection that a write was told of.
+	failure error
+}
+
+// Dial opens a connection to an IP address and port.
+func Dial(ctx context.Context, d *net.Dialer, address string) (*Conn, error) {
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(c), nil
+}
+
+// NewConn returns a Conn on an open connection, which must not be used directly any more.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// Read implements net.Conn. At the end of the data it ends a write that is still in progress:
+// whatever that would send, the peer will not answer on this connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.endOfData()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.recordWrite(err)
+	return n, err
+}
+
+// WriteBuffers writes all buffers, with one system call where possible.
+func (c *Conn) WriteBuffers(b net.Buffers) (int64, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := b.WriteTo(c.Conn)
+	c.recordWrite(err)
+	return n, err
+}
+
+// CloseWrite sends a FIN after what was written. Connections other than TCP return an error.
+func (c *Conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
+// SyscallConn implements syscall.Conn. The raw connection must not be written to.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return raw.SyscallConn()
+}
+
+// endOfData returns io.EOF if the peer has sent a FIN, and otherwise why the connection has ended.
+func (c *Conn) endOfData() error {
+	if !c.writing.TryLock() {
+		// The write in progress may have been told of a reset. One that has not could last until
+		// the peer reads on, which it may never do.
+		_ = c.SetWriteDeadline(time.Unix(1, 0)) // Fails only if the connection is closed, which ends the write, too.
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	if c.failure != nil {
+		return eris.Wrap(c.failure, "connection ended during a write")
+	}
+	return io.EOF
+}
+
+// recordWrite records the failure of a write if it is one of the connection that reads are not told of.
+// Deadlines and Close are of this side, and the kernel returns EPIPE only if the failure was reported
+// before or came after the peer's FIN.
+func (c *Conn) recordWrite(err error) {
+	if err == nil || c.failure != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) ||
+		errors.Is(err, syscall.EPIPE) {
+		return
+	}
+	c.failure = err
+}
