Read answers on connections that notice a reset with every HTTP client

internal/wire/httptransport makes the transports of all HTTP/1.1 clients: targets of the own interface, callers, the store, the object API, lists of engines' caches, other routers and `hickoryrock view`. Their connections are of internal/wire/tcp.

--- a/internal/caller/client/client.go
+++ b/internal/caller/client/client.go
@@ -13,11 +13,14 @@
 
 	"hickoryrock/api/caller/callerapi"
 	"hickoryrock/internal/caller/outcome"
+	"hickoryrock/internal/wire/httptransport"
 )
 
 const (
-	addressTimeout = 2 * time.Second
-	minBackoff     = 200 * time.Millisecond
+	addressTimeout  = 2 * time.Second
+	dialTimeout     = 30 * time.Second
+	idleConnTimeout = 90 * time.Second
+	minBackoff      = 200 * time.Millisecond
 	// maxBackoff bounds the Retry-After of a rejection.
 	maxBackoff = 2 * time.Second
 )
@@ -40,7 +43,8 @@
 // New returns a client and a function that closes its idle connections.
 func New(opts ...Option) (*Client, func()) {
 	c := &Client{opts: newOptions(opts...)}
-	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport := httptransport.New(dialTimeout)
+	transport.Proxy, transport.IdleConnTimeout = http.ProxyFromEnvironment, idleConnTimeout
 	transport.ResponseHeaderTimeout = c.opts.ResponseHeaderTimeout
 	c.http = &http.Client{Transport: noReplayTransport{transport}, CheckRedirect: noRedirect}
 	return c, transport.CloseIdleConnections
--- a/internal/node/edge/caches.go
+++ b/internal/node/edge/caches.go
@@ -11,6 +11,7 @@
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/platform/objects"
 	"hickoryrock/internal/policy/affinity"
+	"hickoryrock/internal/wire/httptransport"
 	"hickoryrock/platform"
 )
 
@@ -73,7 +74,9 @@
 }
 
 func (r *Router) loadCachesFromEngines(ctx context.Context, v *state.View) {
-	client := &http.Client{Timeout: engineReadTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	transport := httptransport.New(engineReadTimeout)
+	transport.DisableKeepAlives = true
+	client := &http.Client{Timeout: engineReadTimeout, Transport: transport}
 	var group errgroup.Group
 	group.SetLimit(maxEngineReads)
 	for service, targets := range v.Targets.ByService {
--- a/internal/node/edge/view.go
+++ b/internal/node/edge/view.go
@@ -19,6 +19,7 @@
 	"hickoryrock/internal/policy/targetload"
 	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
+	"hickoryrock/internal/wire/httptransport"
 )
 
 type (
@@ -146,7 +147,9 @@
 		_, _ = fmt.Fprintln(env.Stderr, err)
 		return command.ExitUsage
 	}
-	resp, err := http.DefaultClient.Do(req)
+	transport := httptransport.New(readHeaderTimeout)
+	transport.Proxy, transport.DisableKeepAlives = http.ProxyFromEnvironment, true
+	resp, err := (&http.Client{Transport: transport}).Do(req)
 	if err != nil {
 		_, _ = fmt.Fprintln(env.Stderr, err)
 		return command.ExitUnavailable
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -24,6 +24,7 @@
 	"hickoryrock/internal/policy/targetlimits"
 	"hickoryrock/internal/policy/targetpace"
 	"hickoryrock/internal/policy/targetstats"
+	"hickoryrock/internal/wire/httptransport"
 )
 
 const (
@@ -106,6 +107,8 @@
 	confirmTimeout = 150 * time.Millisecond
 	// fetchTimeout bounds one snapshot request.
 	fetchTimeout = 800 * time.Millisecond
+	// idleConnTimeout is how long an unused connection to a peer is kept.
+	idleConnTimeout = 90 * time.Second
 	// hedgeDelay is how long a router waits for one peer before it also asks another.
 	hedgeDelay = 150 * time.Millisecond
 	// failedSourceTime is how long a peer that has not sent a snapshot is asked after others.
@@ -218,7 +221,7 @@
 	f := &Fleet{
 		self: self, localState: localState, tracker: tracker, cacheIndex: cacheIndex, watcher: watcher, log: log, conn: conn,
 		opts: newOptions(opts), lags: newLags(),
-		client: &http.Client{Timeout: fetchTimeout}, peers: make(map[string]*peer), peersBySender: make(map[uint32]*peer),
+		client: newClient(), peers: make(map[string]*peer), peersBySender: make(map[uint32]*peer),
 		beaconRequests: make(chan *storewatch.Delta, maxQueuedBeacons), fetchRequests: make(chan struct{}, 1),
 		greetings: make(chan netip.AddrPort, maxQueuedGreetings), cacheSends: make(chan struct{}, cacheSendsAtATime(self.LinkMbps)),
 		address: netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port()), senderID: senderID(self.PeerAddress),
@@ -235,6 +238,13 @@
 	return f, func() { _ = conn.Close() }, nil
 }
 
+// newClient returns the client for requests to peers.
+func newClient() *http.Client {
+	transport := httptransport.New(fetchTimeout)
+	transport.IdleConnTimeout = idleConnTimeout
+	return &http.Client{Timeout: fetchTimeout, Transport: transport}
+}
+
 // Handler returns the handler of the FleetService, which peers call.
 func (f *Fleet) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/platform/objects/client.go
+++ b/internal/platform/objects/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"hickoryrock/internal/wire/httptransport"
 )
 
 const (
@@ -49,13 +50,8 @@
 // closes its connection, so an unresponsive connection is never reused. It follows no
 // redirects, since that could send a write twice.
 func newHTTPClient() *http.Client {
-	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: defaultDialTimeout}).DialContext,
-		MaxIdleConnsPerHost: defaultIdleConnsPerHost,
-		IdleConnTimeout:     time.Minute,
-		Protocols:           new(http.Protocols),
-	}
-	t.Protocols.SetHTTP1(true)
+	t := httptransport.New(defaultDialTimeout)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout = defaultIdleConnsPerHost, time.Minute
 	return &http.Client{
 		Transport: t,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
--- a/internal/standin/rawserver/early.go
+++ b/internal/standin/rawserver/early.go
@@ -28,9 +28,14 @@
 // End is how a server ends an early answer.
 type End string
 
-// AnswerEarly returns a handler, for a server with WithUnreadBodies, that sends an answer and
-// ends it while the client is still sending the body of its request.
-func AnswerEarly(answer func(Request) string, end End) Handler {
+// NewEarly starts a server that sends an answer as soon as the head of a request has arrived, and ends
+// it while the client is still sending a long body. It returns the server and a function that closes
+// its listener.
+func NewEarly(answer func(Request) string, end End) (*Server, func(), error) {
+	return New(answerEarly(answer, end), WithUnreadBodies())
+}
+
+func answerEarly(answer func(Request) string, end End) Handler {
 	return func(c net.Conn, r Request) bool {
 		if _, err := io.WriteString(c, answer(r)); err != nil {
 			return false
--- /dev/null
+++ b/internal/target/engine/early_answer_test.go
@@ -0,0 +1,47 @@
+package engine
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hickoryrock/internal/caller/outcome"
+	"hickoryrock/internal/standin/rawserver"
+)
+
+const (
+	// longUpload exceeds what the kernel buffers for an engine that reads nothing.
+	longUpload = 8 << 20
+	// earlyAnswerRepeats is how often a race between the end of an answer and the upload is tried.
+	earlyAnswerRepeats = 10
+)
+
+func newEarlyEngine(c *qt.C, answer string, end rawserver.End) *rawserver.Server {
+	server, stop, err := rawserver.NewEarly(func(rawserver.Request) string { return answer }, end)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stop)
+	return server
+}
+
+// Guards against a part of a chat that is taken for a whole one, or a cut failure for one that proves
+// that the chat has not run, because the engine reset the connection during the upload (issue 51).
+func TestChatThatIsResetDuringUpload(t *testing.T) {
+	event := `data: {"choices":[{"delta":{"content":"x"},"finish_reason":"stop"}]}` + "\n\n"
+	for name, head := range map[string]string{
+		"200": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", "503": "HTTP/1.1 503 Busy\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := newEarlyEngine(c, head+event, rawserver.EndReset)
+			client := newTestClient(c)
+			body := []byte(`{"model":"m","messages":[{"role":"user","content":"` + strings.Repeat("u", longUpload) + `"}]}`)
+			for range earlyAnswerRepeats {
+				_, f := client.Chat(context.Background(), Request{Address: server.Address(), ID: "r", Body: body})
+				c.Assert(f != nil, qt.IsTrue)
+				c.Assert(f.Status, qt.Equals, outcome.Unknown, qt.Commentf("%v", f))
+			}
+		})
+	}
+}
--- a/internal/target/http1client/dial.go
+++ b/internal/target/http1client/dial.go
@@ -38,9 +38,9 @@
 // dial opens a new connection to an endpoint.
 func (p *Pool) dial(ctx context.Context, e Endpoint) (*tcp.Conn, *Failure) {
 	dialer := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1}
-	c, err := tcp.Dial(ctx, &dialer, e.Address)
+	c, err := dialer.DialContext(ctx, "tcp", e.Address)
 	if err == nil {
-		return c, nil
+		return tcp.NewConn(c), nil
 	}
 	reason := ReasonNoConnection
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/target/transport/transport.go
+++ b/internal/target/transport/transport.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hickoryrock/internal/caller/outcome"
+	"hickoryrock/internal/wire/httptransport"
 )
 
 const suspectShards = 16
@@ -59,15 +60,9 @@
 
 func newTransport(o Options) *http.Transport {
 	// HTTP/1 only: HTTP/2 replays requests that a server reports as unprocessed.
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-		Protocols:           protocols,
-		MaxIdleConnsPerHost: o.IdlePerTarget,
-		IdleConnTimeout:     o.IdleTimeout,
-		DisableCompression:  true,
-	}
+	t := httptransport.New(o.DialTimeout)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout, t.DisableCompression = o.IdlePerTarget, o.IdleTimeout, true
+	return t
 }
 
 // Do sends a request on a pooled connection, or on a new one if a connection to the target went
--- a/internal/wire/tcp/tcp.go
+++ b/internal/wire/tcp/tcp.go
@@ -6,7 +6,6 @@
 package tcp
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -31,15 +30,6 @@
 	failure error
 }
 
-// Dial opens a connection to an IP address and port.
-func Dial(ctx context.Context, d *net.Dialer, address string) (*Conn, error) {
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return NewConn(c), nil
-}
-
 // NewConn returns a Conn on an open connection, which must not be used directly any more.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
