Read the answer of the engine that takes a conversation's cache

A conversation's cache counted as moved when the engine that takes it had sent only the head of a 200: the head may come while the cache is still being sent, and the connection was then reset. The next turn of the chat would be sent to an engine that lacks its cache.

Cause: Move closed the body of the answer without reading it, so that no reset could be noticed.

Moves whose engine answers early and ends with a FIN succeed as before (same test).

--- a/internal/target/engine/early_answer_test.go
+++ b/internal/target/engine/early_answer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -45,3 +47,28 @@
 		})
 	}
 }
+
+// Guards against the cache of a conversation that counts as moved because the answer of the engine that
+// takes it began before it was reset (issue 51).
+func TestMoveThatIsResetDuringUpload(t *testing.T) {
+	c := qt.New(t)
+	source, stop, err := rawserver.New(func(conn net.Conn, _ rawserver.Request) bool {
+		_, _ = conn.Write(append([]byte("HTTP/1.1 200 OK\r\n\r\n"), make([]byte, longUpload)...))
+		return false
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stop)
+	move := func(answer string, end rawserver.End) *outcome.Failure {
+		target := newEarlyEngine(c, answer, end)
+		return newTestClient(c).Move(context.Background(), source.Address(), target.Address(), "conversation")
+	}
+	for range earlyAnswerRepeats {
+		c.Assert(move("HTTP/1.1 200 OK\r\n\r\npart", rawserver.EndReset) != nil, qt.IsTrue)
+		c.Assert(move("HTTP/1.1 404 Not Found\r\n\r\npart", rawserver.EndReset) != nil, qt.IsTrue)
+	}
+	for _, end := range []rawserver.End{rawserver.EndReadOn, rawserver.EndReadNothing, rawserver.EndResetAfterFIN} {
+		began := time.Now()
+		assertNoFailure(c, move("HTTP/1.1 200 OK\r\n\r\nmoved", end))
+		c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+	}
+}
--- a/internal/target/engine/kv.go
+++ b/internal/target/engine/kv.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/url"
 
@@ -41,7 +42,10 @@
 	if f != nil {
 		return f
 	}
-	_ = target.Body.Close()
+	defer func() { _ = target.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(target.Body, maxControlBytes)); err != nil {
+		return outcome.NewUnknown(transport.Reason(ctx, err), "answer of the engine that takes the cache truncated: %v", err)
+	}
 	return nil
 }
 
