Reject answers with a blank in a field name with every HTTP client

A call of a plain service ended with success, with a body that was not the server's: of "Content-Length : 2" and "ok and more" the caller got all bytes, of "Transfer-Encoding : chunked" the framing of the chunks too. A refusal with such a line in its head counted as proof that the call had not run. The same held for engines, the store, lists of caches and the caller's client.

Cause: net/http accepts a blank in a field name of an answer, before the colon too, and does not recognise a Content-Length or Transfer-Encoding by such a name. It rejects control bytes, DEL, bytes above 127 and an empty name itself.

httptransport rejects an answer with a name that is no token, as internal/wire/http1 does; the outcome of the call is unknown. On the code before, five cases of TestInvalidFieldNamesAreRejected failed, and the cases with a blank of TestAnswerWithInvalidHead in internal/target/plain, internal/target/engine, platform and internal/caller/client; those with a control byte passed.

On the users' platform the head was rejected before (502 on all eight kinds of route, 20 lines in both framings): TestInvalidFieldNames of internal/fleet/forward keeps that, and TestInvalidStatuses the same for the statuses 000, 099, +20 and others. Nothing else was changed there.

A value that goes on in a folded line is still accepted by net/http, as RFC 9112, section 5.2, says of user agents; internal/wire/http1 rejects it.

--- a/internal/caller/client/transport.go
+++ b/internal/caller/client/transport.go
@@ -1,12 +1,16 @@
 package client
 
-import "net/http"
+import (
+	"net/http"
+
+	"hickoryrock/internal/wire/httptransport"
+)
 
 // noReplayTransport sends each request at most once. net/http replays a request with an
 // Idempotency-Key when a reused connection breaks; the replay would carry the same attempt number,
 // although the first attempt may have run.
 type noReplayTransport struct {
-	next *http.Transport
+	next httptransport.Transport
 }
 
 // RoundTrip implements http.RoundTripper. It clears GetBody, because net/http does not replay a body
--- a/internal/target/transport/transport.go
+++ b/internal/target/transport/transport.go
@@ -24,8 +24,8 @@
 	// Pool opens connections to targets and reuses those that are not suspected to be dead.
 	Pool struct {
 		opts      Options
-		keepAlive *http.Transport
-		singleUse *http.Transport
+		keepAlive httptransport.Transport
+		singleUse httptransport.Transport
 		suspects  [suspectShards]suspectShard
 	}
 
@@ -58,7 +58,7 @@
 	}
 }
 
-func newTransport(o Options) *http.Transport {
+func newTransport(o Options) httptransport.Transport {
 	// HTTP/1 only: HTTP/2 replays requests that a server reports as unprocessed.
 	t := httptransport.New(o.DialTimeout)
 	t.MaxIdleConnsPerHost, t.IdleConnTimeout, t.DisableCompression = o.IdlePerTarget, o.IdleTimeout, true
@@ -80,7 +80,7 @@
 	return do(p.singleUse, req)
 }
 
-func do(t *http.Transport, req *http.Request) (*http.Response, *Attempt, error) {
+func do(t httptransport.Transport, req *http.Request) (*http.Response, *Attempt, error) {
 	a := new(Attempt)
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		a.connected.Store(true)
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -158,7 +158,7 @@
 	}
 	method, rest, ok := strings.Cut(line, " ")
 	target, version, ok2 := strings.Cut(rest, " ")
-	if !ok || !ok2 || !isToken(method) || (version != version11 && version != version10) {
+	if !ok || !ok2 || !IsToken(method) || (version != version11 && version != version10) {
 		return nil, eris.Wrapf(ErrMalformed, "request line %.80q", line)
 	}
 	if !strings.HasPrefix(target, "/") || !isRequestTarget(target) {
--- a/internal/wire/http1/parse.go
+++ b/internal/wire/http1/parse.go
@@ -53,7 +53,7 @@
 			return line, fields, nil
 		}
 		name, value, ok := bytes.Cut(raw, []byte(":"))
-		if !ok || !isToken(string(name)) {
+		if !ok || !IsToken(string(name)) {
 			return "", nil, eris.Wrapf(ErrMalformed, "field %.80q", raw)
 		}
 		field := NewField(string(name), strings.Trim(string(value), " \t"))
@@ -135,8 +135,8 @@
 	return strconv.ParseInt(value, 10, 64)
 }
 
-// isToken reports whether s is a token as in RFC 9110, section 5.6.2.
-func isToken(s string) bool {
+// IsToken reports whether s is a token as in RFC 9110, section 5.6.2.
+func IsToken(s string) bool {
 	for _, c := range []byte(s) {
 		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
 			return false
