Reject answers with a status below 200 with every HTTP client

A load report with status 000 counted as the engine's report, and an order, a drain or the move of a cache that an engine answered so counted as carried out.

Cause: net/http accepts the statuses 000 to 099 and +20, and 101 although no upgrade was asked for. These readers take a status below 300 for a success.

httptransport rejects a status below 200, as internal/wire/http1 does for a final answer. TestInvalidStatusesAreRejected failed for 000, 099, +20 and 101 on the code before, TestAnswerWithInvalidHead of internal/target/engine for "status 000 load".

--- a/internal/target/engine/invalid_head_test.go
+++ b/internal/target/engine/invalid_head_test.go
@@ -12,11 +12,12 @@
 	"hickoryrock/internal/standin/rawserver"
 )
 
-// Guards against a chat or a load report that counts as whole, or as a refusal, although a field name in
-// the head of the answer is invalid (issue 51).
+// Guards against a chat or a load report that counts as whole, or as a refusal, although the status of the
+// answer is invalid, such as 000, or a field name in its head is (issue 51).
 func TestAnswerWithInvalidHead(t *testing.T) {
 	chat := `data: {"choices":[{"delta":{"content":"x"},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"
 	for name, head := range map[string]string{
+		"status 000":             "HTTP/1.1 000 Trouble\r\n" + HeaderNotRun + ": false",
 		"blank before the colon": "HTTP/1.1 200 OK\r\nContent-Length : 9",
 		"blank in a refusal":     "HTTP/1.1 503 Busy\r\nX Y: z\r\n" + HeaderNotRun + ": true",
 		"control byte":           "HTTP/1.1 200 OK\r\nX\x01: z",
--- a/internal/wire/httptransport/heads_test.go
+++ b/internal/wire/httptransport/heads_test.go
@@ -51,3 +51,14 @@
 		c.Assert(body, qt.Equals, "ok")
 	})
 }
+
+// Guards against an answer with an invalid status, such as 000: readers that compare it with 300 take it
+// for a success (issue 51).
+func TestInvalidStatusesAreRejected(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "-20", "2 0", "20", "2000", "2e2", "101", ""} {
+		t.Run(status, func(t *testing.T) {
+			_, _, err := get(qt.New(t), "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\nok")
+			qt.Assert(t, err, qt.IsNotNil)
+		})
+	}
+}
--- a/internal/wire/httptransport/httptransport.go
+++ b/internal/wire/httptransport/httptransport.go
@@ -13,7 +13,7 @@
 	"hickoryrock/internal/wire/tcp"
 )
 
-// Transport is an http.Transport that rejects answers with invalid field names.
+// Transport is an http.Transport that rejects answers with an invalid status or field name.
 type Transport struct {
 	*http.Transport
 }
@@ -49,9 +49,12 @@
 	return resp, nil
 }
 
-// checkHead rejects what net/http accepts: field names with blanks, of which it
+// checkHead rejects what net/http accepts: statuses below 200, and field names with blanks, of which it
 // ignores a Content-Length or Transfer-Encoding.
 func checkHead(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return eris.Wrapf(http1.ErrMalformed, "status %.80q", resp.Status)
+	}
 	for name := range resp.Header {
 		if !http1.IsToken(name) {
 			return eris.Wrapf(http1.ErrMalformed, "name of header field %.80q", name)
