Do not report a closed connection as a timeout of the target

A target of a plain service that closed its connection during an upload counted as silent (`target-silent` in place of `connection-lost`), and later calls kept off the connections to it.

Cause: since a read that finds the end of the data ends the write in progress by a deadline, and net/http returned that write's timeout as the result of the call. TestConnectionThatEndsDuringUpload failed in 3 of 3 runs.

A write that was ended so returns tcp.ErrEnded, which is no timeout.

--- a/internal/target/plain/early_answer_test.go
+++ b/internal/target/plain/early_answer_test.go
@@ -11,6 +11,25 @@
 	"hickoryrock/internal/standin/rawserver"
 )
 
+// Guards against a target that closes the connection during the upload and counts as silent, which
+// would keep later calls off the connections to it.
+func TestConnectionThatEndsDuringUpload(t *testing.T) {
+	c := qt.New(t)
+	server, stop, err := rawserver.NewEarly(func(rawserver.Request) string { return "" }, rawserver.EndReadNothing)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stop)
+	client, closeClient := New(WithMetrics(metrics.NewSet()))
+	c.Cleanup(closeClient)
+	for range 20 {
+		_, f := client.Call(context.Background(), Call{
+			Address: server.Address(), Method: "book", Key: key, AtMostOnce: true, Body: make([]byte, 8<<20),
+		})
+		c.Assert(f != nil, qt.IsTrue)
+		c.Assert(f.Status, qt.Equals, outcome.Unknown)
+		c.Assert(f.Reason, qt.Equals, outcome.ReasonConnectionLost, qt.Commentf("%v", f))
+	}
+}
+
 // Guards against a part of an answer that is taken for a whole one because the target reset the
 // connection during the upload (issue 51).
 func TestAnswerThatIsResetDuringUpload(t *testing.T) {
--- a/internal/wire/tcp/tcp.go
+++ b/internal/wire/tcp/tcp.go
@@ -11,12 +11,16 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
+// ErrEnded means that a write was ended because the peer sends no more.
+var ErrEnded = errors.New("write ended: the peer has closed the connection")
+
 var _ syscall.Conn = (*Conn)(nil)
 
 // Conn is a connection whose Read returns io.EOF only if the peer has finished sending. Data is
@@ -28,6 +32,8 @@
 	writing sync.Mutex
 	// failure is the first failure of the connection that a write was told of.
 	failure error
+	// ended is set when a read ends the write in progress.
+	ended atomic.Bool
 }
 
 // NewConn returns a Conn on an open connection, which must not be used directly any more.
@@ -43,22 +49,20 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It returns ErrEnded if the end of the data has ended it.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	c.recordWrite(err)
-	return n, err
+	return n, c.recordWrite(err)
 }
 
-// WriteBuffers writes all buffers, with one system call where possible.
+// WriteBuffers writes all buffers, with one system call where possible. It returns ErrEnded as Write does.
 func (c *Conn) WriteBuffers(b net.Buffers) (int64, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := b.WriteTo(c.Conn)
-	c.recordWrite(err)
-	return n, err
+	return n, c.recordWrite(err)
 }
 
 // CloseWrite sends a FIN after what was written. Connections other than TCP return an error.
@@ -84,6 +88,7 @@
 	if !c.writing.TryLock() {
 		// The write in progress may have been told of a reset. One that has not could last until
 		// the peer reads on, which it may never do.
+		c.ended.Store(true)
 		_ = c.SetWriteDeadline(time.Unix(1, 0)) // Fails only if the connection is closed, which ends the write, too.
 		c.writing.Lock()
 	}
@@ -94,13 +99,16 @@
 	return io.EOF
 }
 
-// recordWrite records the failure of a write if it is one of the connection that reads are not told of.
-// Deadlines and Close are of this side, and the kernel returns EPIPE only if the failure was reported
-// before or came after the peer's FIN.
-func (c *Conn) recordWrite(err error) {
-	if err == nil || c.failure != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) ||
-		errors.Is(err, syscall.EPIPE) {
-		return
+// recordWrite records the failure of a write if it is one of the connection that reads are not told of,
+// and returns it. Deadlines and Close are of this side, and the kernel returns EPIPE only if the failure
+// was reported before or came after the peer's FIN.
+func (c *Conn) recordWrite(err error) error {
+	isTimeout := errors.Is(err, os.ErrDeadlineExceeded)
+	if err != nil && c.failure == nil && !isTimeout && !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.EPIPE) {
+		c.failure = err
+	}
+	if isTimeout && c.ended.Load() {
+		return ErrEnded
 	}
-	c.failure = err
+	return err
 }
--- a/internal/wire/tcp/tcp_test.go
+++ b/internal/wire/tcp/tcp_test.go
@@ -27,8 +27,8 @@
 	*qt.C
 	conn *tcp.Conn
 	peer *net.TCPConn
-	// written is closed when a write has ended.
-	written chan struct{}
+	// written receives the result of a write.
+	written chan error
 }
 
 func newFixture(c *qt.C) fixture {
@@ -42,14 +42,14 @@
 	peer, err := l.Accept()
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = peer.Close() })
-	return fixture{C: c, conn: conn, peer: peer.(*net.TCPConn), written: make(chan struct{})}
+	return fixture{C: c, conn: conn, peer: peer.(*net.TCPConn), written: make(chan error, 1)}
 }
 
 // write writes in the background; the peer does not read it.
 func (f fixture) write(bytes int) {
 	go func() {
-		defer close(f.written)
-		_, _ = f.conn.WriteBuffers(net.Buffers{make([]byte, bytes/2), make([]byte, bytes/2)})
+		_, err := f.conn.WriteBuffers(net.Buffers{make([]byte, bytes/2), make([]byte, bytes/2)})
+		f.written <- err
 	}()
 	time.Sleep(settleTime)
 }
@@ -79,11 +79,18 @@
 }
 
 func (f fixture) awaitWrite() {
+	f.Helper()
+	_ = f.writeResult()
+}
+
+func (f fixture) writeResult() error {
 	f.Helper()
 	select {
-	case <-f.written:
+	case err := <-f.written:
+		return err
 	case <-time.After(maxRead):
 		f.Fatal("the write has not ended")
+		return nil
 	}
 }
 
@@ -138,7 +145,7 @@
 		f.send()
 		finish(f)
 		f.assertRead(true)
-		f.awaitWrite()
+		f.Assert(f.writeResult(), qt.Equals, tcp.ErrEnded) // A timeout would blame the peer's silence.
 	})
 	run(t, "the peer reads on", func(f fixture) {
 		f.write(longWrite)
