--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -9,7 +9,10 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"hickoryrock/internal/wire/tcp"
 )
 
 const (
@@ -37,6 +40,9 @@
 	stallPollInterval = 10 * time.Millisecond
 	dialTimeout       = time.Second
 	bufferBytes       = 16 << 10
+	// segmentBytes is the TCP segment size of Ethernet. With that of loopback, 64 KB, the kernel buffers
+	// megabytes for a peer that reads nothing.
+	segmentBytes = 1460
 )
 
 type (
@@ -54,8 +60,10 @@
 		closed  bool
 	}
 
+	// connPair forwards data between connections that notice resets, so that a reset on one side
+	// does not become a FIN on the other.
 	connPair struct {
-		client, server net.Conn
+		client, server *tcp.Conn
 		stalled        bool
 	}
 )
@@ -63,7 +71,7 @@
 // New starts a proxy to a backend address. The returned function stops it and
 // resets its connections.
 func New(backend string) (*Proxy, func(), error) {
-	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{Control: limitSegments}).Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for the proxy to %q: %w", backend, err)
 	}
@@ -72,6 +80,17 @@
 	return p, p.close, nil
 }
 
+// limitSegments sets the segment size of a socket before it is used.
+func limitSegments(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if controlErr := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
+	}); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // Address returns the address that clients connect to.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
@@ -117,17 +136,17 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
-	pair := &connPair{client: client}
+	pair := &connPair{client: tcp.NewConn(client)}
 	if p.currentFault(pair) == Reset {
 		pair.reset()
 		return
 	}
-	server, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(context.Background(), "tcp4", p.backend)
+	server, err := (&net.Dialer{Timeout: dialTimeout, Control: limitSegments}).DialContext(context.Background(), "tcp4", p.backend)
 	if err != nil {
 		pair.reset()
 		return
 	}
-	pair.server = server
+	pair.server = tcp.NewConn(server)
 	p.mu.Lock()
 	p.conns[pair] = struct{}{}
 	p.mu.Unlock()
@@ -144,7 +163,7 @@
 
 // forward copies one direction until it ends; stall is the fault that stalls
 // this direction only.
-func (p *Proxy) forward(pair *connPair, dst, src net.Conn, stall Fault) {
+func (p *Proxy) forward(pair *connPair, dst, src *tcp.Conn, stall Fault) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := src.Read(buffer)
@@ -159,9 +178,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if tcp, ok := dst.(*net.TCPConn); ok {
-				_ = tcp.CloseWrite()
-			}
+			_ = dst.CloseWrite() // Fails only if the connection has ended.
 			return
 		}
 		if err != nil {
@@ -203,10 +220,9 @@
 }
 
 func (pair *connPair) reset() {
-	for _, c := range []net.Conn{pair.client, pair.server} {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-			_ = tcp.Close()
+	for _, c := range []*tcp.Conn{pair.client, pair.server} {
+		if c != nil {
+			_ = c.Reset() // Fails only if the connection has ended.
 		}
 	}
 }
--- a/internal/soak/faultproxy/proxy_test.go
+++ b/internal/soak/faultproxy/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -13,6 +14,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"hickoryrock/internal/soak/faultproxy"
+	"hickoryrock/internal/standin/rawserver"
+	"hickoryrock/internal/wire/tcp"
 )
 
 const readTimeout = 300 * time.Millisecond
@@ -139,3 +142,30 @@
 		f.Assert(f.echo(f.dial()), qt.IsNil)
 	})
 }
+
+// Guards against a proxy that hides broken answers: a server's reset during an upload must not reach the
+// client as a FIN (issue 51).
+func TestResetDuringUploadIsPassedOn(t *testing.T) {
+	const (
+		longUpload = 31 << 17
+		repeats    = 20
+	)
+	c := qt.New(t)
+	server, stopServer, err := rawserver.NewEarly(func(rawserver.Request) string { return "HTTP/1.1 200 OK\r\n\r\npart" }, rawserver.EndReset)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stopServer)
+	proxy, stopProxy, err := faultproxy.New(server.Address())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stopProxy)
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", longUpload)
+	for range repeats {
+		raw, err := net.Dial("tcp4", proxy.Address())
+		c.Assert(err, qt.IsNil)
+		conn := tcp.NewConn(raw)
+		go func() { _, _ = conn.WriteBuffers(net.Buffers{[]byte(head), make([]byte, longUpload)}) }()
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		_, err = io.ReadAll(conn)
+		c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+		_ = conn.Close()
+	}
+}
--- a/internal/soak/scenario/faults.go
+++ b/internal/soak/scenario/faults.go
@@ -134,6 +134,13 @@
 	tb.rewriteStore()
 }}
 
+// resetEarly is not in events, so that the schedules of recorded seeds stay.
+var resetEarly = event{name: "targets respond to long bodies early and reset connections", run: func(tb *testbed, _ *rand.Rand, duration time.Duration) {
+	tb.setResetsEarly(true)
+	time.Sleep(duration)
+	tb.setResetsEarly(false)
+}}
+
 // plannedEvents returns the events that are planned changes.
 func (tb *testbed) plannedEvents() []event {
 	planned := slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
@@ -159,6 +166,15 @@
 	}}
 }
 
+// setResetsEarly applies to the targets that are running now.
+func (tb *testbed) setResetsEarly(resets bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, t := range tb.targets {
+		t.SetResetsEarly(resets)
+	}
+}
+
 // attempt runs an action that fails only when the test machine is out of resources
 // such as ports, and records its failure.
 func (tb *testbed) attempt(action func() error) {
--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -19,6 +19,8 @@
 	// last longer.
 	defaultCallers     = 24
 	defaultRealCallers = 60
+	// uploadCallers is the number of callers with long bodies.
+	uploadCallers = 3
 	// realPlannedRounds is how often planned events start together in a planned phase with
 	// real callers.
 	realPlannedRounds = 2
@@ -64,6 +66,9 @@
 		Evacuations bool
 		// ScarceTargets lets targets state their slots and load, turn slow or cold, and be crowded.
 		ScarceTargets bool
+		// EarlyAnswers lets some callers send long bodies, and targets respond before they have read
+		// them and reset the connection.
+		EarlyAnswers bool
 		// RealCallers lets callers and planned stops do what they do on the users' platform,
 		// with its grace period.
 		RealCallers bool
@@ -119,6 +124,13 @@
 		}
 		wg.Go(func() { traffic.NewCaller(name, tb, tb.recorder, behavior).Run(ctx) })
 	}
+	if o.EarlyAnswers {
+		for i := range uploadCallers {
+			wg.Go(func() {
+				traffic.NewCaller(fmt.Sprint("upload-", i), tb, tb.recorder, traffic.UploadBehavior()).Run(ctx)
+			})
+		}
+	}
 	wg.Go(func() { tb.probeVersions(ctx) })
 	time.Sleep(startupTime)
 	for end := time.Now().Add(o.Duration); time.Now().Before(end); {
@@ -164,6 +176,9 @@
 	if o.ScarceTargets {
 		all = append(all, turnSlow, turnSlow, turnCold, turnCold, crowd, crowd)
 	}
+	if o.EarlyAnswers {
+		all = append(all, resetEarly, resetEarly)
+	}
 	return all
 }
 
--- a/internal/soak/traffic/behavior.go
+++ b/internal/soak/traffic/behavior.go
@@ -21,6 +21,8 @@
 	// extraLine sends an empty line after the body.
 	extraLine
 	bodyStyles
+	// longBody is not drawn: it sends a body of longBodyBytes at once.
+	longBody
 )
 
 const (
@@ -72,6 +74,9 @@
 // CrowdBehavior returns the behavior of a caller that belongs to a crowd.
 func CrowdBehavior() Behavior { return Behavior{real: true, ttlFactor: 1, crowd: true} }
 
+// UploadBehavior returns the behavior of a caller whose calls have long bodies.
+func UploadBehavior() Behavior { return Behavior{body: longBody} }
+
 // drawPath returns the path of the caller's next call.
 func (b Behavior) drawPath() string {
 	if b.crowd {
--- a/internal/soak/traffic/send.go
+++ b/internal/soak/traffic/send.go
@@ -17,6 +17,9 @@
 	// callBody is the body of a call, slowPieces the number of pieces in which it is sent.
 	callBody   = "body of the call"
 	slowPieces = 4
+	// longBodyBytes is more than what the kernel buffers for a target that reads nothing, and less
+	// than max_body_bytes.
+	longBodyBytes = 31 << 17
 	// maxPiecePause is the longest pause before a piece.
 	maxPiecePause = 400 * time.Millisecond
 	// continueTimeout is how long a caller waits for status 100 before it sends the body.
@@ -40,6 +43,8 @@
 		return c.sendExpecting(platformtest.CallHead(id, path, deadlineMS, length+"Expect: 100-continue\r\n"))
 	case extraLine:
 		return c.write(platformtest.Call(id, http.MethodPost, path, deadlineMS, callBody) + "\r\n")
+	case longBody:
+		return c.write(platformtest.Call(id, http.MethodPost, path, deadlineMS, strings.Repeat("u", longBodyBytes)))
 	case wholeBody:
 	}
 	return c.write(platformtest.Call(id, http.MethodPost, path, deadlineMS, callBody))
--- a/internal/soak/traffic/target.go
+++ b/internal/soak/traffic/target.go
@@ -44,6 +44,10 @@
 	slowEventGap    = 200 * time.Millisecond
 	slowStreamOdds  = 10
 	maxWorkTime     = 20 * time.Millisecond
+	// earlyResetRate is the share of calls with long bodies that a target answers early.
+	earlyResetRate = 0.8
+	// earlyResetDelay is the time between an early response and the reset of its connection.
+	earlyResetDelay = 10 * time.Millisecond
 	// drainDeadline is the time after which a draining target must get no more calls:
 	// 2 s, and a margin of 300 ms for late timers in busy processes.
 	drainDeadline = 2*time.Second + 300*time.Millisecond
@@ -70,6 +74,7 @@
 
 		mu            sync.Mutex
 		fault         Fault
+		resetsEarly   bool
 		drainingSince time.Time
 		conns         map[net.Conn]struct{}
 		inProgress    map[string]time.Time
@@ -82,7 +87,7 @@
 // are reset.
 func NewTarget(id string, recorder *oracle.Recorder) (*Target, func(), error) {
 	t := &Target{ID: id, recorder: recorder, conns: make(map[net.Conn]struct{}), inProgress: make(map[string]time.Time)}
-	server, stopServer, err := rawserver.New(t.serve)
+	server, stopServer, err := rawserver.New(t.serve, rawserver.WithUnreadBodies())
 	if err != nil {
 		return nil, nil, err
 	}
@@ -113,6 +118,14 @@
 	t.fault = fault
 }
 
+// SetResetsEarly lets the target respond to some calls with long bodies before it has read them, without
+// stating the length of the response, and reset the connection after a part of it.
+func (t *Target) SetResetsEarly(resets bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resetsEarly = resets
+}
+
 // MarkDraining records that the store has acknowledged that the target is draining.
 func (t *Target) MarkDraining() {
 	t.mu.Lock()
@@ -130,7 +143,20 @@
 	return Healthy
 }
 
+// drawEarlyReset reports whether a call with a long body is one that the target answers early.
+func (t *Target) drawEarlyReset(r rawserver.Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.resetsEarly && r.Length >= longBodyBytes && rand.Float64() < earlyResetRate
+}
+
 func (t *Target) serve(c net.Conn, r rawserver.Request) bool {
+	isEarly := t.drawEarlyReset(r)
+	if !isEarly {
+		if _, err := io.Copy(io.Discard, r.Unread); err != nil {
+			return false
+		}
+	}
 	t.mu.Lock()
 	t.conns[c] = struct{}{}
 	drainingSince := t.drainingSince
@@ -160,6 +186,10 @@
 	t.recorder.RecordRun(forwarded.Call, maxTargets(r.Target), t.ID)
 	defer t.recorder.RecordRunEnd(forwarded.Call, t.ID)
 	time.Sleep(t.lengthen(workTime(r.Target)))
+	if isEarly {
+		t.resetEarly(c, r, forwarded.Call)
+		return false
+	}
 	switch fault {
 	case ResetAfterRun:
 		rawserver.Reset(c)
@@ -183,6 +213,19 @@
 	return t.write(c, platformtest.Response(r, "200 OK", t.stateLines(), WholeBody(forwarded.Call))+extra)
 }
 
+// resetEarly responds with a part that ends where a whole response could end, and resets the connection
+// once the router has received it.
+func (t *Target) resetEarly(c net.Conn, r rawserver.Request, call string) {
+	if isStream(r.Target) {
+		t.write(c, platformtest.UnframedStreamHead(r)+planOf(r.Target).event(call, 1))
+	} else {
+		part := WholeBody(call)[:len(WholeBody(""))]
+		t.write(c, platformtest.Unframed(platformtest.Response(r, "200 OK", t.stateLines(), part)))
+	}
+	time.Sleep(earlyResetDelay)
+	rawserver.Reset(c)
+}
+
 // checkDrained records a violation if a call reaches the target more than drainDeadline
 // after it was marked as draining, and the fleet has had no faults since.
 func (t *Target) checkDrained(forwarded platformtest.ForwardedCall, drainingSince time.Time) {
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -19,8 +19,10 @@
 	// Request is a received request.
 	Request struct {
 		*http1.Request
-		// Body is the complete body, or nil if the server leaves bodies to its Handler.
-		Body []byte
+		// Body is the complete body, or nil if the server leaves bodies to its Handler, which reads
+		// them from Unread.
+		Body   []byte
+		Unread io.Reader
 		// Sequence is the position of the request among all requests of the server, from 1.
 		Sequence int
 		// ConnSequence is the position of the request on its connection, from 1.
@@ -46,8 +48,8 @@
 // Option changes a server's settings.
 type Option func(*Server)
 
-// WithUnreadBodies calls the Handler as soon as the head of a request has arrived. The Handler reads
-// what it wants of the body, and must not keep the connection open unless it has read all of it.
+// WithUnreadBodies calls the Handler as soon as the head of a request has arrived. The Handler must not
+// keep the connection open unless it has read all of the body.
 func WithUnreadBodies() Option {
 	return func(s *Server) { s.leavesBodies = true }
 }
@@ -124,13 +126,13 @@
 		if err != nil {
 			return
 		}
-		var body []byte
-		if !s.leavesBodies {
-			if body, err = io.ReadAll(http1.Body(reader, head.Length)); err != nil {
-				return
-			}
+		r := Request{Request: head, ConnSequence: n}
+		body := http1.Body(reader, head.Length)
+		if s.leavesBodies {
+			r.Unread = body
+		} else if r.Body, err = io.ReadAll(body); err != nil {
+			return
 		}
-		r := Request{Request: head, Body: body, ConnSequence: n}
 		s.mu.Lock()
 		r.Sequence = len(s.requests) + 1
 		s.requests = append(s.requests, r)
--- a/internal/wire/tcp/tcp.go
+++ b/internal/wire/tcp/tcp.go
@@ -74,6 +74,14 @@
 	return half.CloseWrite()
 }
 
+// Reset closes the connection with a reset. Connections other than TCP are closed as by Close.
+func (c *Conn) Reset() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // Fails only if the connection is closed.
+	}
+	return c.Close()
+}
+
 // SyscallConn implements syscall.Conn. The raw connection must not be written to.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	raw, ok := c.Conn.(syscall.Conn)
