Wait for the list of targets where a router's tests wait until it is ready

Traced: a router is ready with a configuration alone, and the list of targets came later. With 100 ms between the two in the store the test failed in 6 of 6 runs with the same assertion.

configure() now also waits until the router knows a target; with the same 100 ms the test passed in 6 of 6. The check itself is unchanged, and so is the product.

--- a/internal/node/edge/edge_test.go
+++ b/internal/node/edge/edge_test.go
@@ -94,6 +94,8 @@
 	f.store.Set(platformtest.KindConfigurations, platformtest.CurrentConfiguration, platformtest.Configuration(1))
 	f.store.Set(platformtest.KindTargets, "i-1", platformtest.Target(f.target.Address(), "ready", 0))
 	f.eventually("ready", func() bool { return f.status(f.settings.ReadyAddress, "/readyz") == 200 })
+	// A router is ready with a configuration; the list of targets may come later.
+	f.eventually("a target is known", func() bool { return len(f.router.watcher.View().Targets.ByService) > 0 })
 }
 
 func (f *fixture) eventually(what string, condition func() bool) {
