Add the listening peer before the load figures in their test

Traced: a router without peers tells nobody of its figures and does not repeat them, and the test added its peer after it had given the router the figures. With 300 ms between the two the test failed with the same assertion after 35.3 s, at the first try.

The peer is added first now; with 300 ms between the figures and the first read the test passed in 3 of 3. What is checked is the same, and the product is unchanged. A pause of 300 ms between the loads and the figures fails the other case before and after this commit: its loads must be fresh. That was seen with the pause only.

--- a/internal/peer/gossip/figures_test.go
+++ b/internal/peer/gossip/figures_test.go
@@ -63,6 +63,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
 			a := f.start("a", f.storeAddress)
+			next := f.listen(a) // Before the figures, which a router without peers tells nobody.
 			for i := range uint64(loads) {
 				a.tracker.Begin(math.MaxUint64-i, 1<<30, time.Now())
 				for range 100 {
@@ -72,7 +73,6 @@
 			for i := range uint64(40) {
 				a.figures.Observe(math.MaxUint64-i, targetload.Figures{Running: 1 << 16, Waiting: 1 << 16, Slots: 1 << 16, Slowdown: 20}, time.Now())
 			}
-			next := f.listen(a)
 			seen := make(map[uint64]int)
 			for len(seen) < 40 {
 				b, size := next()
