Reset the soak's connections with the function that exists

tcp.Conn.Reset, which only the soak's proxy called, was a second rawserver.Reset in a package of the product, and its CloseWrite was there for the proxy alone too. The proxy calls rawserver.Reset and half-closes the TCP connection itself, as it did before. The product loses two methods that nothing else used; behaviour is the same.

--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"hickoryrock/internal/standin/rawserver"
 	"hickoryrock/internal/wire/tcp"
 )
 
@@ -178,7 +179,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			_ = dst.CloseWrite() // Fails only if the connection has ended.
+			if c, ok := dst.Conn.(*net.TCPConn); ok {
+				_ = c.CloseWrite() // Fails only if the connection has ended.
+			}
 			return
 		}
 		if err != nil {
@@ -222,7 +225,7 @@
 func (pair *connPair) reset() {
 	for _, c := range []*tcp.Conn{pair.client, pair.server} {
 		if c != nil {
-			_ = c.Reset() // Fails only if the connection has ended.
+			rawserver.Reset(c.Conn)
 		}
 	}
 }
--- a/internal/wire/tcp/tcp.go
+++ b/internal/wire/tcp/tcp.go
@@ -65,23 +65,6 @@
 	return n, c.recordWrite(err)
 }
 
-// CloseWrite sends a FIN after what was written. Connections other than TCP return an error.
-func (c *Conn) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
-		return errors.ErrUnsupported
-	}
-	return half.CloseWrite()
-}
-
-// Reset closes the connection with a reset. Connections other than TCP are closed as by Close.
-func (c *Conn) Reset() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // Fails only if the connection is closed.
-	}
-	return c.Close()
-}
-
 // SyscallConn implements syscall.Conn. The raw connection must not be written to.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	raw, ok := c.Conn.(syscall.Conn)
