Log lists whose parts are as of different revisions

A list of more than one page takes several calls, and with serializable=1 each may be answered by another replica.

No decision depends on it yet.

--- a/internal/fleet/storewatch/evacuationwatch.go
+++ b/internal/fleet/storewatch/evacuationwatch.go
@@ -61,6 +61,7 @@
 		}
 		w.recordSuccess(&w.evacuationWatch)
 		w.recordEra(&w.evacuationWatch, &page)
+		w.logUneven(w.evacuationWatch.kind, &page, c == listCached)
 		p.failures = 0
 		if isList {
 			_ = objects.Sleep(ctx, w.handleEvacuationList(&p, page, c))
--- a/internal/fleet/storewatch/listwatch.go
+++ b/internal/fleet/storewatch/listwatch.go
@@ -66,6 +66,7 @@
 		}
 		w.recordSuccess(s)
 		w.recordEra(s, &page)
+		w.logUneven(s.kind, &page, c == listCached)
 		if c == listCached && page.Revision.Era > state.FirstEra {
 			page.Revision.Era = 0 // The list may be older than the era that it states.
 		}
