--- a/internal/fleet/storewatch/evacuationwatch.go
+++ b/internal/fleet/storewatch/evacuationwatch.go
@@ -144,8 +144,8 @@
 
 // handleEvacuationList applies a list, and returns the pause before the next call.
 func (w *Watcher) handleEvacuationList(p *evacuationReader, page platform.Page, c call) time.Duration {
-	// A cached list may be older than the era that it states.
-	provisional := c == listCached && page.Revision.Era > state.FirstEra
+	// A cached list may be older than the era that it states, and a set has one revision only.
+	provisional := c == listCached && (page.Revision.Era > state.FirstEra || page.IsUneven())
 	if provisional || (c == listCached && page.Revision.Before(p.needed)) {
 		w.listEvacuations(page, provisional)
 		p.listDue = list
--- /dev/null
+++ b/internal/fleet/storewatch/old_pages_test.go
@@ -0,0 +1,70 @@
+package storewatch_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hickoryrock/platform/platformtest"
+)
+
+// ageFurtherPages makes all pages of cached lists but the first as old as the store is now.
+func ageFurtherPages(store *platformtest.Store, pageSize int) {
+	store.SetPageSize(pageSize)
+	store.AgeCachedPages(func(after string, past []time.Time) int {
+		if after == "" {
+			return len(past) - 1
+		}
+		return 0
+	})
+}
+
+// Guards against calls to an evacuated failure domain, or none to one that is in use again: a
+// router that started took an old further page of a cached list for as new as the first.
+func TestEvacuationsAreNotTakenFromOldPages(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(s *platformtest.Store)
+		want   []string
+	}{
+		"begun": {func(s *platformtest.Store) { s.Set(platformtest.KindEvacuations, west, "{}") }, []string{east, west}},
+		"ended": {func(s *platformtest.Store) { s.Remove(platformtest.KindEvacuations, east) }, []string{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newStoreOfTwoDomains()
+			for _, domain := range []string{"a", "b", east} {
+				store.Set(platformtest.KindEvacuations, domain, "{}")
+			}
+			ageFurtherPages(store, 2)
+			test.change(store)
+			f := watchTwoDomains(t, store)
+			f.assertEvacuated(test.want...)
+			f.assertStaysEvacuated(evacuationBound, test.want...)
+		})
+	}
+}
+
+// Guards against lists that are read again only because their pages are of different ages: the
+// platform charges for each call.
+func TestOldPagesCostNoFurtherCalls(t *testing.T) {
+	for name, test := range map[string]struct {
+		isOld bool
+		want  int
+	}{"all pages are new": {false, 4}, "the further pages are old": {true, 4}} {
+		t.Run(name, func(t *testing.T) {
+			store := platformtest.NewStore()
+			for _, target := range []string{"i-1", "i-2", "i-3", "i-4", "i-5"} {
+				store.Set(platformtest.KindTargets, target, platformtest.Target("10.0.0.1:80", "ready", 0))
+			}
+			store.SetPageSize(2)
+			if test.isOld {
+				ageFurtherPages(store, 2)
+			}
+			store.Set(platformtest.KindTargets, "i-5", platformtest.Target("10.0.0.1:80", "draining", 0))
+			f := newFixtureWithStore(t, false, store)
+			f.eventually("the list is read", func() bool { return f.View().Targets.Revision.Number > 0 })
+			time.Sleep(500 * time.Millisecond)
+			f.Assert(store.Calls(), qt.Equals, test.want, qt.Commentf("one for the configuration, one for each page"))
+		})
+	}
+}
