Do not apply a watch that arrives after later changes from another router

Cause: handleTargets checked the revision of lists only. An answer to a watch as of revision 6 that arrived after another router's change of revision 7 was applied: the view stated 7 and held the older entry. The delta that was kept for other routers said the same.

A view holds all changes up to its revision, so that an older page of a watch has nothing to add. The reader still goes on from the page's revision, as before.

--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -14,15 +14,13 @@
 )
 
 // handleTargets applies a page of targets and returns false if it is a list that
-// is older than the known revision.
+// is older than the known revision. The changes of an older watch are known already.
 func (w *Watcher) handleTargets(page platform.Page, full bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	switch {
-	case full && page.Revision.Before(w.revision):
-		return false
-	case page.Revision.Era < w.revision.Era:
-		return true
+	if page.Revision.Before(w.revision) {
+		w.logOutdated(originStore, page.Revision, len(page.Objects))
+		return !full
 	}
 	after := w.revision
 	w.enterEra(page.Revision, originStore)
