Keep what is newer by its own revision, whichever source tells an older state

What callers would see: a target that drains or has left is called again for as long as it takes until the later change arrives. Found by TestSourcesOfAnyAge, not seen with real processes.

Cause: apply compared revisions of pages, not those of entries. With lists that state the revision of their oldest part, some parts and entries are newer than the view's revision. A change from another router between the two replaced such an entry, removed it, or brought back one whose removal the newer part showed.

Eras go before numbers as everywhere; an entry without a readable revision counts as of its source. An entry kept beyond its removal is now only taken as such by a router that takes the entry.

--- a/internal/fleet/storewatch/entries.go
+++ b/internal/fleet/storewatch/entries.go
@@ -1,32 +1,49 @@
 package storewatch
 
 import (
+	"time"
+
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/platform"
 )
 
 // entryChange is a changed or deleted entry.
 type entryChange struct {
-	name     string
-	deleted  bool
+	name    string
+	deleted bool
+	// asOf is the revision as of which the source knows the entry.
+	asOf state.Revision
+	// revision is the number of the revision of the entry's last change; zero if it states none.
 	revision uint64
 	raw      []byte
 	// target is nil if the entry describes no usable target.
 	target *state.Target
+	// keptFor is the time for which the entry is kept although the store does not list it.
+	keptFor time.Duration
+}
+
+// changedAt returns the revision of the entry's last change, or one as of which it is known.
+func (c *entryChange) changedAt() state.Revision {
+	if c.revision == 0 {
+		return c.asOf
+	}
+	return state.Revision{Era: c.asOf.Era, Number: c.revision}
 }
 
-// decodeEntries decodes objects of the store. It leaves out those without a readable name:
+// decodeEntries decodes the objects of a page. It leaves out those without a readable name:
 // routers could not agree on what became of them.
-func (w *Watcher) decodeEntries(list []platform.Object) []entryChange {
-	changes := make([]entryChange, 0, len(list))
-	for _, o := range list {
-		c := entryChange{name: o.Name, deleted: o.Deleted, revision: o.Revision, raw: o.Raw}
+func (w *Watcher) decodeEntries(page *platform.Page) []entryChange {
+	changes := make([]entryChange, 0, len(page.Objects))
+	for _, o := range page.Objects {
+		c := entryChange{name: o.Name, deleted: o.Deleted, asOf: page.RevisionOf(o.Name), raw: o.Raw}
 		if !o.Deleted {
 			var err error
 			if c.target, err = platform.DecodeTarget(o); err != nil {
 				w.log.Info().Err(err).Msg("target entry skipped")
 				// Nothing else of it is needed, and it may be large.
 				c.raw = platform.UnusableTarget(o.Name)
+			} else {
+				c.revision = o.Revision
 			}
 		}
 		if c.name != "" {
--- a/internal/fleet/storewatch/old_pages_test.go
+++ b/internal/fleet/storewatch/old_pages_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hickoryrock/internal/fleet/storewatch"
 	"hickoryrock/platform/platformtest"
 )
 
@@ -68,3 +69,37 @@
 		})
 	}
 }
+
+// Guards against a list in several calls beside changes, whose later pages are newer than the
+// revision that it states: an older change from another router replaced their entries or brought
+// back those that are gone.
+func TestOlderChangesDoNotReplaceNewerPages(t *testing.T) {
+	store := platformtest.NewStore()
+	for _, name := range []string{"a-1", "a-2", "i-1", "i-2"} {
+		store.Set(platformtest.KindTargets, name, target("ready"))
+	}
+	store.SetPageSize(2)
+	store.AgeCachedPages(func(after string, past []time.Time) int {
+		if after == "" {
+			return 0
+		}
+		return len(past) - 1
+	})
+	listed := at(store.Revision())
+	store.Set(platformtest.KindTargets, "i-1", platformtest.Target("10.0.0.2:80", "ready", 0))
+	changed := item("i-1", "ready")
+	store.Set(platformtest.KindTargets, "i-1", target("draining"))
+	store.Remove(platformtest.KindTargets, "i-2")
+	f := newFixtureWithStore(t, false, store)
+	f.eventually("the list is known", func() bool { return f.View().Targets.Revision == listed })
+	f.Assert(f.ready(), qt.Equals, 2)
+	f.Assert(f.ApplyTargets(storewatch.Delta{
+		After: listed, Revision: at(listed.Number + 1), Items: []storewatch.TargetChange{changed, item("i-2", "ready")},
+	}, false, "other"), qt.IsTrue)
+	f.Assert(f.View().Targets.Revision, qt.Equals, at(listed.Number+1))
+	f.Assert(f.ready(), qt.Equals, 2)
+	f.Assert(f.ApplyTargets(storewatch.Delta{
+		After: at(listed.Number + 1), Revision: at(store.Revision() + 1), Items: []storewatch.TargetChange{item("i-2", "ready")},
+	}, false, "other"), qt.IsTrue)
+	f.Assert(f.ready(), qt.Equals, 3, qt.Commentf("a later change is applied"))
+}
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -24,8 +24,8 @@
 	}
 	after := w.revision
 	w.enterEra(page.Revision, originStore)
-	changes := w.decodeEntries(page.Objects)
-	w.apply(changes, page.Revision, full, w.keepUntil(full))
+	changes := w.decodeEntries(&page)
+	w.apply(changes, &page, full, w.keepUntil(full), originStore)
 	if full || len(changes) == 0 {
 		return true
 	}
@@ -40,7 +40,7 @@
 // names its origin, from. It returns false when changes between the known
 // revision and d.After are missing.
 func (w *Watcher) ApplyTargets(d Delta, full bool, from string) bool {
-	objects := make([]platform.Object, 0, len(d.Items))
+	page := platform.Page{Revision: d.Revision, Objects: make([]platform.Object, 0, len(d.Items))}
 	kept := make(map[string]time.Duration)
 	for _, item := range d.Items {
 		o := platform.Object{Name: item.Deleted, Deleted: true}
@@ -50,7 +50,7 @@
 		if item.KeptFor > 0 {
 			kept[o.Name] = min(item.KeptFor, recoveryGrace)
 		}
-		objects = append(objects, o)
+		page.Objects = append(page.Objects, o)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -63,13 +63,13 @@
 	w.enterEra(d.Revision, from)
 	var keepUntil time.Time
 	if full {
-		keepUntil = w.rewriteEnd()
+		keepUntil, page.Parts = w.rewriteEnd(), d.Parts
 	}
-	changes := w.decodeEntries(objects)
-	w.apply(changes, d.Revision, full, keepUntil)
-	for name, d := range kept {
-		w.expiring[name] = time.Now().Add(d)
+	changes := w.decodeEntries(&page)
+	for i := range changes {
+		changes[i].keptFor = kept[changes[i].name]
 	}
+	w.apply(changes, &page, full, keepUntil, originRouter)
 	if !full {
 		w.recordDelta(newDelta(d.After, d.Revision, changes))
 	}
@@ -110,7 +110,7 @@
 	if r.Era <= known.Era {
 		return
 	}
-	w.revision, w.listRevision = r, r
+	w.revision, w.listRevision, w.newerRanges = r, r, nil
 	w.dropDeltas(r)
 	w.eraSince, w.eraBase = time.Now(), r.Number
 	if known.Era == 0 {
@@ -159,13 +159,19 @@
 	w.publishTargets()
 }
 
-// apply applies changes up to a revision to the entries and publishes the result; full is set
-// for a list of all targets. Missing entries are kept until keepUntil. w.mu must be held.
-func (w *Watcher) apply(changes []entryChange, revision state.Revision, full bool, keepUntil time.Time) {
+// apply applies the changes of a page, unless they are older than what is known, and publishes the
+// result; full is set for a list of all targets. Missing entries are kept until keepUntil. w.mu must
+// be held.
+func (w *Watcher) apply(changes []entryChange, page *platform.Page, full bool, keepUntil time.Time, from string) {
 	listed := make(map[string]bool, len(changes))
 	now := time.Now()
-	changed := false
+	changed, outdated := false, 0
 	for _, c := range changes {
+		if w.isOutdated(c) {
+			listed[c.name] = true
+			outdated++
+			continue
+		}
 		if c.deleted {
 			changed = w.remove(c.name, keepUntil) || changed
 			continue
@@ -177,20 +183,22 @@
 		listed[c.name] = true
 		w.recordState(old.target, c.target, !full || c.revision > w.eraBase)
 		delete(w.expiring, c.name)
+		if c.keptFor > 0 {
+			w.expiring[c.name] = now.Add(c.keptFor)
+		}
 		changed = changed || !bytes.Equal(old.raw, c.raw)
 		c.setReceivedAt(old, now)
-		w.entries[c.name] = entry{raw: c.raw, target: c.target}
+		w.entries[c.name] = entry{raw: c.raw, target: c.target, revision: c.changedAt()}
 	}
 	if full {
-		for name := range w.entries {
-			if !listed[name] {
-				changed = w.remove(name, keepUntil) || changed
-			}
-		}
+		isRemoved, newer := w.removeMissing(listed, page, keepUntil)
+		changed, outdated = changed || isRemoved, outdated+newer
 	}
-	if w.revision.Before(revision) {
-		w.revision = revision
+	w.logOutdated(from, page.Revision, outdated)
+	if w.revision.Before(page.Revision) {
+		w.revision = page.Revision
 	}
+	w.recordRanges(page)
 	if full && changed {
 		w.dropDeltas(w.revision)
 		w.listRevision = w.revision
@@ -200,6 +208,22 @@
 	}
 }
 
+// removeMissing removes the entries that a list does not hold, or keeps them until keepUntil. It
+// returns whether any was deleted, and the number of those that are newer than the list. w.mu must
+// be held.
+func (w *Watcher) removeMissing(listed map[string]bool, list *platform.Page, keepUntil time.Time) (isRemoved bool, newer int) {
+	for name := range w.entries {
+		switch {
+		case listed[name]:
+		case w.isOutdated(missing(name, list)):
+			newer++
+		default:
+			isRemoved = w.remove(name, keepUntil) || isRemoved
+		}
+	}
+	return isRemoved, newer
+}
+
 // setReceivedAt sets the time at which the changed entry of a target was received, which is that of
 // the old entry if it says the same.
 func (c entryChange) setReceivedAt(old entry, now time.Time) {
@@ -343,7 +367,7 @@
 		}
 		return s
 	}
-	s.Full, s.Departures = true, w.departures.list()
+	s.Full, s.Targets.Parts, s.Departures = true, w.parts(), w.departures.list()
 	now := time.Now()
 	for name, e := range w.entries {
 		item := TargetChange{Entry: e.raw}
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -97,6 +97,8 @@
 		configuration []byte
 		entries       map[string]entry
 		revision      state.Revision
+		// newerRanges are ranges of names of which this router knows changes after revision.
+		newerRanges []nameRange
 		// eraSince is when this router first saw the store's era, or zero; eraBase is the
 		// first revision that it saw of it.
 		eraSince time.Time
@@ -155,6 +157,8 @@
 	entry struct {
 		raw    []byte
 		target *state.Target
+		// revision is that of the entry's last change, or one as of which it is known.
+		revision state.Revision
 	}
 
 	// Delta holds the changes of targets after revision After up to Revision.
@@ -163,6 +167,9 @@
 		Revision state.Revision
 		// Items are in the order in which the changes happened.
 		Items []TargetChange
+		// Parts are set if all targets are known as of later revisions, which differ by their
+		// names; see platform.Page.
+		Parts []platform.ListPart
 	}
 
 	// TargetChange is the entry of a changed target or the name of a deleted one.
--- a/internal/peer/gossip/old_pages_test.go
+++ b/internal/peer/gossip/old_pages_test.go
@@ -17,10 +17,10 @@
 	leaving = "z-1"
 )
 
-// uses reports whether a router may send new calls to a target.
-func (r *router) uses(id string) bool {
+// usesLeaving reports whether a router may send new calls to the leaving target.
+func (r *router) usesLeaving() bool {
 	for _, t := range r.watcher.View().Targets.ByService["s"] {
-		if t.ID == id && !t.Draining {
+		if t.ID == leaving && !t.Draining {
 			return true
 		}
 	}
@@ -38,7 +38,7 @@
 	a, b := f.start("a", f.storeAddress), f.start("b", f.storeAddress)
 	b.AddPeer(a.address)
 	for _, r := range []*router{a, b} {
-		f.eventually("the targets are known", func() bool { return r.LiveCount() == 2 && r.uses(leaving) })
+		f.eventually("the targets are known", func() bool { return r.LiveCount() == 2 && r.usesLeaving() })
 	}
 	return []*router{a, b}
 }
@@ -55,7 +55,7 @@
 	change()
 	for _, r := range peers {
 		f.eventually("the change is known", func() bool {
-			return !r.uses(leaving) && r.watcher.View().Targets.Revision.Number == f.store.Revision()
+			return !r.usesLeaving() && r.watcher.View().Targets.Revision.Number == f.store.Revision()
 		})
 	}
 	restarted := f.start("restarted", f.storeAddress)
@@ -102,12 +102,12 @@
 				peers := f.startPeers()
 				restarted := f.restartWithOldPages(peers, func() { change(f) }, isOld)
 				f.eventually("the restarted router is up to date", func() bool {
-					return restarted.LiveCount() == 3 && !restarted.uses(leaving) &&
+					return restarted.LiveCount() == 3 && !restarted.usesLeaving() &&
 						restarted.watcher.View().Targets.Digest == peers[0].watcher.View().Targets.Digest
 				})
 				for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 					for _, r := range append(peers, restarted) {
-						f.Assert(r.uses(leaving), qt.IsFalse)
+						f.Assert(r.usesLeaving(), qt.IsFalse)
 					}
 				}
 			})
--- a/internal/peer/gossip/revision.go
+++ b/internal/peer/gossip/revision.go
@@ -6,6 +6,7 @@
 	peerv1 "hickoryrock/api/peer/v1"
 	"hickoryrock/internal/fleet/state"
 	"hickoryrock/internal/fleet/storewatch"
+	"hickoryrock/platform"
 )
 
 // maxDepartureReports bounds the departures in a snapshot.
@@ -56,9 +57,13 @@
 
 // encodeDelta returns a change of targets without its items.
 func encodeDelta(d storewatch.Delta) *peerv1.TargetsChange {
-	return &peerv1.TargetsChange{
+	out := &peerv1.TargetsChange{
 		AfterEra: d.After.Era, AfterRevision: d.After.Number, Era: d.Revision.Era, Revision: d.Revision.Number,
 	}
+	for _, part := range d.Parts {
+		out.Parts = append(out.Parts, &peerv1.TargetsPart{Last: part.Last, Revision: part.Revision})
+	}
+	return out
 }
 
 func encodeItem(item storewatch.TargetChange) *peerv1.TargetItem {
@@ -70,6 +75,9 @@
 		After:    state.Revision{Era: c.GetAfterEra(), Number: c.GetAfterRevision()},
 		Revision: state.Revision{Era: c.GetEra(), Number: c.GetRevision()},
 	}
+	for _, part := range c.GetParts() {
+		out.Parts = append(out.Parts, platform.ListPart{Last: part.GetLast(), Revision: part.GetRevision()})
+	}
 	for _, item := range c.GetItems() {
 		out.Items = append(out.Items, storewatch.TargetChange{
 			Entry: item.GetEntry(), Deleted: item.GetDeleted(), KeptFor: time.Duration(item.GetKeptMs()) * time.Millisecond,
