--- a/internal/policy/quarantine/restore_test.go
+++ b/internal/policy/quarantine/restore_test.go
@@ -36,3 +36,19 @@
 		c.Assert(standing(tr, 2*time.Second, part), qt.Equals, quarantine.Clear)
 	})
 }
+
+// Guards against a part that is refused again because a router that restarted read its record from
+// an old page of a cached list (issue 55), after the part was released by a complete answer.
+func TestReleasedPartsStayReleasedBesideOldRecords(t *testing.T) {
+	const part = 7
+	c := qt.New(t)
+	old := []quarantine.Record{{Part: part, Crashes: 5, LastCrash: after(time.Second), LastSeen: after(time.Second)}}
+	undisturbed, restarted := quarantine.NewTracker(), quarantine.NewTracker()
+	undisturbed.Restore(old, after(time.Second))
+	undisturbed.RecordAnswer([]uint64{part}, after(2*time.Second))
+	restarted.Restore(old, after(4*time.Second))
+	undisturbed.Merge(restarted.TakeReport(true, after(4*time.Second)), after(4*time.Second))
+	c.Assert(standing(undisturbed, 4*time.Second, part), qt.Equals, quarantine.Clear)
+	restarted.Merge(undisturbed.TakeReport(true, after(5*time.Second)), after(5*time.Second))
+	c.Assert(standing(restarted, 5*time.Second, part), qt.Equals, quarantine.Clear)
+}
--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -69,6 +69,8 @@
 		// EarlyAnswers lets some callers send long bodies, and targets respond before they have read
 		// them and reset the connection.
 		EarlyAnswers bool
+		// OldPages lets the pages of cached lists be as of different earlier states.
+		OldPages bool
 		// RealCallers lets callers and planned stops do what they do on the users' platform,
 		// with its grace period.
 		RealCallers bool
--- a/internal/soak/scenario/testbed.go
+++ b/internal/soak/scenario/testbed.go
@@ -124,6 +124,9 @@
 	if o.RealCallers {
 		tb.grace = realStopGrace
 	}
+	if o.OldPages {
+		tb.serveOldPages()
+	}
 	server := httptest.NewServer(tb.store)
 	tb.storeAddress = strings.TrimPrefix(server.URL, "http://")
 	tb.cleanups = append(tb.cleanups, server.Close)
