--- a/internal/fleet/storewatch/old_pages_test.go
+++ b/internal/fleet/storewatch/old_pages_test.go
@@ -103,3 +103,24 @@
 	}, false, "other"), qt.IsTrue)
 	f.Assert(f.ready(), qt.Equals, 3, qt.Commentf("a later change is applied"))
 }
+
+// Guards against a snapshot of another router that brings back what a later list lacks (issue 55):
+// a watch had lost the removal, the list found it, and the snapshot of the same revision was late.
+func TestSnapshotsOfOlderListsDoNotUndoLaterOnes(t *testing.T) {
+	f := newFixture(t, true)
+	f.store.Set(platformtest.KindTargets, "i-1", platformtest.Target("10.0.0.1:80", "ready", 0))
+	f.eventually("the target is known", func() bool { return f.ready() == 1 })
+	f.store.SuppressEvents(true)
+	f.store.Remove(platformtest.KindTargets, "i-1")
+	f.eventually("a list finds the removal", func() bool { return f.ready() == 0 })
+	f.store.SuppressEvents(false)
+	known := f.View().Targets
+	late := storewatch.Delta{Revision: known.Revision, Items: []storewatch.TargetChange{item("i-1", "ready")}, ListRevision: at(1)}
+	f.Assert(f.ApplyTargets(late, true, "other"), qt.IsTrue)
+	f.Assert(f.ready(), qt.Equals, 0)
+	other := newFollower(t)
+	other.ApplyTargets(storewatch.Delta{After: at(1), Revision: known.Revision, Items: late.Items}, false, "other")
+	f.Assert(other.ready(), qt.Equals, 1)
+	other.ApplyTargets(f.Snapshot(0, at(0)).Targets, true, "other")
+	f.Assert(other.ready(), qt.Equals, 0, qt.Commentf("a snapshot of a later list is applied"))
+}
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -36,8 +36,8 @@
 }
 
 // ApplyTargets applies a delta of targets from another router unless it is older
-// than the known revision; full is set when the delta holds all targets. The log
-// names its origin, from. It returns false when changes between the known
+// than the known revision; full is set when the delta holds all targets, which replace those
+// of the same revision if they are based on a later list. The log names its origin, from. It returns false when changes between the known
 // revision and d.After are missing.
 func (w *Watcher) ApplyTargets(d Delta, full bool, from string) bool {
 	page := platform.Page{Revision: d.Revision, Objects: make([]platform.Object, 0, len(d.Items))}
@@ -54,7 +54,8 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if d.Revision.Before(w.revision) || (d.Revision == w.revision && !full) {
+	isNewerList := full && w.listRevision.Before(d.ListRevision)
+	if d.Revision.Before(w.revision) || (d.Revision == w.revision && !isNewerList) {
 		return true
 	}
 	if !full && (d.After.Era != w.revision.Era || w.revision.Before(d.After)) {
@@ -367,7 +368,8 @@
 		}
 		return s
 	}
-	s.Full, s.Targets.Parts, s.Departures = true, w.parts(), w.departures.list()
+	s.Full, s.Departures = true, w.departures.list()
+	s.Targets.ListRevision, s.Targets.Parts = w.listRevision, w.parts()
 	now := time.Now()
 	for name, e := range w.entries {
 		item := TargetChange{Entry: e.raw}
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -167,6 +167,9 @@
 		Revision state.Revision
 		// Items are in the order in which the changes happened.
 		Items []TargetChange
+		// ListRevision is the revision of the list that all targets are based on, see
+		// state.Targets.
+		ListRevision state.Revision
 		// Parts are set if all targets are known as of later revisions, which differ by their
 		// names; see platform.Page.
 		Parts []platform.ListPart
--- a/internal/peer/gossip/revision.go
+++ b/internal/peer/gossip/revision.go
@@ -59,6 +59,7 @@
 func encodeDelta(d storewatch.Delta) *peerv1.TargetsChange {
 	out := &peerv1.TargetsChange{
 		AfterEra: d.After.Era, AfterRevision: d.After.Number, Era: d.Revision.Era, Revision: d.Revision.Number,
+		Listed: d.ListRevision.Number,
 	}
 	for _, part := range d.Parts {
 		out.Parts = append(out.Parts, &peerv1.TargetsPart{Last: part.Last, Revision: part.Revision})
@@ -75,6 +76,9 @@
 		After:    state.Revision{Era: c.GetAfterEra(), Number: c.GetAfterRevision()},
 		Revision: state.Revision{Era: c.GetEra(), Number: c.GetRevision()},
 	}
+	if c.GetListed() > 0 {
+		out.ListRevision = state.Revision{Era: c.GetEra(), Number: c.GetListed()}
+	}
 	for _, part := range c.GetParts() {
 		out.Parts = append(out.Parts, platform.ListPart{Last: part.GetLast(), Revision: part.GetRevision()})
 	}
