--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -36,9 +36,10 @@
 }
 
 // ApplyTargets applies a delta of targets from another router unless it is older
-// than the known revision; full is set when the delta holds all targets, which replace those
-// of the same revision if they are based on a later list. The log names its origin, from. It returns false when changes between the known
-// revision and d.After are missing.
+// than the known revision; full is set when the delta holds all targets, which replace
+// those of the same revision if they are based on a later list. The log names its
+// origin, from. It returns false when changes between the known revision and d.After
+// are missing.
 func (w *Watcher) ApplyTargets(d Delta, full bool, from string) bool {
 	page := platform.Page{Revision: d.Revision, Objects: make([]platform.Object, 0, len(d.Items))}
 	kept := make(map[string]time.Duration)
