--- a/internal/fleet/storewatch/old_pages_test.go
+++ b/internal/fleet/storewatch/old_pages_test.go
@@ -124,3 +124,11 @@
 	other.ApplyTargets(f.Snapshot(0, at(0)).Targets, true, "other")
 	f.Assert(other.ready(), qt.Equals, 0, qt.Commentf("a snapshot of a later list is applied"))
 }
+
+// Guards against routers that fetch the same snapshot again and again while versions are mixed: one
+// of an earlier version does not say on which list its snapshot is based.
+func TestSnapshotsWithoutAListAreApplied(t *testing.T) {
+	f := newFollower(t)
+	f.Assert(f.ApplyTargets(storewatch.Delta{Revision: at(1), Items: []storewatch.TargetChange{item("i-1", "ready")}}, true, "other"), qt.IsTrue)
+	f.Assert(f.ready(), qt.Equals, 1)
+}
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -55,7 +55,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	isNewerList := full && w.listRevision.Before(d.ListRevision)
+	isNewerList := full && (d.ListRevision == state.Revision{} || w.listRevision.Before(d.ListRevision))
 	if d.Revision.Before(w.revision) || (d.Revision == w.revision && !isNewerList) {
 		return true
 	}
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -168,7 +168,7 @@
 		// Items are in the order in which the changes happened.
 		Items []TargetChange
 		// ListRevision is the revision of the list that all targets are based on, see
-		// state.Targets.
+		// state.Targets. It is zero if the other router does not tell, as in earlier versions.
 		ListRevision state.Revision
 		// Parts are set if all targets are known as of later revisions, which differ by their
 		// names; see platform.Page.
