--- a/internal/fleet/storewatch/old_sources_test.go
+++ b/internal/fleet/storewatch/old_sources_test.go
@@ -131,14 +131,14 @@
 			due, m.between = m.between[0], m.between[1:]
 		}
 		m.mu.Unlock()
-		apply(due)
+		runAll(due)
 	}
 	m.store.ServeHTTP(w, r)
 }
 
-func apply(changes []func()) {
-	for _, change := range changes {
-		change()
+func runAll(list []func()) {
+	for _, run := range list {
+		run()
 	}
 }
 
@@ -220,23 +220,28 @@
 			revision = platform.DecodeRaw(e.raw).Revision
 		}
 		if !isListed && r.known[name] < states[0].from {
-			continue
+			continue // It was not listed then.
 		}
-		i := slices.IndexFunc(states, func(s nameState) bool { return s.isListed == isListed && (!isListed || s.from == revision) })
-		for i >= 0 && !isListed && i+2 < len(states) && states[i+1].from <= r.known[name] {
-			next := slices.IndexFunc(states[i+1:], func(s nameState) bool { return !s.isListed })
-			if next < 0 {
-				break
-			}
-			i += 1 + next
-		}
-		if i < 0 || (i+1 < len(states) && states[i+1].from <= r.known[name]) {
+		i := findState(states, isListed, revision, r.known[name])
+		if i < 0 {
 			t.Fatalf("%s is listed: %v, as of revision %d; revision %d was known; history %v", name, isListed, revision, r.known[name], states)
 		}
 		r.known[name] = max(r.known[name], states[i].from)
 	}
 }
 
+// findState returns the index of the first state that a router may have as of a known revision or
+// later: one that was not replaced until then. revision is that of the entry if the name is listed.
+func findState(states []nameState, isListed bool, revision, known uint64) int {
+	for i, s := range states {
+		isReplaced := i+1 < len(states) && states[i+1].from <= known
+		if !isReplaced && s.isListed == isListed && (!isListed || s.from == revision) {
+			return i
+		}
+	}
+	return -1
+}
+
 func (m *sourcesModel) drawRouter(t *rapid.T) *sourcesRouter {
 	return m.routers[rapid.IntRange(0, len(m.routers)-1).Draw(t, "router")]
 }
@@ -265,7 +270,7 @@
 			answer, r.late = r.late[i], slices.Delete(r.late, i, i+1)
 		}
 	case "change":
-		apply(m.drawChanges(t, 6))
+		runAll(m.drawChanges(t, 6))
 	}
 	switch {
 	case answer == nil:
@@ -294,7 +299,7 @@
 			m.check(t, m.act(t))
 		}
 		for _, r := range m.routers {
-			apply(r.late)
+			runAll(r.late)
 			m.check(t, r)
 			m.plan(nil, nil)
 			page, err := client.List(context.Background(), platform.KindTargets)
