Look up a name's revision in lists with one function

The view kept the newer parts of a list as ranges of names of its own kind, with a look-up that repeated Page.RevisionOf, and searched for the newest part in a second place. It keeps the revisions and parts of such lists as they came. No behaviour changes.

--- a/internal/fleet/storewatch/outdated.go
+++ b/internal/fleet/storewatch/outdated.go
@@ -9,17 +9,6 @@
 	"hickoryrock/platform"
 )
 
-// nameRange is a range of names that this router knows as of a revision.
-type nameRange struct {
-	// after is the name before the first one. last is the last name, or empty if there is no end.
-	after, last string
-	revision    state.Revision
-}
-
-func (r *nameRange) contains(name string) bool {
-	return name > r.after && (r.last == "" || name <= r.last)
-}
-
 // missing returns the change that a list makes by not holding a name.
 func missing(name string, list *platform.Page) entryChange {
 	return entryChange{name: name, deleted: true, asOf: list.RevisionOf(name)}
@@ -37,49 +26,55 @@
 // be held.
 func (w *Watcher) knownAt(name string) state.Revision {
 	known := w.revision
-	for i := range w.newerRanges {
-		if r := &w.newerRanges[i]; known.Before(r.revision) && r.contains(name) {
-			known = r.revision
+	for i := range w.newerLists {
+		if r := w.newerLists[i].RevisionOf(name); known.Before(r) {
+			known = r
 		}
 	}
 	return known
 }
 
-// recordRanges records the parts of a list that are newer than the known revision, which is that
-// of the oldest part. w.mu must be held.
-func (w *Watcher) recordRanges(list *platform.Page) {
-	after := ""
-	for _, part := range list.Parts {
-		revision := state.Revision{Era: list.Revision.Era, Number: part.Revision}
-		w.newerRanges = append(w.newerRanges, nameRange{after, part.Last, revision})
-		after = part.Last
+// recordParts records the parts of a list if some of them are newer than the known revision, which
+// is that of the oldest part. w.mu must be held.
+func (w *Watcher) recordParts(list *platform.Page) {
+	if list.IsUneven() {
+		w.newerLists = append(w.newerLists, platform.Page{Revision: list.Revision, Parts: list.Parts})
 	}
-	w.newerRanges = slices.DeleteFunc(w.newerRanges, func(r nameRange) bool { return !w.revision.Before(r.revision) })
+	w.newerLists = slices.DeleteFunc(w.newerLists, func(l platform.Page) bool { return !w.revision.Before(l.Newest()) })
 }
 
 // parts returns the revisions as of which this router knows the targets by their names, or none if
 // there is one only. w.mu must be held.
 func (w *Watcher) parts() []platform.ListPart {
-	var bounds []string
-	for _, r := range w.newerRanges {
-		bounds = append(bounds, r.after, r.last)
+	if len(w.newerLists) == 0 {
+		return nil
 	}
-	slices.Sort(bounds)
-	var parts []platform.ListPart
-	last := ""
-	for _, bound := range slices.Compact(bounds) {
-		if bound != "" {
-			parts = append(parts, platform.ListPart{Last: bound, Revision: w.knownAt(bound).Number})
-			last = bound
+	bounds := []string{""}
+	for _, list := range w.newerLists {
+		for _, part := range list.Parts {
+			bounds = append(bounds, part.Last)
 		}
 	}
-	if len(bounds) == 0 {
-		return nil
+	slices.Sort(bounds)
+	bounds = slices.Compact(bounds)
+	parts := make([]platform.ListPart, 0, len(bounds))
+	for _, bound := range bounds[1:] {
+		parts = append(parts, platform.ListPart{Last: bound, Revision: w.knownAt(bound).Number})
 	}
-	next := last + "\x00" // The first name that follows.
+	next := bounds[len(bounds)-1] + "\x00" // The first name that follows.
 	return append(parts, platform.ListPart{Revision: w.knownAt(next).Number})
 }
 
+// logUneven logs a list whose parts are of different revisions.
+func (w *Watcher) logUneven(kind string, list *platform.Page, isCached bool) {
+	if !list.IsUneven() {
+		return
+	}
+	metrics.GetOrCreateCounter(`hickoryrock_uneven_lists_total{kind="` + kind + `"}`).Inc()
+	w.log.Info().Str("kind", kind).Bool("cached", isCached).Int("parts", len(list.Parts)).Stringer("revision", list.Revision).
+		Uint64("newest-part", list.Newest().Number).Msg("parts of a list are of different revisions")
+}
+
 // logOutdated logs how many entries of a source were older than the known ones. w.mu must be held.
 func (w *Watcher) logOutdated(from string, revision state.Revision, entries int) {
 	if entries == 0 {
--- a/internal/fleet/storewatch/targets.go
+++ b/internal/fleet/storewatch/targets.go
@@ -112,7 +112,7 @@
 	if r.Era <= known.Era {
 		return
 	}
-	w.revision, w.listRevision, w.newerRanges = r, r, nil
+	w.revision, w.listRevision, w.newerLists = r, r, nil
 	w.dropDeltas(r)
 	w.eraSince, w.eraBase = time.Now(), r.Number
 	if known.Era == 0 {
@@ -200,7 +200,7 @@
 	if w.revision.Before(page.Revision) {
 		w.revision = page.Revision
 	}
-	w.recordRanges(page)
+	w.recordParts(page)
 	if full && changed {
 		w.dropDeltas(w.revision)
 		w.listRevision = w.revision
--- a/internal/fleet/storewatch/watcher.go
+++ b/internal/fleet/storewatch/watcher.go
@@ -97,8 +97,9 @@
 		configuration []byte
 		entries       map[string]entry
 		revision      state.Revision
-		// newerRanges are ranges of names of which this router knows changes after revision.
-		newerRanges []nameRange
+		// newerLists are the revisions and parts of lists, without objects, some of whose parts
+		// are newer than revision.
+		newerLists []platform.Page
 		// eraSince is when this router first saw the store's era, or zero; eraBase is the
 		// first revision that it saw of it.
 		eraSince time.Time
