Freeze pages of the tests' store in one place

The soak finds a state by binary search; the count of calls at a start has one expectation instead of the same in two rows.

--- a/internal/fleet/storewatch/old_pages_test.go
+++ b/internal/fleet/storewatch/old_pages_test.go
@@ -10,16 +10,8 @@
 	"hickoryrock/platform/platformtest"
 )
 
-// ageFurtherPages makes all pages of cached lists but the first as old as the store is now.
-func ageFurtherPages(store *platformtest.Store, pageSize int) {
-	store.SetPageSize(pageSize)
-	store.AgeCachedPages(func(after string, past []time.Time) int {
-		if after == "" {
-			return len(past) - 1
-		}
-		return 0
-	})
-}
+func isFirstPage(after string) bool   { return after == "" }
+func isFurtherPage(after string) bool { return after != "" }
 
 // Guards against calls to an evacuated failure domain, or none to one that is in use again: a
 // router that started took an old further page of a cached list for as new as the first.
@@ -36,7 +28,8 @@
 			for _, domain := range []string{"a", "b", east} {
 				store.Set(platformtest.KindEvacuations, domain, "{}")
 			}
-			ageFurtherPages(store, 2)
+			store.SetPageSize(2)
+			store.FreezeCachedPages(isFurtherPage)
 			test.change(store)
 			f := watchTwoDomains(t, store)
 			f.assertEvacuated(test.want...)
@@ -48,24 +41,22 @@
 // Guards against lists that are read again only because their pages are of different ages: the
 // platform charges for each call.
 func TestOldPagesCostNoFurtherCalls(t *testing.T) {
-	for name, test := range map[string]struct {
-		isOld bool
-		want  int
-	}{"all pages are new": {false, 4}, "the further pages are old": {true, 4}} {
+	const wantCalls = 4 // One for the configuration, one for each page.
+	for name, isOld := range map[string]bool{"all pages are new": false, "the further pages are old": true} {
 		t.Run(name, func(t *testing.T) {
 			store := platformtest.NewStore()
 			for _, target := range []string{"i-1", "i-2", "i-3", "i-4", "i-5"} {
 				store.Set(platformtest.KindTargets, target, platformtest.Target("10.0.0.1:80", "ready", 0))
 			}
 			store.SetPageSize(2)
-			if test.isOld {
-				ageFurtherPages(store, 2)
+			if isOld {
+				store.FreezeCachedPages(isFurtherPage)
 			}
 			store.Set(platformtest.KindTargets, "i-5", platformtest.Target("10.0.0.1:80", "draining", 0))
 			f := newFixtureWithStore(t, false, store)
 			f.eventually("the list is read", func() bool { return f.View().Targets.Revision.Number > 0 })
 			time.Sleep(500 * time.Millisecond)
-			f.Assert(store.Calls(), qt.Equals, test.want, qt.Commentf("one for the configuration, one for each page"))
+			f.Assert(store.Calls(), qt.Equals, wantCalls)
 		})
 	}
 }
@@ -79,12 +70,7 @@
 		store.Set(platformtest.KindTargets, name, target("ready"))
 	}
 	store.SetPageSize(2)
-	store.AgeCachedPages(func(after string, past []time.Time) int {
-		if after == "" {
-			return 0
-		}
-		return len(past) - 1
-	})
+	store.FreezeCachedPages(isFirstPage)
 	listed := at(store.Revision())
 	store.Set(platformtest.KindTargets, "i-1", platformtest.Target("10.0.0.2:80", "ready", 0))
 	changed := item("i-1", "ready")
--- a/internal/peer/gossip/old_pages_test.go
+++ b/internal/peer/gossip/old_pages_test.go
@@ -46,12 +46,7 @@
 // restartWithOldPages starts a third router. Pages of its cached list that isOld selects, by the
 // name that they follow, are as the store was when the fleet started.
 func (f *fixture) restartWithOldPages(peers []*router, change func(), isOld func(after string) bool) *router {
-	f.store.AgeCachedPages(func(after string, past []time.Time) int {
-		if isOld(after) {
-			return 0
-		}
-		return len(past) - 1
-	})
+	f.store.FreezeCachedPages(isOld)
 	change()
 	for _, r := range peers {
 		f.eventually("the change is known", func() bool {
--- a/internal/soak/scenario/pages.go
+++ b/internal/soak/scenario/pages.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,10 +26,7 @@
 		mu.Lock()
 		at := time.Now().Add(-time.Duration(rng.Int64N(int64(maxPageAge))))
 		mu.Unlock()
-		i := len(past) - 1
-		for i > 0 && past[i].After(at) {
-			i--
-		}
-		return i
+		i, _ := slices.BinarySearchFunc(past, at, time.Time.Compare)
+		return max(0, i-1)
 	})
 }
