--- a/review/testbed3/server.go
+++ b/review/testbed3/server.go
@@ -91,9 +91,6 @@
 	s.bed.Store.Set("servers", s.ID(), platformtest.DeploymentTarget(s.service, s.address, s.domain, state, time.Now()))
 }
 
-// Unregister removes the server's entry.
-func (s *Server) Unregister() { s.bed.Store.Remove("servers", s.ID()) }
-
 // Stop ends the incarnation: its address refuses connections, and its connections are reset.
 func (s *Server) Stop() { s.end(s.ID()) }
 
--- a/review/testbed3/testbed3.go
+++ b/review/testbed3/testbed3.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -40,7 +39,6 @@
 
 	readyTimeout  = 15 * time.Second
 	readyInterval = 50 * time.Millisecond
-	drainTimeout  = 10 * time.Second
 
 	// WarmUp is the time from the readiness of all routers until trouble begins.
 	WarmUp = 3 * time.Second
@@ -221,29 +219,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// HasExited reports whether the process has ended.
-func (r *Router) HasExited() bool {
-	select {
-	case <-r.exited:
-		return true
-	default:
-		return false
-	}
-}
-
-// Signal sends a signal to the process.
-func (r *Router) Signal(s syscall.Signal) { _ = r.command.Process.Signal(s) }
-
-// Terminate sends SIGTERM and waits until the process has ended; after drainTimeout it is killed.
-func (r *Router) Terminate() {
-	r.Signal(syscall.SIGTERM)
-	select {
-	case <-r.exited:
-	case <-time.After(drainTimeout):
-		r.Kill()
-	}
-}
-
 // Kill sends SIGKILL and waits until the process has ended.
 func (r *Router) Kill() {
 	if r.command == nil || r.command.Process == nil {
@@ -260,12 +235,3 @@
 	b.lastID++
 	return fmt.Sprintf("%08x%08x", os.Getpid(), b.lastID)
 }
-
-// Log returns the output of a router so far.
-func (b *Bed) Log(r *Router) string {
-	data, err := os.ReadFile(filepath.Join(b.dir, r.Name+".log"))
-	if err != nil {
-		return strconv.Quote(err.Error())
-	}
-	return string(data)
-}
