--- a/review/12/main.go
+++ b/review/12/main.go
@@ -22,7 +22,7 @@
 const (
 	service = "order-app"
 
-	routers, servers = 4, 4
+	routers, servers = 4, 7
 	// failing is the number of servers that fail failingShare of their requests for troubleTime.
 	failing      = 1
 	failingShare = 0.4
--- a/review/testbed3/server.go
+++ b/review/testbed3/server.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -186,6 +188,15 @@
 	c.Respond(http.StatusOK, "X-Hickoryrock-Response-Seal: "+Seal+"\r\n"+fields, body)
 }
 
+// WaitOpen waits for a time, and returns false at once if the connection closes meanwhile.
+func (c Call) WaitOpen(d time.Duration) bool {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(d))
+	var one [1]byte
+	_, err := c.Conn.Read(one[:]) // The next request comes only after the answer to this one.
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // BeginStream sends the head of a stream and reports whether it could.
 func (c Call) BeginStream() bool {
 	_, err := io.WriteString(c.Conn, "HTTP/1.1 200 OK\r\nX-Hickoryrock-Attempt-Id: "+c.ID+"\r\nX-Hickoryrock-Response-Seal: "+Seal+
