Fail calls that run at most once when their target refuses them without proof

Cause: relay passed on every whole, sealed response of a target. doubt only asks whether a response may be the answer to this call; no place asked what the status promises to a caller whose call must not execute twice. The router knew better: the log lines of these calls say reason target-failed, runs 1, status 503, so Decide took the call for executed and relayed the response nevertheless. A 429 or 408 was even recorded as a success of the target.

Fix: on a route whose calls run at most once, a response with one of the four statuses and without the target's proof (X-Hickoryrock-Not-Executed, or 421) ends the attempt as failed and is not kept for the caller, who gets an own 502 without seal. The body is read to its end as before, so that a well-framed response costs no connection and a cut one is still evidence; Retry-After and Server-Leaving are observed from the head as before; the failure counts for the target, now also with 408 and 429. Answers to calls that may be repeated, and failures that promise nothing, are relayed as they were. The call's log line has the target's status.

PROTOCOL.md: "Status codes 429 and 503 are a promise, and so are 408 and 421: each means that the request has not run and never will run", and of X-Hickoryrock-Not-Executed: "No other response states this".

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -58,7 +58,7 @@
 	c.beginSlowCaller(attemptCtx, target.Hash, tracked, cancel)
 	c.lastProgress.Store(0)
 	c.attemptStart = time.Now()
-	c.hasLoad = false
+	c.hasLoad, c.targetStatus = false, 0
 	stop := c.watchSilence(target, cancel)
 	defer stop()
 	end := c.exchange(attemptCtx, target, tracked)
@@ -206,7 +206,7 @@
 	}
 	c.observeTarget(target, response.Head.Status, headers)
 	c.recordProgress(tracked, time.Now())
-	c.framing = framingName(response.Head)
+	c.framing, c.targetStatus = framingName(response.Head), response.Head.Status
 	c.headAt = time.Since(c.attemptStart)
 	if reason := c.doubt(response.Head.Status, headers); reason != "" {
 		c.h.Pool.Discard(response)
@@ -233,9 +233,12 @@
 		return bodyEnd(err)
 	}
 	c.h.Pool.Release(response)
+	if c.isUnprovenRefusal(response.Head.Status, headers) {
+		return failedEnd(reasonUnprovenRefusal)
+	}
 	c.buffered = &bufferedResponse{head: response.Head, body: body}
 	if response.Head.Status >= 500 {
-		return attemptEnd{outcome: FailedAtTarget, stage: stageBody, reason: "target-failed", blame: blameFailure}
+		return failedEnd("target-failed")
 	}
 	if now := time.Now(); response.Head.Status/100 == 2 && !c.route.Streaming {
 		c.recordPace(target, now.Sub(c.attemptStart), now)
--- a/internal/fleet/forward/decide_test.go
+++ b/internal/fleet/forward/decide_test.go
@@ -61,6 +61,10 @@
 			"the error response to an at-most-once call is relayed", atMostOnce(),
 			Progress{Outcome: FailedAtTarget, Attempts: 1, PossibleExecutions: 1, HasResponse: true, Remaining: time.Second}, true, Relay,
 		},
+		{
+			"an error response that must not be relayed fails the call", atMostOnce(),
+			Progress{Outcome: FailedAtTarget, Attempts: 1, PossibleExecutions: 1, Remaining: time.Second}, true, Fail,
+		},
 		{
 			"a resumable stream is resumed on another target", resumable(),
 			Progress{Outcome: Unknown, Attempts: 1, PossibleExecutions: 1, Started: true, Remaining: time.Second}, true, Retry,
--- a/internal/fleet/forward/end.go
+++ b/internal/fleet/forward/end.go
@@ -93,6 +93,11 @@
 	return end
 }
 
+// failedEnd is the end of an attempt whose target has answered, whole, that it failed.
+func failedEnd(reason string) attemptEnd {
+	return attemptEnd{outcome: FailedAtTarget, stage: stageBody, reason: reason, blame: blameFailure}
+}
+
 // wholeEnd is the end of an attempt with a whole response.
 func wholeEnd(stage http1client.Stage, head *http1.Response) attemptEnd {
 	return attemptEnd{outcome: Responded, stage: stage, head: head, blame: blameSuccess}
--- a/internal/fleet/forward/forward.go
+++ b/internal/fleet/forward/forward.go
@@ -206,6 +206,8 @@
 		quarantined quarantine.Record
 		// soundAt is when the answer that goes on was last taken for sound.
 		soundAt time.Time
+		// targetStatus is the status of the last attempt's response, or zero without one.
+		targetStatus int
 		// load is the load that the last target reported, valid when hasLoad is set.
 		load    platform.Load
 		hasLoad bool
--- a/internal/fleet/forward/leaving_test.go
+++ b/internal/fleet/forward/leaving_test.go
@@ -41,6 +41,7 @@
 		"error":               always("500 Error", leaving, "x"),
 		"error without seal":  write(func(r rawserver.Request) string { return platformtest.UnsealedResponse(r, "500 Error", leaving, "x") }),
 		"not found":           always("404 None", leaving, "x"),
+		"unproven refusal":    always("503 Busy", leaving, "x"),
 		"refusal":             write(func(r rawserver.Request) string { return platformtest.NotExecutedWith(r, leaving) }),
 		"stated twice":        always("200 OK", leaving+leaving, "x"),
 		"head without a body": write(func(r rawserver.Request) string { return platformtest.StreamHeadWith(r, leaving) }),
--- a/internal/fleet/forward/proof.go
+++ b/internal/fleet/forward/proof.go
@@ -6,6 +6,10 @@
 	"hickoryrock/platform"
 )
 
+// reasonUnprovenRefusal is the reason of calls whose target has answered with a status that promises
+// that they were not executed, without proof of it.
+const reasonUnprovenRefusal = "unproven-refusal"
+
 // doubt returns why a response must not be relayed although it may be the answer to this
 // call, or "". Targets state the ID of the call that they answer.
 func (c *call) doubt(status int, headers platform.ResponseHeaders) string {
@@ -19,12 +23,20 @@
 		return ""
 	case status/100 == 2 && !headers.Sealed:
 		return "unsealed-answer"
-	case promisesNotExecuted(status) && (!headers.Sealed || !isIdentified):
-		return "unproven-refusal"
+	case promisesNotExecuted(status) && !isIdentified:
+		return reasonUnprovenRefusal
+	case promisesNotExecuted(status) && !headers.Sealed && !c.route.AtMostOnce():
+		return reasonUnprovenRefusal
 	}
 	return ""
 }
 
+// isUnprovenRefusal reports whether a response would tell the caller that a call that must not execute
+// twice was not executed, without the target's proof.
+func (c *call) isUnprovenRefusal(status int, headers platform.ResponseHeaders) bool {
+	return c.route.AtMostOnce() && promisesNotExecuted(status) && !headers.NotExecuted
+}
+
 // promisesNotExecuted reports whether a status tells a caller that its call was not executed.
 func promisesNotExecuted(status int) bool {
 	switch status {
--- a/internal/fleet/forward/record.go
+++ b/internal/fleet/forward/record.go
@@ -50,6 +50,9 @@
 	if c.hasLoad {
 		line = line.Int("target-running", c.load.Running).Int("target-waiting", c.load.Waiting)
 	}
+	if c.targetStatus != c.status && c.targetStatus != 0 {
+		line = line.Int("target-status", c.targetStatus)
+	}
 	if c.slotWait > 0 {
 		line = line.Dur("slot-wait-ms", c.slotWait).Str("coordinator", c.slotCoordinator)
 	}
