Answer 502 on the own interface where a call may have run

What callers saw: an at-most-once call that was repeated with its key and then refused, because the router was at its limit, was leaving or not ready, the workspace was over its limit or the platform could not be reached, got 503 or 429 although an earlier attempt with the key may have run. The problem document said `unknown`, but HTTP clients and middleboxes that read the status alone took it for "not run".

Cause: the status followed from the reason alone, whatever the outcome was; AsUnknown and the claim store's decisions, also those that the router which commits the claims sends to another one, keep the reason of a refusal.

Fix: 429 and 503 are the statuses of failures with the outcome not-run; other failures with these reasons get 502 with the same document and Retry-After.

PROTOCOL.md: "Status codes 429 and 503 are a promise, and so are 408 and 421: each means that the request has not run and never will run. [...] Status codes 502 and 504, and a closed connection, promise nothing."

--- a/internal/caller/outcome/outcome.go
+++ b/internal/caller/outcome/outcome.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -94,6 +95,15 @@
 	}
 )
 
+// PromisesNotRun reports whether an HTTP status tells a caller that its call has not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // NewNotRun returns the failure of a call that did not run.
 func NewNotRun(r Reason, format string, args ...any) *Failure {
 	return &Failure{Status: NotRun, Reason: r, Detail: fmt.Sprintf(format, args...)}
--- a/internal/caller/server/problem.go
+++ b/internal/caller/server/problem.go
@@ -50,12 +50,17 @@
 	outcome.ReasonInternal:            http.StatusInternalServerError,
 }
 
-// httpStatus returns the HTTP status of a failure.
+// httpStatus returns the HTTP status of a failure. Statuses that tell a caller that its call has not run
+// are those of calls that have not run: HTTP clients may not read the problem document.
 func httpStatus(f *outcome.Failure) int {
-	if s, ok := statusByReason[f.Reason]; ok {
-		return s
+	status, ok := statusByReason[f.Reason]
+	switch {
+	case !ok:
+		return http.StatusInternalServerError
+	case f.Status != outcome.NotRun && outcome.PromisesNotRun(status):
+		return http.StatusBadGateway
 	}
-	return http.StatusInternalServerError
+	return status
 }
 
 // newProblem converts a failure to the API's problem document.
