Let the soak's targets refuse calls that they have run, and judge all refusals

Now a target may answer some calls that it has run with its own 408, 429 or 503, sealed and without proof, with a length or until the connection's end, and callers record each of the four statuses on a route whose calls run at most once as a refusal, whoever has written it. The event is not in the list of recorded schedules (-unproven-refusals=false leaves it out).

--- a/internal/soak/scenario/command.go
+++ b/internal/soak/scenario/command.go
@@ -36,6 +36,7 @@
 	evacuations := flags.Bool("evacuations", true, "evacuate failure domains now and then")
 	scarceTargets := flags.Bool("scarce-targets", true, "let targets state slots and load, turn slow or cold, and be crowded")
 	earlyAnswers := flags.Bool("early-answers", true, "let callers send long bodies, and targets respond early and reset connections")
+	unprovenRefusals := flags.Bool("unproven-refusals", true, "let targets refuse calls that they have run")
 	oldPages := flags.Bool("old-pages", true, "let the pages of cached lists be as of different earlier states")
 	realCallers := flags.Bool("real-callers", true, "let callers and planned stops do what they do on the users' platform")
 	routers := flags.Int("routers", routerCount, "number of routers")
@@ -43,7 +44,7 @@
 	if flags.Parse(args) != nil || flags.NArg() > 0 || *days < 1 || *minutes <= 0 ||
 		*routers < routerCount || *routers > maxRouters || *callers < 0 || *callers > maxCallers {
 		_, _ = fmt.Fprintln(errs, "usage: soak [-program P] [-logs DIR] [-seed N] [-days N] [-minutes M] [-store-returns=false] "+
-			"[-evacuations=false] [-scarce-targets=false] [-early-answers=false] [-old-pages=false] [-real-callers=false] [-routers 5..20] [-callers 0..500]")
+			"[-evacuations=false] [-scarce-targets=false] [-early-answers=false] [-unproven-refusals=false] [-old-pages=false] [-real-callers=false] [-routers 5..20] [-callers 0..500]")
 		return exitUsage
 	}
 	self, err := os.Executable()
@@ -60,7 +61,7 @@
 		}
 		report, err := Run(Options{
 			Program: *program, Dir: dir, Seed: *seed + n, StoreReturns: *storeReturns, Evacuations: *evacuations, Out: out,
-			ScarceTargets: *scarceTargets, EarlyAnswers: *earlyAnswers, OldPages: *oldPages, RealCallers: *realCallers, Routers: *routers, Callers: *callers, Self: self,
+			ScarceTargets: *scarceTargets, EarlyAnswers: *earlyAnswers, UnprovenRefusals: *unprovenRefusals, OldPages: *oldPages, RealCallers: *realCallers, Routers: *routers, Callers: *callers, Self: self,
 			Duration: time.Duration(*minutes * float64(time.Minute)),
 		})
 		if err != nil {
--- a/internal/soak/scenario/faults.go
+++ b/internal/soak/scenario/faults.go
@@ -141,6 +141,9 @@
 	tb.setResetsEarly(false)
 }}
 
+// refuseAfterRun is not in events, so that the schedules of recorded seeds stay.
+var refuseAfterRun = targetFault("a target refuses calls that it has run", traffic.RefuseAfterRun)
+
 // plannedEvents returns the events that are planned changes.
 func (tb *testbed) plannedEvents() []event {
 	planned := slices.DeleteFunc(slices.Clone(events), func(e event) bool { return !e.planned })
--- a/internal/soak/scenario/run.go
+++ b/internal/soak/scenario/run.go
@@ -69,6 +69,8 @@
 		// EarlyAnswers lets some callers send long bodies, and targets respond before they have read
 		// them and reset the connection.
 		EarlyAnswers bool
+		// UnprovenRefusals lets targets refuse calls that they have run.
+		UnprovenRefusals bool
 		// OldPages lets the pages of cached lists be as of different earlier states.
 		OldPages bool
 		// RealCallers lets callers and planned stops do what they do on the users' platform,
@@ -181,6 +183,9 @@
 	if o.EarlyAnswers {
 		all = append(all, resetEarly, resetEarly)
 	}
+	if o.UnprovenRefusals {
+		all = append(all, refuseAfterRun, refuseAfterRun)
+	}
 	return all
 }
 
--- a/internal/soak/scenario/run_test.go
+++ b/internal/soak/scenario/run_test.go
@@ -46,17 +46,19 @@
 		scarce       bool
 		early        bool
 		oldPages     bool
+		refusals     bool
 	}{
-		{"the seed of CI", 1, false, false, false, false, false, false},
-		{"a store that comes back from earlier states", 2, true, false, false, false, false, false},
-		{"callers and stops as on the users' platform", 3, true, true, false, false, false, false},
-		{"evacuated failure domains", 4, true, false, true, false, false, false},
-		{"scarce and uneven targets", 5, true, false, true, true, false, false},
-		{"targets that respond to long bodies early", 6, true, false, false, false, true, false},
-		{"lists whose pages are as of different earlier states", 7, true, false, true, false, false, true},
+		{"the seed of CI", 1, false, false, false, false, false, false, false},
+		{"a store that comes back from earlier states", 2, true, false, false, false, false, false, false},
+		{"callers and stops as on the users' platform", 3, true, true, false, false, false, false, false},
+		{"evacuated failure domains", 4, true, false, true, false, false, false, false},
+		{"scarce and uneven targets", 5, true, false, true, true, false, false, false},
+		{"targets that respond to long bodies early", 6, true, false, false, false, true, false, false},
+		{"lists whose pages are as of different earlier states", 7, true, false, true, false, false, true, false},
+		{"targets that refuse calls that they have run", 9, true, false, false, false, false, false, true},
 		// A resumable stream was abandoned when its target paused, although the retry
 		// budget was exhausted: forward.TestSilentTargetIsAbandonedOnlyForAnother.
-		{"a silent target without budget", 206, false, false, false, false, false, false},
+		{"a silent target without budget", 206, false, false, false, false, false, false, false},
 	}
 	for _, run := range runs {
 		t.Run(run.name, func(t *testing.T) {
@@ -66,7 +68,7 @@
 			c := qt.New(t)
 			dir := t.TempDir()
 			report, err := scenario.Run(scenario.Options{
-				Program: program, Dir: dir, Seed: run.seed, StoreReturns: run.storeReturns, RealCallers: run.realCallers, Evacuations: run.evacuations, ScarceTargets: run.scarce, EarlyAnswers: run.early, OldPages: run.oldPages, Self: self,
+				Program: program, Dir: dir, Seed: run.seed, StoreReturns: run.storeReturns, RealCallers: run.realCallers, Evacuations: run.evacuations, ScarceTargets: run.scarce, EarlyAnswers: run.early, OldPages: run.oldPages, UnprovenRefusals: run.refusals, Self: self,
 				Duration: shortRun, Out: t.Output(),
 			})
 			c.Assert(err, qt.IsNil)
--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"hickoryrock/internal/caller/outcome"
 	"hickoryrock/internal/soak/oracle"
 	"hickoryrock/internal/wire/http1"
 	"hickoryrock/platform"
@@ -163,6 +164,9 @@
 	if verdict.CallID != "" && verdict.CallID != a.id {
 		c.recorder.RecordViolation(oracle.WrongResponse, "call %s got the response to call %s", a.id, verdict.CallID)
 	}
+	if outcome.PromisesNotRun(head.Status) && isAtMostOnce(a.path) {
+		c.recorder.RecordRefusal(a.id, strconv.Itoa(head.Status)) // Whoever has written it.
+	}
 	switch head.Status {
 	case http.StatusOK:
 		if !verdict.Sealed || body != a.plan.body(a.id, a.path) {
@@ -172,9 +176,6 @@
 		if verdict.Sealed {
 			break
 		}
-		if isAtMostOnce(a.path) {
-			c.recorder.RecordRefusal(a.id, strconv.Itoa(head.Status))
-		}
 		if taken := time.Since(a.sent); c.behavior.real && taken > refusalTime && c.stopping() {
 			c.recorder.RecordOutcome(IgnoredOutcome + "slow refusal by a stopping router")
 		}
@@ -188,13 +189,13 @@
 
 // recordOutcome records how an attempt ended and reports whether the call is sent again, in
 // which case the outcome does not count as the call's.
-func (c *Caller) recordOutcome(a *attempt, outcome string) bool {
+func (c *Caller) recordOutcome(a *attempt, end string) bool {
 	if a.repeatable {
-		outcome = IgnoredOutcome + outcome
+		end = IgnoredOutcome + end
 	} else if c.behavior.real {
 		c.addressesExpire = time.Time{}
 	}
-	c.recorder.RecordOutcome(outcome)
+	c.recorder.RecordOutcome(end)
 	return a.repeatable
 }
 
--- a/internal/soak/traffic/target.go
+++ b/internal/soak/traffic/target.go
@@ -31,6 +31,9 @@
 	Hang
 	// Respond500 targets run some calls and respond with status 500.
 	Respond500
+	// RefuseAfterRun targets run some calls and respond with a status that promises that they have
+	// not run, without proof of it.
+	RefuseAfterRun
 )
 
 const (
@@ -190,15 +193,8 @@
 		t.resetEarly(c, r, forwarded.Call)
 		return false
 	}
-	switch fault {
-	case ResetAfterRun:
-		rawserver.Reset(c)
-		return false
-	case Hang:
-		_, _ = io.Copy(io.Discard, c) // Until the router closes the connection.
-		return false
-	case Respond500:
-		return t.write(c, platformtest.Response(r, "500 Failed", t.stateLines(), "failed"))
+	if keeps, hasFailed := t.failAfterRun(c, r, fault); hasFailed {
+		return keeps
 	}
 	if isStream(r.Target) {
 		return t.stream(c, r, forwarded)
@@ -226,6 +222,36 @@
 	rawserver.Reset(c)
 }
 
+// failAfterRun responds as a target with a fault does. It reports whether the connection stays open and
+// whether the fault is one that shows after the call has run.
+func (t *Target) failAfterRun(c net.Conn, r rawserver.Request, fault Fault) (keeps, hasFailed bool) {
+	switch fault {
+	case ResetAfterRun:
+		rawserver.Reset(c)
+		return false, true
+	case Hang:
+		_, _ = io.Copy(io.Discard, c) // Until the router closes the connection.
+		return false, true
+	case Respond500:
+		return t.write(c, platformtest.Response(r, "500 Failed", t.stateLines(), "failed")), true
+	case RefuseAfterRun:
+		return t.refuseAfterRun(c, r), true
+	}
+	return false, false
+}
+
+// refuseAfterRun responds with one of the statuses that promise that a call has not run. Some of the
+// responses end with their connection.
+func (t *Target) refuseAfterRun(c net.Conn, r rawserver.Request) bool {
+	status := []string{"408 Late", "429 Busy", "503 Unavailable"}[rand.IntN(3)]
+	response := platformtest.Response(r, status, t.stateLines(), "failed")
+	if rand.IntN(4) == 0 {
+		t.write(c, platformtest.Unframed(response))
+		return false
+	}
+	return t.write(c, response)
+}
+
 // checkDrained records a violation if a call reaches the target more than drainDeadline
 // after it was marked as draining, and the fleet has had no faults since.
 func (t *Target) checkDrained(forwarded platformtest.ForwardedCall, drainingSince time.Time) {
