Relay a target's own failure if no target is left for another attempt

What callers saw: a call that may be repeated failed at the only target that its service had left, with the target's own sealed 500 or 503, and the caller got a 502 of the router, without the seal and the body. Once the retry budget was spent the same failure was relayed.

Cause: the response was dropped as soon as a retry was decided, before a target for it was known.

Fix: it is dropped when the next attempt begins. If there is none, Decide relays it; the call's reason is target-failed, as for other relayed failures. PROTOCOL.md: "The server's status, body and X-Hickoryrock-Response-Seal are returned unchanged."

Evidence: TestFailuresWithAndWithoutProof plays routes whose calls may be repeated with one target, too; before, it failed on all four for 500, 502, 503 and 504.

--- a/internal/fleet/forward/attempt.go
+++ b/internal/fleet/forward/attempt.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	reasonSilent  = "target-silent"
-	reasonTimeout = "timeout"
+	reasonSilent       = "target-silent"
+	reasonTimeout      = "timeout"
+	reasonTargetFailed = "target-failed"
 
 	// minOverdue is the shortest time after which a call without any response bytes
 	// counts as a failure of its target.
@@ -40,6 +41,7 @@
 		c.progress.Outcome = NotExecuted
 		return
 	}
+	c.buffered = nil // The response of the attempt before is not used.
 	c.tried[target.Hash] = true
 	c.sentTo = append(c.sentTo, target.ID)
 	c.progress.Attempts++
@@ -53,7 +55,7 @@
 
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c.memory.Release() // The response of the attempt before is not used.
+	c.memory.Release()
 	c.memory, c.headBytes = c.h.answerMemory.Begin(target.Hash, func() { c.endForMemory(cancel) }), 0
 	c.beginSlowCaller(attemptCtx, target.Hash, tracked, cancel)
 	c.lastProgress.Store(0)
@@ -238,7 +240,7 @@
 	}
 	c.buffered = &bufferedResponse{head: response.Head, body: body}
 	if response.Head.Status >= 500 {
-		return failedEnd("target-failed")
+		return failedEnd(reasonTargetFailed)
 	}
 	if now := time.Now(); response.Head.Status/100 == 2 && !c.route.Streaming {
 		c.recordPace(target, now.Sub(c.attemptStart), now)
--- a/internal/fleet/forward/decide.go
+++ b/internal/fleet/forward/decide.go
@@ -67,7 +67,8 @@
 		Withheld bool
 		// Stopped is set when the router stops.
 		Stopped bool
-		// HasResponse is set when the target's error response can be relayed.
+		// HasResponse is set when a target's error response can be relayed: that of the last
+		// attempt, or of the one before if no target was left for another.
 		HasResponse bool
 	}
 )
@@ -84,7 +85,7 @@
 	switch {
 	case p.Started:
 		return Abort
-	case p.Outcome == FailedAtTarget && p.HasResponse:
+	case p.HasResponse:
 		return Relay
 	case p.PossibleExecutions == 0:
 		// All attempts provably did not execute.
--- a/internal/fleet/forward/decide_test.go
+++ b/internal/fleet/forward/decide_test.go
@@ -57,6 +57,10 @@
 			"the error response of the last attempt is relayed", idempotent(),
 			Progress{Outcome: FailedAtTarget, Attempts: 2, PossibleExecutions: 2, HasResponse: true, Remaining: time.Second}, true, Relay,
 		},
+		{
+			"an error response is relayed if no target is left", idempotent(),
+			Progress{Outcome: NotExecuted, Attempts: 1, PossibleExecutions: 1, HasResponse: true, Remaining: time.Second}, false, Relay,
+		},
 		{
 			"the error response to an at-most-once call is relayed", atMostOnce(),
 			Progress{Outcome: FailedAtTarget, Attempts: 1, PossibleExecutions: 1, HasResponse: true, Remaining: time.Second}, true, Relay,
--- a/internal/fleet/forward/refusal_proof_test.go
+++ b/internal/fleet/forward/refusal_proof_test.go
@@ -147,23 +147,28 @@
 		"/once/a": true, "/stream/a": true, "/chat/a": true, "/open/a": true,
 		"/safe/a": false, "/resume/a": false, "/replay/a": false, "/talk/a": false,
 	} {
-		t.Run(path, func(t *testing.T) {
-			t.Parallel()
-			targets := 2 // A call that may be repeated is sent to both.
-			if isAtMostOnce {
-				targets = 1
-			}
-			var present failureCase
-			f := newFixture(t, targets, func(c net.Conn, r rawserver.Request) bool { return present.answer(c, r) })
-			f.cacheIndex.MarkRestored()
-			for _, present = range failureCases(path, isAtMostOnce) {
-				f.tracker.Prune(nil) // Failures must not eject targets.
-				f.checkFailure(present)
-			}
-		})
+		checkFailures(t, path, isAtMostOnce, 1)
+		if !isAtMostOnce {
+			checkFailures(t, path, isAtMostOnce, 2)
+		}
 	}
 }
 
+// checkFailures checks all failures on a route whose service has a number of targets.
+func checkFailures(t *testing.T, path string, isAtMostOnce bool, targets int) {
+	t.Helper()
+	t.Run(fmt.Sprintf("%s, targets: %d", path, targets), func(t *testing.T) {
+		t.Parallel()
+		var present failureCase
+		f := newFixture(t, targets, func(c net.Conn, r rawserver.Request) bool { return present.answer(c, r) })
+		f.cacheIndex.MarkRestored()
+		for _, present = range failureCases(path, isAtMostOnce) {
+			f.tracker.Prune(nil) // Failures must not eject targets.
+			f.checkFailure(present)
+		}
+	})
+}
+
 // checkFailure makes a call that its target answers with a failure, and checks what the caller gets.
 func (f *fixture) checkFailure(present failureCase) {
 	f.Helper()
@@ -177,7 +182,7 @@
 	if want.maxRuns > 0 {
 		f.Check(f.targetRequests()-before <= want.maxRuns, qt.IsTrue, comment)
 	}
-	if want.keepsConnection && len(f.targets) == 1 {
+	if want.keepsConnection && present.isAtMostOnce {
 		connections := f.targetConnections()
 		_ = f.call(present.path)
 		f.Check(f.targetConnections(), qt.Equals, connections, comment)
--- a/internal/fleet/forward/respond.go
+++ b/internal/fleet/forward/respond.go
@@ -14,11 +14,13 @@
 func (c *call) apply(action Action) bool {
 	switch action {
 	case Retry:
-		c.buffered = nil
 		return false
 	case Relay:
 		if c.buffered != nil {
 			c.status = c.buffered.head.Status
+			if c.progress.Outcome == NotExecuted {
+				c.reason = reasonTargetFailed // That of the attempt before, after which no target was left.
+			}
 			c.writer.Respond(c.status, c.buffered.head.Reason, endToEndFields(c.buffered.head), c.buffered.body)
 		}
 	case Reject:
