--- a/internal/fleet/forward/refusal_proof_test.go
+++ b/internal/fleet/forward/refusal_proof_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,12 +160,13 @@
 	t.Helper()
 	t.Run(fmt.Sprintf("%s, targets: %d", path, targets), func(t *testing.T) {
 		t.Parallel()
-		var present failureCase
-		f := newFixture(t, targets, func(c net.Conn, r rawserver.Request) bool { return present.answer(c, r) })
+		var present atomic.Pointer[failureCase]
+		f := newFixture(t, targets, func(c net.Conn, r rawserver.Request) bool { return present.Load().answer(c, r) })
 		f.cacheIndex.MarkRestored()
-		for _, present = range failureCases(path, isAtMostOnce) {
+		for _, next := range failureCases(path, isAtMostOnce) {
+			present.Store(&next)
 			f.tracker.Prune(nil) // Failures must not eject targets.
-			f.checkFailure(present)
+			f.checkFailure(next)
 		}
 	})
 }
