--- a/internal/fleet/forward/proof.go
+++ b/internal/fleet/forward/proof.go
@@ -22,12 +22,12 @@
 		return ""
 	case status/100 == 2 && !headers.Sealed:
 		return "unsealed-answer"
-	case outcome.PromisesNotRun(status) && !isIdentified:
-		return reasonUnprovenRefusal
-	case outcome.PromisesNotRun(status) && !headers.Sealed && !c.route.AtMostOnce():
+	case !outcome.PromisesNotRun(status):
+		return ""
+	case !isIdentified, !headers.Sealed && !c.route.AtMostOnce():
 		return reasonUnprovenRefusal
 	}
-	return ""
+	return "" // On a route whose calls run at most once, relay reads the body but does not keep it.
 }
 
 // isUnprovenRefusal reports whether a response would tell the caller that a call that must not execute
