--- a/internal/caller/ingress/refusal_test.go
+++ b/internal/caller/ingress/refusal_test.go
@@ -14,7 +14,8 @@
 // Guards against requests that are refused with 408 or 503, which promise that they have not run and never
 // will, and are served nevertheless, also when the rest of them arrives later (REFUSED; issue 61).
 func TestRefusedRequestsAreNotServed(t *testing.T) {
-	const chunkedHead = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const lastChunk = "0\r\n\r\n"
+	withoutEnd := func(bytes int) string { return strings.TrimSuffix(chunkedRequest(bytes), lastChunk) }
 	occupyMemory := func(f *fixture) {
 		f.send(sizedRequest(bodyMemory / 2))
 		<-f.received
@@ -26,11 +27,9 @@
 	}{
 		"a head that does not end": {first: "POST / HTTP/1.1\r\nHost: h\r\nContent-Le", rest: "ngth: 1\r\n\r\nx", status: 408},
 		"a body that does not end": {first: sizedRequest(9)[:len(sizedRequest(9))-1], rest: "x", status: 408},
-		"chunks that do not end":   {first: chunkedHead + "1\r\nx\r\n", rest: "0\r\n\r\n", status: 408},
+		"chunks that do not end":   {first: withoutEnd(1), rest: lastChunk, status: 408},
 		"a body without memory":    {prepare: occupyMemory, first: sizedRequest(140 << 10), status: 503},
-		"chunks without memory": {
-			prepare: occupyMemory, first: chunkedHead + "1e000\r\n" + strings.Repeat("x", 0x1e000) + "\r\n", rest: "0\r\n\r\n", status: 503,
-		},
+		"chunks without memory":    {prepare: occupyMemory, first: withoutEnd(120 << 10), rest: lastChunk, status: 503},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/fleet/forward/refusal_proof_test.go
+++ b/internal/fleet/forward/refusal_proof_test.go
@@ -78,9 +78,9 @@
 
 // want derives what the caller must get from the protocol: "Status codes 429 and 503 are a promise, and so
 // are 408 and 421: each means that the request has not run and never will run", and "A response that has
-// X-Hickoryrock-Not-Executed states that the server did not run the request [...]. No other response
+// [the header of the proof] states that the server did not run the request [...]. No other response
 // states this", except that a server other than the expected one "responds with 421 and does not run the
-// request". Otherwise "the server's status, body and X-Hickoryrock-Response-Seal are returned unchanged".
+// request". Otherwise "the server's status, body and [seal] are returned unchanged".
 func (c failureCase) want() expectation {
 	hasProof := c.isProven || c.status == 421
 	isFramed := c.framing != untilClose
@@ -118,15 +118,14 @@
 	if c.framing == withoutBody {
 		body = ""
 	}
-	respond := platformtest.UnsealedResponse
 	if c.isSealed {
-		respond = platformtest.Response
+		lines += platformtest.SealLine
 	}
-	raw := respond(r, fmt.Sprint(c.status, " Failure"), lines, body)
+	status := fmt.Sprint(c.status, " Failure")
+	raw := platformtest.UnsealedResponse(r, status, lines, body)
 	switch c.framing {
 	case inChunks, asEventStream:
-		head, _, _ := strings.Cut(platformtest.Unframed(raw), "\r\n\r\n")
-		raw = head + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"
+		raw = unsealedChunks(r, status, lines, body)
 	case untilClose:
 		raw = platformtest.Unframed(raw)
 	case withSlowBody:
@@ -184,21 +183,13 @@
 	if want.maxRuns > 0 {
 		f.Check(f.targetRequests()-before <= want.maxRuns, qt.IsTrue, comment)
 	}
-	if want.keepsConnection && present.isAtMostOnce {
-		connections := f.targetConnections()
+	if want.keepsConnection && len(f.targets) == 1 {
+		connections := f.targets[0].Connections()
 		_ = f.call(present.path)
-		f.Check(f.targetConnections(), qt.Equals, connections, comment)
+		f.Check(f.targets[0].Connections(), qt.Equals, connections, comment)
 	}
 }
 
-func (f *fixture) targetConnections() int {
-	n := 0
-	for _, t := range f.targets {
-		n += t.Connections()
-	}
-	return n
-}
-
 // Guards against calls that go on to a target which answers many of them with a promise but without proof,
 // while another target serves them (issue 61).
 func TestUnprovenRefusalsCountAsFailures(t *testing.T) {
--- a/internal/fleet/forward/resumed_error_test.go
+++ b/internal/fleet/forward/resumed_error_test.go
@@ -39,7 +39,12 @@
 
 // chunkedResponse is platformtest.Response in chunks.
 func chunkedResponse(r rawserver.Request, status, lines, body string) string {
-	head := platformtest.Response(r, status, lines, "")
+	return unsealedChunks(r, status, platformtest.SealLine+lines, body)
+}
+
+// unsealedChunks is platformtest.UnsealedResponse in chunks.
+func unsealedChunks(r rawserver.Request, status, lines, body string) string {
+	head := platformtest.UnsealedResponse(r, status, lines, "")
 	return strings.Replace(head, "Content-Length: 0", "Transfer-Encoding: chunked", 1) + chunk(body) + "0\r\n\r\n"
 }
 
--- a/internal/soak/traffic/caller.go
+++ b/internal/soak/traffic/caller.go
@@ -164,23 +164,21 @@
 	if verdict.CallID != "" && verdict.CallID != a.id {
 		c.recorder.RecordViolation(oracle.WrongResponse, "call %s got the response to call %s", a.id, verdict.CallID)
 	}
-	if outcome.PromisesNotRun(head.Status) && isAtMostOnce(a.path) {
+	isRefusal := outcome.PromisesNotRun(head.Status)
+	if isRefusal && isAtMostOnce(a.path) {
 		c.recorder.RecordRefusal(a.id, strconv.Itoa(head.Status)) // Whoever has written it.
 	}
-	switch head.Status {
-	case http.StatusOK:
+	switch {
+	case head.Status == http.StatusOK:
 		if !verdict.Sealed || body != a.plan.body(a.id, a.path) {
 			c.recorder.RecordViolation(oracle.WrongResponse, "call %s on %s got %q", a.id, a.path, body)
 		}
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if verdict.Sealed {
-			break
-		}
+	case isRefusal && !verdict.Sealed:
 		if taken := time.Since(a.sent); c.behavior.real && taken > refusalTime && c.stopping() {
 			c.recorder.RecordOutcome(IgnoredOutcome + "slow refusal by a stopping router")
 		}
 		return retryAfter(head), c.recordOutcome(a, strconv.Itoa(head.Status))
-	case http.StatusNotFound, http.StatusUnauthorized, http.StatusForbidden:
+	case head.Status == http.StatusNotFound, head.Status == http.StatusUnauthorized, head.Status == http.StatusForbidden:
 		c.recorder.RecordViolation(oracle.ConfigurationReverted, "call %s on %s got %d", a.id, a.path, head.Status)
 	}
 	c.recorder.RecordOutcome(strconv.Itoa(head.Status))
--- a/internal/soak/traffic/caller_test.go
+++ b/internal/soak/traffic/caller_test.go
@@ -1,8 +1,11 @@
 package traffic
 
 import (
+	"bufio"
 	"fmt"
+	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -27,10 +30,13 @@
 						if hasRun {
 							r.RecordRun("c-1", maxTargets(path), "t")
 						}
-						head := &http1.Response{Status: status}
+						lines := ""
 						if isSealed {
-							head.Fields = append(head.Fields, http1.NewField("X-Hickoryrock-Response-Seal", "s"))
+							lines = platformtest.SealLine
 						}
+						raw := platformtest.ResponseTo(fmt.Sprint(status, " Failure"), lines)
+						head, err := http1.ReadResponse(bufio.NewReader(strings.NewReader(raw)), maxHeaderBytes, http.MethodPost)
+						qt.Assert(t, err, qt.IsNil)
 						caller := NewCaller("c", nil, r, Behavior{})
 						caller.checkResponse(&attempt{id: "c-1", path: path, plan: planOf(path)}, head, "")
 						want := 0
